--- /dev/null
+++ b/src/bin/violetspool-drill.rs
@@ -0,0 +1,16 @@
+//! The decisions on the wire: standard input to standard output, many instances in one process.
+
+use std::io;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let input = io::BufReader::with_capacity(1 << 16, io::stdin().lock());
+    let output = io::BufWriter::with_capacity(1 << 16, io::stdout().lock());
+    match violetspool::wire::Host::new().run(input, output) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("violetspool-drill: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,527 @@
+//! The module's types: settings, ids, time, events, outcomes and actions. Validates, decides nothing.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// A point in time or a span, in integer microseconds.
+pub type Micros = i64;
+/// One second.
+pub const SECOND: Micros = 1_000_000;
+/// One millisecond.
+pub const MILLISECOND: Micros = 1_000;
+
+/// A message, numbered by the host; never used again after its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MessageId(pub u64);
+
+/// An endpoint, numbered by the host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointId(pub u32);
+
+/// A destination's number.
+pub type DestinationId = u64;
+
+/// What a repeat of a message does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// May be sent any number of times.
+    Repeatable,
+    /// The destination drops a repeat inside `window`, counted from the first send that may have run.
+    Keyed {
+        /// How long the key is remembered.
+        window: Micros,
+        /// Only endpoints of the same zone know of each other's keys.
+        zone_only: bool,
+    },
+    /// Must never run twice.
+    Unsafe,
+}
+
+/// A class of message.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Class {
+    /// Its name, unique among the classes.
+    pub name: String,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// Full worth when delivered within this time.
+    pub aim: Micros,
+    /// No longer delivered after this time.
+    pub deadline: Micros,
+    /// Worth of one message.
+    pub worth: f64,
+    /// Share of the worth that is left at the deadline.
+    pub late_share: f64,
+    /// Messages of one key go one at a time, in order.
+    pub ordered: bool,
+}
+
+impl Class {
+    /// A class of worth 1 that keeps none of it after the aim and asks for no order.
+    pub fn new(name: &str, effect: Effect, aim: Micros, deadline: Micros) -> Self {
+        Class { name: name.to_string(), effect, aim, deadline, worth: 1.0, late_share: 0.0, ordered: false }
+    }
+}
+
+impl Class {
+    /// Share of the worth that a delivery at this age still has.
+    pub fn worth_left(&self, age: Micros, fade: Fade) -> f64 {
+        let late = (age - self.aim) as f64;
+        let left = match fade {
+            Fade::Halving => 0.5f64.powf(late / self.aim as f64),
+            Fade::Even => 1.0 - (1.0 - self.late_share) * late / (self.deadline - self.aim).max(1) as f64,
+        };
+        left.min(1.0).max(self.late_share)
+    }
+}
+
+/// A kind of destination.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Kind {
+    /// Its name.
+    pub name: String,
+    /// Each endpoint is a route of its own, with its own limit, waits and outages.
+    pub separate_routes: bool,
+    /// Messages that one call may carry.
+    pub bundle_max: usize,
+}
+
+/// A tenant.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Messages a second within its share, over all senders.
+    pub allowance: f64,
+}
+
+/// How worth falls after the aim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fade {
+    /// Evenly, down to the late share at the deadline.
+    Even,
+    /// By half with each further aim, not under the late share.
+    Halving,
+}
+
+/// Figures of the rules.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Safety {
+    /// Sends to a draining endpoint end within this time.
+    pub drain_grace: Micros,
+    /// A returning destination is warm after this time.
+    pub cold_time: Micros,
+    /// It starts with this share of its capacity.
+    pub start_capacity: f64,
+    /// It falls over when sent this multiple of what it can do ...
+    pub fall_multiple: f64,
+    /// ... for this long.
+    pub fall_span: Micros,
+    /// A final answer still counts this long after the deadline.
+    pub answer_grace: Micros,
+    /// Rest of a key after an attempt whose end is not sure.
+    pub key_rest: Micros,
+    /// An unsubscribed sender must ask for the list this often.
+    pub ask_every: Micros,
+}
+
+/// All that a sender is told at start-up.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Senders of this group, this one counted.
+    pub senders: u32,
+    /// This sender's zone, as a number into the host's list.
+    pub zone: u16,
+    /// Calls that may be out at once.
+    pub call_slots: usize,
+    /// Messages that may be held.
+    pub max_held: usize,
+    /// Attempts for one message.
+    pub max_attempts: usize,
+    /// Two attempts of one message may be out together.
+    pub second_copies: bool,
+    /// Attempts may be cancelled.
+    pub may_cancel: bool,
+    /// Endpoints may be probed.
+    pub may_probe: bool,
+    /// Senders may write to each other.
+    pub may_note: bool,
+    /// Idle connections close by themselves after this time; 0 where that is not known.
+    pub connection_idle: Micros,
+    /// Longest wait that a client heeds; 0 where clients are told none.
+    pub max_client_wait: Micros,
+    /// The endpoint list must be asked for.
+    pub list_on_request: bool,
+    /// The list gives each destination's rate: 0 no, 1 exactly, 0.5 up to half off.
+    pub weight_trust: f64,
+    /// Position of the remaining share of the limit in a load report.
+    pub report_left: Option<usize>,
+    /// Position of the limit, in calls a second, in a load report.
+    pub report_limit: Option<usize>,
+    /// Price of a call to another zone, as a share of a first try.
+    pub price_cross_zone: f64,
+    /// Price of a probe, as a share of a first try.
+    pub price_probe: f64,
+    /// Price of the destinations' wasted work, as a share of the work asked for.
+    pub price_waste: f64,
+    /// Price of a message that a separate route takes on, by zone.
+    pub zone_fees: Vec<f64>,
+    /// Worth of a message beyond its tenant's share.
+    pub over_share_worth: f64,
+    /// How worth falls after the aim.
+    pub fade: Fade,
+    /// Figures of the rules.
+    pub safety: Safety,
+    /// Classes; events name them by position.
+    pub classes: Vec<Class>,
+    /// Kinds of destination; list entries name them by position.
+    pub kinds: Vec<Kind>,
+    /// Tenants; messages name them by position.
+    pub tenants: Vec<Tenant>,
+}
+
+impl Settings {
+    /// Settings for a lone sender, with no classes yet and the mildest assumption for all else.
+    pub fn new(call_slots: usize, max_held: usize) -> Self {
+        Settings {
+            senders: 1,
+            zone: 0,
+            call_slots,
+            max_held,
+            max_attempts: 8,
+            second_copies: true,
+            may_cancel: true,
+            may_probe: false,
+            may_note: false,
+            connection_idle: 0,
+            max_client_wait: 0,
+            list_on_request: false,
+            weight_trust: 0.0,
+            report_left: None,
+            report_limit: None,
+            price_cross_zone: 0.0,
+            price_probe: 0.0,
+            price_waste: 0.0,
+            zone_fees: Vec::new(),
+            over_share_worth: 1.0,
+            fade: Fade::Even,
+            safety: Safety {
+                drain_grace: SECOND,
+                cold_time: 10 * SECOND,
+                start_capacity: 0.2,
+                fall_multiple: 2.0,
+                fall_span: 2 * SECOND,
+                answer_grace: 20 * MILLISECOND,
+                key_rest: 0,
+                ask_every: 10 * SECOND,
+            },
+            classes: Vec::new(),
+            kinds: Vec::new(),
+            tenants: Vec::new(),
+        }
+    }
+
+    /// Checks that the settings make sense.
+    ///
+    /// # Errors
+    /// Names the first setting that does not.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        let positive = |name: &str, ok: bool| {
+            if ok { Ok(()) } else { Err(SettingsError::new(name, "must be above zero")) }
+        };
+        let share = |name: &str, value: f64| {
+            if value.is_finite() && value >= 0.0 {
+                Ok(())
+            } else {
+                Err(SettingsError::new(name, "must be a finite number, zero or more"))
+            }
+        };
+        positive("senders", self.senders > 0)?;
+        positive("call_slots", self.call_slots > 0)?;
+        positive("max_held", self.max_held > 0)?;
+        positive("max_attempts", self.max_attempts > 0)?;
+        share("over_share_worth", self.over_share_worth)?;
+        share("weight_trust", self.weight_trust)?;
+        share("price_cross_zone", self.price_cross_zone)?;
+        share("price_probe", self.price_probe)?;
+        share("price_waste", self.price_waste)?;
+        self.zone_fees.iter().try_for_each(|&fee| share("zone_fees", fee))?;
+        let safety = &self.safety;
+        for (name, span) in [
+            ("safety.drain_grace", safety.drain_grace),
+            ("safety.cold_time", safety.cold_time),
+            ("safety.fall_span", safety.fall_span),
+            ("safety.answer_grace", safety.answer_grace),
+            ("safety.key_rest", safety.key_rest),
+            ("safety.ask_every", safety.ask_every),
+            ("connection_idle", self.connection_idle),
+            ("max_client_wait", self.max_client_wait),
+        ] {
+            if span < 0 {
+                return Err(SettingsError::new(name, "must not be negative"));
+            }
+        }
+        share("safety.start_capacity", safety.start_capacity)?;
+        share("safety.fall_multiple", safety.fall_multiple)?;
+        let mut names = BTreeSet::new();
+        for class in &self.classes {
+            let name = |field: &str| format!("classes.{}.{field}", class.name);
+            if !names.insert(&class.name) {
+                return Err(SettingsError::new(&name("name"), "stands twice"));
+            }
+            positive(&name("aim"), class.aim > 0)?;
+            positive(&name("deadline"), class.deadline > 0)?;
+            share(&name("worth"), class.worth)?;
+            share(&name("late_share"), class.late_share)?;
+            if let Effect::Keyed { window, .. } = class.effect {
+                positive(&name("window"), window > 0)?;
+            }
+        }
+        for kind in &self.kinds {
+            positive(&format!("kinds.{}.bundle_max", kind.name), kind.bundle_max > 0)?;
+        }
+        for tenant in &self.tenants {
+            share(&format!("tenants.{}.allowance", tenant.name), tenant.allowance)?;
+        }
+        Ok(())
+    }
+}
+
+/// A setting that makes no sense.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The setting's name.
+    pub setting: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+impl SettingsError {
+    /// An error about `setting`.
+    pub fn new(setting: &str, problem: &str) -> Self {
+        SettingsError { setting: setting.to_string(), problem: problem.to_string() }
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "setting {} {}", self.setting, self.problem)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// What a listing event holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    /// Changed entries only.
+    Changes,
+    /// The whole list; what is not in it is gone.
+    Full,
+    /// The whole list as last known before a restart, maybe old.
+    Old,
+}
+
+/// An endpoint's state in the list; it says nothing of health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Status {
+    /// Listed.
+    Serving,
+    /// Nothing new may be sent there.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// One endpoint in a listing.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    /// Which endpoint.
+    pub endpoint: EndpointId,
+    /// Its destination.
+    pub destination: DestinationId,
+    /// Its zone, as a number into the host's list.
+    pub zone: u16,
+    /// Its destination's kind, by position in the settings.
+    pub kind: usize,
+    /// Its state.
+    pub status: Status,
+    /// Calls a second that the list gives its destination (or route); used where `weight_trust` is above 0.
+    pub weight: f64,
+}
+
+impl Entry {
+    /// A serving endpoint of the first kind and zone.
+    pub fn new(endpoint: EndpointId, destination: DestinationId) -> Self {
+        Entry { endpoint, destination, zone: 0, kind: 0, status: Status::Serving, weight: 1.0 }
+    }
+}
+
+/// A message that the sender now holds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NewMessage {
+    /// Its id.
+    pub id: MessageId,
+    /// Its class, by position; an unknown class is treated as unsafe.
+    pub class: usize,
+    /// Where it goes.
+    pub destination: DestinationId,
+    /// How long it may still be delivered.
+    pub time_left: Micros,
+    /// Its key, where the class keeps order.
+    pub key: Option<u64>,
+    /// Its tenant, by position.
+    pub tenant: Option<usize>,
+    /// The client has handed it in before.
+    pub again: bool,
+    /// It comes from a sender that died.
+    pub orphan: bool,
+}
+
+impl NewMessage {
+    /// A message without key or tenant, handed in for the first time.
+    pub fn new(id: MessageId, class: usize, destination: DestinationId, time_left: Micros) -> Self {
+        NewMessage { id, class, destination, time_left, key: None, tenant: None, again: false, orphan: false }
+    }
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Delivered.
+    Success,
+    /// The destination answered with an error; it may have run.
+    Error,
+    /// Turned away unseen, perhaps with a wait; it never ran.
+    Refused {
+        /// How long to keep away.
+        wait: Option<Micros>,
+    },
+    /// No answer in time; it may have run or still run.
+    TimedOut,
+    /// No connection; it never ran.
+    NoConnection,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Never left the sender.
+    Unsent {
+        /// No slot was free.
+        no_slot: bool,
+    },
+}
+
+impl Outcome {
+    /// True if the destination, or the way to it, failed the attempt.
+    pub fn failed(self) -> bool {
+        matches!(self, Outcome::Error | Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset)
+    }
+
+    /// True if the attempt certainly never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Refused { .. } | Outcome::NoConnection | Outcome::Unsent { .. })
+    }
+}
+
+/// What the sender is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// News of the endpoint list.
+    Listed {
+        /// What the entries are.
+        listing: Listing,
+        /// The entries.
+        entries: Vec<Entry>,
+    },
+    /// Asking for the list failed, or the subscription broke.
+    ListFailed,
+    /// A message came in.
+    Accepted(NewMessage),
+    /// An attempt ended.
+    Ended {
+        /// Which message.
+        message: MessageId,
+        /// Which attempt, from 0.
+        attempt: usize,
+        /// Where it went.
+        endpoint: EndpointId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since the send.
+        latency: Micros,
+        /// Nothing more is owed for the message.
+        closed: bool,
+        /// Load report, if any.
+        report: Vec<f64>,
+    },
+    /// The answer has started; the client owns this attempt now.
+    Started {
+        /// Which message.
+        message: MessageId,
+        /// Which attempt.
+        attempt: usize,
+    },
+    /// Nobody wants this message any more.
+    Dropped(MessageId),
+    /// A probe was answered or failed.
+    Probed {
+        /// Which endpoint.
+        endpoint: EndpointId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Load report, if any.
+        report: Vec<f64>,
+    },
+    /// Another sender wrote.
+    Noted {
+        /// Its number.
+        from: u32,
+        /// What it wrote.
+        bytes: Vec<u8>,
+    },
+    /// The alarm rang.
+    Alarm,
+}
+
+/// What the sender wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Call an endpoint. Sends to one endpoint in one turn share a call as far as its kind allows.
+    Send {
+        /// Which message.
+        message: MessageId,
+        /// Where to.
+        endpoint: EndpointId,
+        /// When the attempt times out.
+        expires: Micros,
+    },
+    /// Call off an attempt.
+    Cancel {
+        /// Which message.
+        message: MessageId,
+        /// Which attempt.
+        attempt: usize,
+    },
+    /// End a message undelivered; a retry does no harm.
+    Refuse {
+        /// Which message.
+        message: MessageId,
+        /// Advice to the client.
+        wait: Option<Micros>,
+    },
+    /// End a message as failed.
+    Fail(MessageId),
+    /// Ring at this time.
+    SetAlarm(Micros),
+    /// Probe an endpoint.
+    Probe(EndpointId),
+    /// Give back the connections to an endpoint that carry nothing now.
+    Disconnect(EndpointId),
+    /// Subscribe to the endpoint list.
+    Subscribe,
+    /// Write to all other senders.
+    Note(Vec<u8>),
+    /// A line for the log.
+    Log(String),
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,34 @@
+//! Delivery decisions for outbound messages to other firms' systems.
+//!
+//! A [`Sender`] is told what happens (messages handed in, outcomes of calls, news of the endpoint
+//! list, alarms) and answers with what to do (send, cancel, refuse, fail). It opens no sockets and
+//! reads no clock: the program that hosts it does both. The same events always give the same actions.
+//!
+//! ```
+//! use violetspool::{Action, Class, Effect, Entry, Event, EndpointId, Listing, MessageId, NewMessage,
+//!     Sender, Settings};
+//!
+//! let mut settings = Settings::new(8, 100);
+//! settings.classes.push(Class::new("notice", Effect::Repeatable, 2_000_000, 10_000_000));
+//! let mut sender = Sender::new(settings, 7)?;
+//! let mut actions = Vec::new();
+//! let events = [
+//!     Event::Listed { listing: Listing::Full, entries: vec![Entry::new(EndpointId(1), 40)] },
+//!     Event::Accepted(NewMessage::new(MessageId(5), 0, 40, 10_000_000)),
+//! ];
+//! sender.handle(1_000_000, &events, &mut actions);
+//! assert!(matches!(actions[0], Action::Send { message: MessageId(5), endpoint: EndpointId(1), .. }));
+//! # Ok::<(), violetspool::SettingsError>(())
+//! ```
+
+pub mod decide;
+pub mod interface;
+mod state;
+pub mod wire;
+
+pub use decide::Sender;
+pub use interface::*;
+
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct ReadmeExample;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,203 @@
+//! Plain records that the decisions keep. No rule, table or tuned value is here: those are in `decide.rs`.
+
+use crate::interface::{DestinationId, EndpointId, MessageId, Micros, SECOND};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What shares health, waits and limits: a destination, or one endpoint where routes are apart.
+pub type UnitId = (DestinationId, Option<EndpointId>);
+
+/// What is known of one endpoint.
+#[derive(Debug, Default)]
+pub struct Endpoint {
+    /// Its destination, zone and kind, as listed last.
+    pub destination: DestinationId,
+    pub zone: u16,
+    pub kind: usize,
+    /// Listed, neither draining nor gone.
+    pub serving: bool,
+    /// For each class, by position: failures in a row, until when they count against it, last answer.
+    pub classes: BTreeMap<usize, ClassRecord>,
+    /// How often calls lately found no connection.
+    pub crowded: f64,
+}
+
+/// How one class fares at one endpoint.
+#[derive(Debug, Default)]
+pub struct ClassRecord {
+    pub strikes: u32,
+    pub struck_until: Micros,
+    pub alive_at: Micros,
+}
+
+/// One send of a message.
+#[derive(Debug)]
+pub struct Attempt {
+    /// Where it went and when.
+    pub endpoint: EndpointId,
+    pub sent: Micros,
+    /// The call that carries it.
+    pub call: u64,
+    /// Its outcome has not come.
+    pub out: bool,
+    /// Its outcome does not prove that it never ran.
+    pub may_have_run: bool,
+    /// A later attempt started while this one was out.
+    pub overlapped: bool,
+    /// It was called off.
+    pub cancelled: bool,
+}
+
+/// A message until its end and the end of its attempts.
+#[derive(Debug, Default)]
+pub struct Held {
+    /// Position of its class.
+    pub class: usize,
+    pub destination: DestinationId,
+    /// Its key, if its class keeps order.
+    pub key: Option<u64>,
+    /// When it was first handed in, and when its time is up.
+    pub born: Micros,
+    pub deadline: Micros,
+    /// What its delivery is worth.
+    pub worth: f64,
+    /// No final answer yet.
+    pub open: bool,
+    pub attempts: Vec<Attempt>,
+    /// Earliest next attempt, and the rest after the one that fails then.
+    pub retry_at: Micros,
+    pub retry_rest: Micros,
+    /// When the next copy is due, and the offset after it.
+    pub copy_at: Micros,
+    pub copy_step: Micros,
+}
+
+impl Held {
+    pub fn is_out(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.out)
+    }
+
+    /// Attempts that may run or have run. While there are any, also those that a later one overlapped: a key's
+    /// window counts from the first, even if that one turns out never to have run.
+    pub fn at_risk(&self) -> impl Iterator<Item = &Attempt> {
+        let any = self.attempts.iter().any(|attempt| attempt.out || attempt.may_have_run);
+        self.attempts.iter().filter(move |a| any && (a.out || a.may_have_run || a.overlapped))
+    }
+}
+
+/// One call in flight, with one message or a bundle.
+#[derive(Debug)]
+pub struct Call {
+    /// Whose window and limit it counts for.
+    pub unit: UnitId,
+    pub endpoint: EndpointId,
+    pub sent: Micros,
+    /// Messages in it whose outcome has not come, and all of them.
+    pub left: usize,
+    pub size: usize,
+    /// It carries copies.
+    pub copy: bool,
+}
+
+/// Messages that take turns.
+#[derive(Debug, Default)]
+pub struct KeyLine {
+    /// Messages of the key, in the order of arrival.
+    pub turn: VecDeque<MessageId>,
+    /// Nothing of the key starts before.
+    pub rest_until: Micros,
+}
+
+/// How a unit seems to be.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum Health {
+    #[default]
+    Well,
+    Sick {
+        /// For silence only, no failure or refusal.
+        silent: bool,
+        since: Micros,
+    },
+    Returning {
+        since: Micros,
+    },
+}
+
+/// What is known of a unit.
+#[derive(Debug, Default)]
+pub struct Unit {
+    pub health: Health,
+    /// Calls that may be in flight, and when that was cut last.
+    pub window: f64,
+    pub last_cut: Micros,
+    /// End of the last told wait.
+    pub wait_until: Micros,
+    /// Latencies of the last successes, and the copy offset that follows from them.
+    pub latencies: Samples,
+    pub offset: Option<Micros>,
+    /// The latency as it is over a long time.
+    pub usual: Option<Micros>,
+    /// Failure score, from 0 to 1.
+    pub fails: f64,
+    /// Last answer that shows life.
+    pub alive_at: Micros,
+    /// First refusal of the present run, and its length.
+    pub refused_since: Micros,
+    pub refused_run: u32,
+    pub in_flight: usize,
+    /// Calls in flight that are quiet beyond the silence limit; oldest age with no sign of life since;
+    /// whether a call is out far beyond the usual latency. Taken anew in each turn.
+    pub quiet: usize,
+    pub quiet_age: Micros,
+    pub lags: bool,
+    /// When calls were served over the last fall span, and the highest rate served, calls a second.
+    pub served: Samples,
+    pub best_rate: f64,
+    /// Calls sent since the unit was first seen.
+    pub sent: u64,
+    pub since: Micros,
+    /// The limit that answers report, and this sender's even share of what list or answers tell, or 0.
+    pub told_limit: Option<f64>,
+    pub share: f64,
+    /// Calls a second allowed, infinite before any refusal; whether a call succeeded since its last cut.
+    pub pace: f64,
+    pub succeeded: bool,
+    /// The token bucket of the pace.
+    pub tokens: f64,
+    pub tokens_at: Micros,
+}
+
+/// The last values of something, oldest first.
+#[derive(Debug, Default)]
+pub struct Samples(VecDeque<Micros>);
+
+impl Samples {
+    /// Adds a value and keeps `most`.
+    pub fn push(&mut self, value: Micros, most: usize) {
+        self.0.push_back(value);
+        while self.0.len() > most {
+            self.0.pop_front();
+        }
+    }
+
+    /// Drops the values at the front that are `end` or less.
+    pub fn drop_until(&mut self, end: Micros) {
+        while self.0.front().is_some_and(|&value| value <= end) {
+            self.0.pop_front();
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// The value below which `part` of `whole` parts lie; none while there are no values.
+    pub fn ranked(&self, part: usize, whole: usize) -> Option<Micros> {
+        let mut sorted: Vec<Micros> = self.0.iter().copied().collect();
+        sorted.sort_unstable();
+        sorted.get((sorted.len() * part / whole).min(sorted.len().saturating_sub(1))).copied()
+    }
+}
+
+pub fn seconds(span: Micros) -> f64 {
+    span as f64 / SECOND as f64
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,129 @@
+//! A hand-driven host: scripted events in, actions out, alarms rung when due.
+#![allow(dead_code)]
+
+use violetspool::*;
+
+pub const T0: Micros = 100 * SECOND;
+
+pub struct Rig {
+    pub sender: Sender,
+    pub now: Micros,
+    pub alarms: Vec<Micros>,
+    /// Every send so far: time, message, endpoint, attempt number.
+    pub sends: Vec<(Micros, u64, u32, usize)>,
+    pub log: Vec<(Micros, Action)>,
+}
+
+pub fn settings(slots: usize) -> Settings {
+    let mut settings = Settings::new(slots, 1000);
+    settings.classes.push(Class::new("free", Effect::Repeatable, 2 * SECOND, 30 * SECOND));
+    let keyed = Effect::Keyed { window: 6 * SECOND, zone_only: true };
+    settings.classes.push(Class::new("keyed", keyed, 2 * SECOND, 30 * SECOND));
+    settings.classes.push(Class::new("unsafe", Effect::Unsafe, 2 * SECOND, 30 * SECOND));
+    let mut ordered = Class::new("ordered", Effect::Repeatable, 2 * SECOND, 30 * SECOND);
+    ordered.ordered = true;
+    settings.classes.push(ordered);
+    settings.safety.key_rest = 100 * MILLISECOND;
+    settings.kinds.push(Kind { name: "one".into(), separate_routes: false, bundle_max: 1 });
+    settings.kinds.push(Kind { name: "apart".into(), separate_routes: true, bundle_max: 1 });
+    settings.kinds.push(Kind { name: "bundled".into(), separate_routes: false, bundle_max: 5 });
+    settings
+}
+
+pub const FREE: usize = 0;
+pub const KEYED: usize = 1;
+pub const UNSAFE: usize = 2;
+pub const ORDERED: usize = 3;
+
+pub fn entry(endpoint: u32, destination: u64) -> Entry {
+    Entry::new(EndpointId(endpoint), destination)
+}
+
+pub fn message(id: u64, class: usize, destination: u64) -> Event {
+    Event::Accepted(NewMessage::new(MessageId(id), class, destination, 30 * SECOND))
+}
+
+pub fn ended(message: u64, attempt: usize, endpoint: u32, outcome: Outcome, latency: Micros) -> Event {
+    Event::Ended {
+        message: MessageId(message),
+        attempt,
+        endpoint: EndpointId(endpoint),
+        outcome,
+        latency,
+        closed: outcome == Outcome::Success,
+        report: Vec::new(),
+    }
+}
+
+impl Rig {
+    pub fn new(settings: Settings, entries: Vec<Entry>) -> Self {
+        let sender = Sender::new(settings, 11).expect("settings make sense");
+        let mut rig = Rig { sender, now: T0, alarms: Vec::new(), sends: Vec::new(), log: Vec::new() };
+        rig.tell(vec![Event::Listed { listing: Listing::Full, entries }]);
+        rig
+    }
+
+    pub fn tell(&mut self, events: Vec<Event>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.sender.handle(self.now, &events, &mut actions);
+        for action in &actions {
+            self.log.push((self.now, action.clone()));
+            match action {
+                Action::SetAlarm(at) => self.alarms.push(*at),
+                Action::Send { message, endpoint, .. } => {
+                    let attempt = self.sends.iter().filter(|send| send.1 == message.0).count();
+                    self.sends.push((self.now, message.0, endpoint.0, attempt));
+                }
+                _ => {}
+            }
+        }
+        actions
+    }
+
+    /// Rings the alarms up to `until`, then stands there.
+    pub fn run(&mut self, until: Micros) {
+        loop {
+            self.alarms.sort_unstable();
+            match self.alarms.first().copied() {
+                Some(at) if at <= until => {
+                    self.alarms.retain(|&other| other > at);
+                    self.now = self.now.max(at);
+                    self.tell(vec![Event::Alarm]);
+                }
+                _ => break,
+            }
+        }
+        self.now = until;
+    }
+
+    pub fn sends_of(&self, message: u64) -> Vec<Micros> {
+        self.sends.iter().filter(|send| send.1 == message).map(|send| send.0 - T0).collect()
+    }
+
+    pub fn last_send(&self, message: u64) -> (u32, usize) {
+        let send = self.sends.iter().rev().find(|send| send.1 == message).expect("was sent");
+        (send.2, send.3)
+    }
+
+    /// Ends the latest attempt of the message.
+    pub fn end(&mut self, message: u64, outcome: Outcome, latency: Micros) -> Vec<Action> {
+        let (endpoint, attempt) = self.last_send(message);
+        self.tell(vec![ended(message, attempt, endpoint, outcome, latency)])
+    }
+
+    pub fn count(&self, wanted: impl Fn(&Action) -> bool) -> usize {
+        self.log.iter().filter(|(_, action)| wanted(action)).count()
+    }
+
+    pub fn failed(&self, message: u64) -> bool {
+        self.count(|action| *action == Action::Fail(MessageId(message))) == 1
+    }
+
+    pub fn refused(&self, message: u64) -> bool {
+        self.count(|a| matches!(a, Action::Refuse { message: m, .. } if m.0 == message)) == 1
+    }
+
+    pub fn cancels(&self, message: u64) -> usize {
+        self.count(|a| matches!(a, Action::Cancel { message: m, .. } if m.0 == message))
+    }
+}
