--- a/src/decide.rs
+++ b/src/decide.rs
@@ -166,6 +166,11 @@
                 self.list_rest = (self.list_rest * 2).min(LIST_MOST);
             }
             Event::Accepted(message) => self.accept(message),
+            Event::Resumed { message, attempts } => self.resume(message, attempts),
+            Event::ToldWait { endpoint, wait } => {
+                let id = self.unit_of(*endpoint);
+                self.heed(id, *wait, actions);
+            }
             Event::Ended { message, attempt, outcome, latency, closed, report, .. } => {
                 self.learn_outcome(*message, *attempt, *outcome, *latency, report, actions);
                 if *outcome == Outcome::Success || *closed {
@@ -247,6 +252,28 @@
         self.messages.insert(new.id, held);
     }
 
+    /// Takes a message back after a restart. Its calls ended with the old process; those with no known
+    /// outcome may have run. All count as overlapped: nobody knows the order of their ends, and a window of a
+    /// key must count from the first.
+    fn resume(&mut self, message: &NewMessage, attempts: &[PastAttempt]) {
+        self.accept(message);
+        let Some(held) = self.messages.get_mut(&message.id) else { return };
+        held.attempts.extend(attempts.iter().map(|past| Attempt {
+            endpoint: past.endpoint,
+            sent: past.sent,
+            call: u64::MAX,
+            out: false,
+            may_have_run: past.may_have_run,
+            overlapped: true,
+            cancelled: false,
+        }));
+        let rest_until = self.now + self.settings.safety.key_rest;
+        let unsure = attempts.iter().any(|past| past.may_have_run);
+        if let Some(line) = held.key.filter(|_| unsure).and_then(|key| self.keys.get_mut(&key)) {
+            line.rest_until = line.rest_until.max(rest_until);
+        }
+    }
+
     fn learn_outcome(
         &mut self, id: MessageId, index: usize, outcome: Outcome, latency: Micros, report: &[f64],
         actions: &mut Vec<Action>,
@@ -279,11 +306,7 @@
             self.close_idle(unit_id, endpoint_id, actions);
         }
         if let Outcome::Refused { wait: Some(wait) } = outcome {
-            if wait > 2 * self.settings.safety.fall_span {
-                self.fall_sick(unit_id, false, "shut", actions); // closed, not throttled: it opens cold
-            }
-            let until = self.now + wait + MILLISECOND;
-            self.unit(unit_id).wait_until = self.unit(unit_id).wait_until.max(until);
+            self.heed(unit_id, wait, actions);
         }
         self.learn_report(unit_id, report);
         if !first {
@@ -373,6 +396,14 @@
         }
     }
 
+    fn heed(&mut self, id: UnitId, wait: Micros, actions: &mut Vec<Action>) {
+        if wait > 2 * self.settings.safety.fall_span {
+            self.fall_sick(id, false, "shut", actions); // closed, not throttled: it opens cold
+        }
+        let until = self.now + wait + MILLISECOND;
+        self.unit(id).wait_until = self.unit(id).wait_until.max(until);
+    }
+
     /// Bounds the pace by what a unit tells of its shared limit: the even share while nothing is left, more
     /// by the square of what others leave, the only sign of all senders' load. Guards limits that refused
     /// calls use up; could hold back a sender that has most of the traffic.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -385,6 +385,17 @@
     }
 }
 
+/// An attempt from before a restart, as the host's journal has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PastAttempt {
+    /// Where it went; an endpoint that the list no longer has counts as one of no known zone.
+    pub endpoint: EndpointId,
+    /// When it was sent, on the clock of this life.
+    pub sent: Micros,
+    /// Nothing proves that it never ran.
+    pub may_have_run: bool,
+}
+
 /// How a call ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -438,6 +449,20 @@
     ListFailed,
     /// A message came in.
     Accepted(NewMessage),
+    /// A message taken before a restart is back, with all attempts that it had. Its time may be up.
+    Resumed {
+        /// The message; a time left below zero says how long its time has been up.
+        message: NewMessage,
+        /// Its attempts, in the order of their sending; later ones are numbered on from them.
+        attempts: Vec<PastAttempt>,
+    },
+    /// A destination told a wait in an answer that turned no message away.
+    ToldWait {
+        /// The endpoint that told it.
+        endpoint: EndpointId,
+        /// How long to keep away.
+        wait: Micros,
+    },
     /// An attempt ended.
     Ended {
         /// Which message.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,97 @@
+//! The real sender: starts up, wires the parts together, ends on SIGTERM.
+
+mod net;
+
+use net::calls::Calls;
+use net::config::Config;
+use net::driver::Driver;
+use net::journal::Journal;
+use net::server::{Server, serve};
+use net::{discovery, journal};
+use std::cell::Cell;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+use violetspool::Sender;
+
+/// From SIGTERM to the end of idle client connections, and to the end of the process. SIGKILL comes no
+/// sooner than 3.7 s after SIGTERM.
+const CLOSE_IDLE: Duration = Duration::from_millis(2500);
+const END: Duration = Duration::from_millis(3300);
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("milletturn: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), Box<dyn std::error::Error>> {
+    let config = Config::from_env()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, run(config))
+}
+
+async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let (journal, recovery) = Journal::open(&config.state, config.disk)?;
+    log_recovery(&config.name, &journal, &recovery);
+    let (inputs, received) = mpsc::unbounded_channel();
+    let (notices, queue) = mpsc::unbounded_channel();
+    let (ready, ready_seen) = watch::channel(false);
+    let (close, closing) = watch::channel(false);
+    let draining = Rc::new(Cell::new(false));
+    let idle = Duration::from_micros(u64::try_from(config.settings.connection_idle)?);
+    let dial = Duration::from_micros(u64::try_from(config.names.dial_timeout)?);
+    let calls = Calls::new(idle, dial, config.names.report_fields.clone(), inputs.clone());
+    let sender = Sender::new(config.settings.clone(), config.seed)?;
+    let version = config.known.as_ref().map_or(0, |known| known.version);
+    let server = Server {
+        classes: config.settings.classes.clone(),
+        inputs: inputs.clone(),
+        ready: ready_seen,
+        draining: draining.clone(),
+        // half for clients; calls, idle connections and files share the rest
+        most: (config.sockets / 2).max(1),
+        closing,
+    };
+    let driver =
+        Driver::new(sender, &config.settings, config.names, config.known, journal, calls, notices, ready);
+    let listener = TcpListener::bind(config.listen).await?;
+    eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
+    tokio::task::spawn_local(discovery::watch(config.discovery, version, inputs.clone()));
+    tokio::task::spawn_local(discovery::post_notices(config.discovery, queue, inputs));
+    tokio::task::spawn_local(serve(listener, Rc::new(server)));
+    let driver = tokio::task::spawn_local(driver.run(received));
+    tokio::select! {
+        ended = driver => ended?,
+        _ = terminate.recv() => {
+            eprintln!("{}: SIGTERM, draining", config.name);
+            draining.set(true);
+            sleep(CLOSE_IDLE).await;
+            let _ = close.send(true);
+            sleep(END - CLOSE_IDLE).await;
+            eprintln!("{}: ends", config.name);
+        }
+    }
+    Ok(())
+}
+
+fn log_recovery(name: &str, journal: &Journal, recovery: &journal::Recovery) {
+    let journal::Recovery { records, torn, damaged } = recovery;
+    if *records + *torn + *damaged > 0 {
+        let owed = journal.owed().len();
+        eprintln!("{name}: journal has {records} records, {owed} messages owed, {torn} bytes torn off");
+    }
+    if *damaged > 0 {
+        eprintln!("{name}: journal damaged, {damaged} bytes skipped; all it holds may have run");
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,290 @@
+//! The platform's agent: the watch of the endpoint list, and the notices that end undelivered messages.
+
+use super::driver::Input;
+use super::journal::Ending;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Full};
+use hyper::body::Body;
+use hyper::client::conn::http1;
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+use violetspool::Status;
+
+/// An empty line is due every 2 s; a watch that is silent for longer has lost its connection.
+const SILENCE: Duration = Duration::from_millis(4500);
+/// The agent is on this machine and answers at once.
+const ANSWER: Duration = Duration::from_secs(1);
+const RETRY_FIRST: Duration = Duration::from_millis(50);
+const RETRY_MOST: Duration = Duration::from_millis(1000);
+/// A longer line is not kept.
+const LONGEST_LINE: usize = 4 << 20;
+/// Notices in one request.
+const BATCH: usize = 200;
+
+/// One endpoint as the list has it.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    pub uid: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub kind: String,
+    pub destination: u64,
+    pub status: Status,
+    pub weight: f64,
+}
+
+/// A list, or changes to one.
+#[derive(Debug, Clone)]
+pub struct ListUpdate {
+    pub version: u64,
+    pub full: bool,
+    pub targets: Vec<Listed>,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    rev: u64,
+    all: bool,
+    targets: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: String,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    pod_group: u64,
+    state: String,
+    #[serde(default)]
+    capacity_hint: f64,
+}
+
+#[derive(Debug, Error)]
+enum WatchError {
+    #[error("silent for {SILENCE:?}")]
+    Silent,
+    #[error("answered {0}")]
+    Status(StatusCode),
+    #[error("the stream ended")]
+    Ended,
+    #[error(transparent)]
+    Connect(#[from] CallError),
+    #[error(transparent)]
+    Http(#[from] hyper::Error),
+}
+
+#[derive(Debug, Error)]
+enum CallError {
+    #[error("no connection: {0}")]
+    Io(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("bad request: {0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("no answer in time")]
+    Time,
+}
+
+/// Reads a list; none if it has not the form of one. Entries that can't be read are logged and left out.
+pub fn parse_list(value: &Value) -> Option<ListUpdate> {
+    let line = Line::deserialize(value).ok()?;
+    let read = |value: &Value| {
+        let target = Target::deserialize(value).map_err(|error| error.to_string())?;
+        let status = match target.state.as_str() {
+            "up" => Status::Serving,
+            "draining" => Status::Draining,
+            "removed" => Status::Gone,
+            other => return Err(format!("unknown state '{other}'")),
+        };
+        let address = target.endpoint.parse().map_err(|_| format!("bad address '{}'", target.endpoint))?;
+        Ok(Listed {
+            uid: target.uid,
+            address,
+            zone: target.az,
+            kind: target.model,
+            destination: target.pod_group,
+            status,
+            weight: target.capacity_hint,
+        })
+    };
+    let targets = line.targets.iter().filter_map(|value| match read(value) {
+        Ok(listed) => Some(listed),
+        Err(error) => {
+            eprintln!("discovery: entry skipped: {error}");
+            None
+        }
+    });
+    Some(ListUpdate { version: line.rev, full: line.all, targets: targets.collect() })
+}
+
+/// Watches the list for ever and hands each change on.
+pub async fn watch(agent: SocketAddr, mut version: u64, inputs: mpsc::UnboundedSender<Input>) {
+    let mut rest = RETRY_FIRST;
+    let mut told = String::new();
+    loop {
+        let before = version;
+        let error = match watch_once(agent, &mut version, &inputs).await {
+            Ok(()) => return,
+            Err(error) => error.to_string(),
+        };
+        if error != told {
+            eprintln!("discovery: watch lost: {error}");
+            told = error;
+        }
+        if version != before {
+            (rest, told) = (RETRY_FIRST, String::new());
+        }
+        sleep(rest).await;
+        rest = (rest * 2).min(RETRY_MOST);
+    }
+}
+
+/// Ends well only when nobody takes the changes any more.
+async fn watch_once(
+    agent: SocketAddr, version: &mut u64, inputs: &mpsc::UnboundedSender<Input>,
+) -> Result<(), WatchError> {
+    let path = format!("/v1/endpoints?watch=1&from={version}");
+    let request = Request::get(path).header(HOST, agent.to_string()).body(Empty::<Bytes>::new());
+    let response = call(agent, request.map_err(CallError::from)?, SILENCE).await?;
+    if response.status() != StatusCode::OK {
+        return Err(WatchError::Status(response.status()));
+    }
+    let mut body = response.into_body();
+    let (mut line, mut skipping) = (Vec::new(), false);
+    loop {
+        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| WatchError::Silent)?;
+        let frame = frame.ok_or(WatchError::Ended)??;
+        let Ok(data) = frame.into_data() else { continue };
+        for part in data.split_inclusive(|&byte| byte == b'\n') {
+            skipping |= line.len() + part.len() > LONGEST_LINE;
+            if skipping {
+                line.clear();
+            } else {
+                line.extend_from_slice(part);
+            }
+            if !part.ends_with(b"\n") {
+                continue;
+            }
+            let text = line.trim_ascii();
+            match serde_json::from_slice(text).ok().as_ref().and_then(parse_list) {
+                Some(update) => {
+                    *version = update.version;
+                    if inputs.send(Input::Listed(update)).is_err() {
+                        return Ok(());
+                    }
+                }
+                None if text.is_empty() && !skipping => {}
+                None => eprintln!(
+                    "discovery: line skipped: {}",
+                    String::from_utf8_lossy(&text[..text.len().min(80)])
+                ),
+            }
+            line.clear();
+            skipping = false;
+        }
+    }
+}
+
+/// A notice that is owed, by the number of its message.
+#[derive(Debug)]
+pub struct Notice {
+    pub number: u64,
+    pub id: String,
+    pub ending: Ending,
+}
+
+/// Posts notices until each has been answered 204.
+pub async fn post_notices(
+    agent: SocketAddr, mut queue: mpsc::UnboundedReceiver<Notice>, inputs: mpsc::UnboundedSender<Input>,
+) {
+    let mut owed: BTreeMap<u64, Notice> = BTreeMap::new();
+    let mut rest = RETRY_FIRST;
+    let mut failing = false;
+    loop {
+        if owed.is_empty() {
+            match queue.recv().await {
+                Some(notice) => owed.insert(notice.number, notice),
+                None => return,
+            };
+        }
+        while let Ok(notice) = queue.try_recv() {
+            owed.insert(notice.number, notice);
+        }
+        let batch: Vec<u64> = owed.keys().copied().take(BATCH).collect();
+        let text: String = batch.iter().filter_map(|number| owed.get(number)).map(line_of).collect();
+        let request = Request::post("/v1/outcomes")
+            .header(HOST, agent.to_string())
+            .header(CONTENT_TYPE, "application/x-ndjson")
+            .body(Full::new(Bytes::from(text)));
+        let answer = match request {
+            Ok(request) => call(agent, request, ANSWER).await.map(|response| response.status()),
+            Err(error) => Err(CallError::from(error)),
+        };
+        match answer {
+            Ok(StatusCode::NO_CONTENT) => {
+                owed.retain(|number, _| !batch.contains(number));
+                (rest, failing) = (RETRY_FIRST, false);
+                if inputs.send(Input::Noticed(batch)).is_err() {
+                    return;
+                }
+            }
+            other => {
+                if !std::mem::replace(&mut failing, true) {
+                    let count = batch.len();
+                    match other {
+                        Ok(status) => eprintln!("discovery: {count} notices answered {status}"),
+                        Err(error) => eprintln!("discovery: {count} notices not delivered: {error}"),
+                    }
+                }
+                sleep(rest).await;
+                rest = (rest * 2).min(RETRY_MOST);
+            }
+        }
+    }
+}
+
+fn line_of(notice: &Notice) -> String {
+    let mut object = serde_json::json!({ "id": notice.id });
+    match notice.ending {
+        Ending::Failed => object["state"] = "failed".into(),
+        Ending::Returned { after_ms } => {
+            object["state"] = "returned".into();
+            if let Some(after) = after_ms {
+                object["after_ms"] = after.into();
+            }
+        }
+    }
+    format!("{object}\n")
+}
+
+/// One request on a connection of its own: the agent is near, and its connections may have gone silent.
+async fn call<B>(
+    agent: SocketAddr, request: Request<B>, within: Duration,
+) -> Result<Response<hyper::body::Incoming>, CallError>
+where
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let exchange = async {
+        let stream = TcpStream::connect(agent).await?;
+        stream.set_nodelay(true)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        Ok(sender.send_request(request).await?)
+    };
+    timeout(within, exchange).await.map_err(|_| CallError::Time)?
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,605 @@
+//! The turns: all that is ready becomes events, the decision module is asked once, its actions become calls.
+//! This is the only owner of the module and of the messages.
+
+use super::calls::{self, BODY_MOST, Call, Calls, Item};
+use super::discovery::{ListUpdate, Notice};
+use super::journal::{Ending, Journal, JournalError, Taken};
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
+use violetspool::wire::{Names, position};
+use violetspool::{
+    Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
+    PastAttempt, Sender, Settings,
+};
+
+/// Delivered ids that are remembered, for clients whose request crossed a closed connection.
+const REMEMBERED: usize = 4096;
+/// How often idle connections are looked at.
+const SWEEP: Duration = Duration::from_millis(250);
+
+/// What the rest of the program tells the driver.
+#[derive(Debug)]
+pub enum Input {
+    Arrived(Arrival),
+    ClientLeft(HeaderValue),
+    Ended(calls::Ended),
+    Listed(ListUpdate),
+    /// Notices that the platform has taken, by number of message.
+    Noticed(Vec<u64>),
+}
+
+/// A message that is handed in.
+#[derive(Debug)]
+pub struct Arrival {
+    pub id: HeaderValue,
+    pub key: Option<HeaderValue>,
+    pub class: usize,
+    pub destination: u64,
+    pub time: Micros,
+    pub began: Instant,
+    pub again: bool,
+    pub orphan: bool,
+    pub body: Bytes,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// The answer to a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    Taken,
+    Delivered,
+    Refused { wait: Option<Micros> },
+    NoRoom,
+    Failed,
+}
+
+/// Module time: Unix microseconds at the start, carried on by the monotonic clock.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
+        Clock { start: Instant::now(), unix: Micros::try_from(unix).unwrap_or(0) }
+    }
+
+    fn at(&self, instant: Instant) -> Micros {
+        self.unix + Micros::try_from(instant.saturating_duration_since(self.start).as_micros()).unwrap_or(0)
+    }
+
+    fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(u64::try_from(at - self.unix).unwrap_or(0))
+    }
+}
+
+struct Attempt {
+    endpoint: EndpointId,
+    sent: Micros,
+    call: u64,
+    item: usize,
+    out: bool,
+}
+
+struct Message {
+    item: Item,
+    open: bool,
+    /// Attempts of an earlier life count too, as calls that are over.
+    attempts: Vec<Attempt>,
+}
+
+struct CallOut {
+    cancels: mpsc::UnboundedSender<usize>,
+    /// The message and attempt of each position.
+    items: Vec<(MessageId, usize)>,
+    left: usize,
+}
+
+/// A turn's sends to one endpoint that travel together.
+struct Bundle {
+    endpoint: EndpointId,
+    expires: Micros,
+    sends: Vec<(MessageId, usize)>,
+    size: usize,
+}
+
+/// Where an endpoint is and what its kind allows.
+struct Route {
+    uid: String,
+    address: Option<SocketAddr>,
+    bundle_max: usize,
+}
+
+/// Owner of the module and the messages.
+pub struct Driver {
+    sender: Sender,
+    clock: Clock,
+    names: Names,
+    bundle_max: Vec<usize>,
+    max_held: usize,
+    class_names: Vec<String>,
+    journal: Journal,
+    calls: Calls,
+    notices: mpsc::UnboundedSender<Notice>,
+    ready: watch::Sender<bool>,
+    routes: Vec<Route>,
+    by_uid: HashMap<String, EndpointId>,
+    messages: BTreeMap<MessageId, Message>,
+    by_id: HashMap<HeaderValue, MessageId>,
+    /// Messages without a final answer.
+    open: usize,
+    next_message: u64,
+    out: BTreeMap<u64, CallOut>,
+    next_call: u64,
+    delivered: VecDeque<HeaderValue>,
+    /// Messages that came in this turn, and their clients.
+    arrived: BTreeMap<MessageId, (Arrival, Micros)>,
+    events: Vec<Event>,
+    alarm: Option<Micros>,
+    journal_fault: bool,
+}
+
+impl Driver {
+    /// Sets the module up and hands it the list as last known and what the journal holds.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        sender: Sender, settings: &Settings, names: Names, known: Option<ListUpdate>, journal: Journal,
+        calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>,
+    ) -> Self {
+        let mut driver = Driver {
+            sender,
+            clock: Clock::new(),
+            names,
+            bundle_max: settings.kinds.iter().map(|kind| kind.bundle_max).collect(),
+            max_held: settings.max_held,
+            class_names: settings.classes.iter().map(|class| class.name.clone()).collect(),
+            journal,
+            calls,
+            notices,
+            ready,
+            routes: Vec::new(),
+            by_uid: HashMap::new(),
+            messages: BTreeMap::new(),
+            by_id: HashMap::new(),
+            open: 0,
+            next_message: 0,
+            out: BTreeMap::new(),
+            next_call: 0,
+            delivered: VecDeque::new(),
+            arrived: BTreeMap::new(),
+            events: Vec::new(),
+            alarm: None,
+            journal_fault: false,
+        };
+        if let Some(known) = known {
+            driver.list(known, true);
+        }
+        driver.resume();
+        driver
+    }
+
+    /// Turns until the inputs end.
+    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+        let mut sweep = tokio::time::interval(SWEEP);
+        self.turn();
+        loop {
+            let alarm = self.alarm.map(|at| self.clock.instant(at));
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.learn(input),
+                    None => return,
+                },
+                () = sleep_until(alarm.unwrap_or_else(Instant::now)), if alarm.is_some() => {}
+                _ = sweep.tick() => {
+                    self.calls.sweep();
+                    continue;
+                }
+            }
+            while let Ok(input) = inputs.try_recv() {
+                self.learn(input);
+            }
+            self.turn();
+        }
+    }
+
+    /// Hands back what an earlier life had taken on; what had ended is owed its notice again.
+    fn resume(&mut self) {
+        let owed = self.journal.owed().clone();
+        let now = self.clock.at(Instant::now());
+        for (number, owed) in owed {
+            self.next_message = self.next_message.max(number + 1);
+            if let Some(ending) = owed.ending {
+                self.notify(number, owed.taken.id, ending);
+                continue;
+            }
+            let (Ok(id), key) = (
+                HeaderValue::from_str(&owed.taken.id),
+                owed.taken.key.as_deref().and_then(|key| HeaderValue::from_str(key).ok()),
+            ) else {
+                continue;
+            };
+            let message = MessageId(number);
+            let past: Vec<PastAttempt> = owed
+                .attempts
+                .iter()
+                .map(|sent| PastAttempt {
+                    endpoint: self.by_uid.get(&sent.uid).copied().unwrap_or(EndpointId(u32::MAX)),
+                    sent: sent.sent_at,
+                    may_have_run: !sent.never_ran,
+                })
+                .collect();
+            let attempts = past
+                .iter()
+                .map(|past| Attempt {
+                    endpoint: past.endpoint,
+                    sent: past.sent,
+                    call: u64::MAX,
+                    item: 0,
+                    out: false,
+                })
+                .collect();
+            let class = position(&self.class_names, &owed.taken.class);
+            let new = NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now);
+            self.events.push(Event::Resumed { message: new, attempts: past });
+            let item = Item { id: id.clone(), key, body: owed.taken.body.into() };
+            self.messages.insert(message, Message { item, open: true, attempts });
+            self.by_id.insert(id, message);
+            self.open += 1;
+        }
+    }
+
+    fn learn(&mut self, input: Input) {
+        match input {
+            Input::Arrived(arrival) => self.arrive(arrival),
+            Input::ClientLeft(id) => {
+                if let Some(&message) = self.by_id.get(&id) {
+                    self.events.push(Event::Dropped(message));
+                    self.end(message);
+                }
+            }
+            Input::Ended(ended) => self.ended(ended),
+            Input::Listed(update) => self.list(update, false),
+            Input::Noticed(numbers) => {
+                for number in numbers {
+                    let written = self.journal.over(number);
+                    self.check(written);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, arrival: Arrival) {
+        // a receiver that is gone is a client that left: its guard says so too
+        if self.by_id.contains_key(&arrival.id) {
+            let _ = arrival.reply.send(Answer::Taken);
+        } else if self.delivered.contains(&arrival.id) {
+            let _ = arrival.reply.send(Answer::Delivered);
+        } else if self.open >= self.max_held {
+            let _ = arrival.reply.send(Answer::Refused { wait: None });
+        } else {
+            let message = MessageId(self.next_message);
+            self.next_message += 1;
+            let began = self.clock.at(arrival.began);
+            let left = began + arrival.time - self.clock.at(Instant::now());
+            let new = NewMessage {
+                again: arrival.again,
+                orphan: arrival.orphan,
+                ..NewMessage::new(message, arrival.class, arrival.destination, left)
+            };
+            self.events.push(Event::Accepted(new));
+            let item = Item { id: arrival.id.clone(), key: arrival.key.clone(), body: arrival.body.clone() };
+            self.messages.insert(message, Message { item, open: true, attempts: Vec::new() });
+            self.by_id.insert(arrival.id.clone(), message);
+            self.open += 1;
+            self.arrived.insert(message, (arrival, began));
+        }
+    }
+
+    fn ended(&mut self, ended: calls::Ended) {
+        let Some(call) = self.out.get_mut(&ended.call) else { return };
+        let Some(&(message, attempt)) = call.items.get(ended.item) else { return };
+        call.left -= 1;
+        if call.left == 0 {
+            self.out.remove(&ended.call);
+        }
+        let now = self.clock.at(Instant::now());
+        let Some(held) = self.messages.get_mut(&message) else { return };
+        let Some(tried) = held.attempts.get_mut(attempt).filter(|tried| tried.out) else { return };
+        tried.out = false;
+        let (endpoint, latency) = (tried.endpoint, now - tried.sent);
+        if ended.outcome.never_ran() && held.open {
+            let written = self.journal.never_ran(message.0, attempt);
+            self.check(written);
+        }
+        if let Some(wait) = ended.wait {
+            self.events.push(Event::ToldWait { endpoint, wait });
+        }
+        if ended.closed {
+            if ended.outcome == Outcome::Success {
+                self.remember(message);
+            }
+            self.end(message);
+        }
+        let closed = self.messages.get(&message).is_none_or(|held| !held.open);
+        self.events.push(Event::Ended {
+            message,
+            attempt,
+            endpoint,
+            outcome: ended.outcome,
+            latency,
+            closed,
+            report: ended.report,
+        });
+        self.forget_if_done(message);
+    }
+
+    fn remember(&mut self, message: MessageId) {
+        let Some(held) = self.messages.get(&message) else { return };
+        if self.delivered.len() >= REMEMBERED {
+            self.delivered.pop_front();
+        }
+        self.delivered.push_back(held.item.id.clone());
+    }
+
+    /// Nothing more is owed for the message.
+    fn end(&mut self, message: MessageId) {
+        if self.close(message) {
+            let written = self.journal.over(message.0);
+            self.check(written);
+        }
+    }
+
+    /// Marks the message as ended; false if it was.
+    fn close(&mut self, message: MessageId) -> bool {
+        let Some(held) = self.messages.get_mut(&message).filter(|held| held.open) else { return false };
+        held.open = false;
+        self.open -= 1;
+        if self.by_id.get(&held.item.id) == Some(&message) {
+            self.by_id.remove(&held.item.id);
+        }
+        self.forget_if_done(message);
+        true
+    }
+
+    fn forget_if_done(&mut self, message: MessageId) {
+        let done = |held: &Message| !held.open && held.attempts.iter().all(|attempt| !attempt.out);
+        if self.messages.get(&message).is_some_and(done) {
+            self.messages.remove(&message);
+        }
+    }
+
+    fn list(&mut self, update: ListUpdate, old: bool) {
+        let mut entries = Vec::with_capacity(update.targets.len());
+        for listed in update.targets {
+            let kind = position(&self.names.kinds, &listed.kind);
+            let next = EndpointId(self.routes.len() as u32);
+            let endpoint = *self.by_uid.entry(listed.uid.clone()).or_insert(next);
+            if endpoint == next {
+                self.routes.push(Route { uid: listed.uid, address: None, bundle_max: 1 });
+            }
+            if let Some(route) = self.routes.get_mut(endpoint.0 as usize) {
+                if let Some(before) = route.address.filter(|&before| before != listed.address) {
+                    self.calls.disconnect(before);
+                }
+                route.address = Some(listed.address);
+                route.bundle_max = self.bundle_max.get(kind).copied().unwrap_or(1);
+            }
+            entries.push(Entry {
+                endpoint,
+                destination: listed.destination,
+                zone: position(&self.names.zones, &listed.zone) as u16,
+                kind,
+                status: listed.status,
+                weight: listed.weight,
+            });
+        }
+        if update.full && !entries.is_empty() || old {
+            // a process that was not told so before; receivers gone means that it ends
+            let _ = self.ready.send(!entries.is_empty());
+        }
+        let listing = match (old, update.full) {
+            (true, _) => Listing::Old,
+            (false, true) => Listing::Full,
+            (false, false) => Listing::Changes,
+        };
+        self.events.push(Event::Listed { listing, entries });
+    }
+
+    fn turn(&mut self) {
+        let now = self.clock.at(Instant::now());
+        if self.alarm.take_if(|at| *at <= now).is_some() {
+            self.events.push(Event::Alarm);
+        }
+        let events = std::mem::take(&mut self.events);
+        let mut actions = Vec::new();
+        self.sender.handle(now, &events, &mut actions);
+        self.answer_arrivals(&actions);
+        let mut bundles: Vec<Bundle> = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { message, endpoint, expires } => {
+                    self.send(now, message, endpoint, expires, &mut bundles);
+                }
+                Action::Cancel { message, attempt } => self.cancel(message, attempt),
+                Action::Refuse { message, wait } => {
+                    let after_ms = wait.and_then(|wait| u64::try_from(wait / MILLISECOND).ok());
+                    self.give_up(message, Ending::Returned { after_ms });
+                }
+                Action::Fail(message) => self.give_up(message, Ending::Failed),
+                Action::SetAlarm(at) => self.alarm = Some(at),
+                Action::Disconnect(endpoint) => {
+                    if let Some(address) =
+                        self.routes.get(endpoint.0 as usize).and_then(|route| route.address)
+                    {
+                        self.calls.disconnect(address);
+                    }
+                }
+                Action::Log(text) => eprintln!("{text}"),
+                // the watch is always on; probes and notes are not to be had on sockets
+                Action::Subscribe | Action::Probe(_) | Action::Note(_) => {}
+            }
+        }
+        for bundle in bundles {
+            self.start(bundle);
+        }
+    }
+
+    /// Promises what the module keeps, once it is in the journal; what it ends at once was never promised.
+    fn answer_arrivals(&mut self, actions: &[Action]) {
+        for (message, (arrival, began)) in std::mem::take(&mut self.arrived) {
+            let ends = actions.iter().find_map(|action| match action {
+                Action::Refuse { message: m, wait } if *m == message => Some(Answer::Refused { wait: *wait }),
+                Action::Fail(m) if *m == message => Some(Answer::Failed),
+                _ => None,
+            });
+            if !self.messages.get(&message).is_some_and(|held| held.open) {
+                continue; // its client has left
+            }
+            let answer = ends.unwrap_or_else(|| self.write_down(message, &arrival, began));
+            if answer != Answer::Taken {
+                self.close(message);
+                if answer == Answer::NoRoom {
+                    self.events.push(Event::Dropped(message));
+                }
+            }
+            if arrival.reply.send(answer).is_err() && answer == Answer::Taken {
+                self.events.push(Event::Dropped(message));
+                self.end(message);
+            }
+        }
+        if !self.events.is_empty() {
+            // a message that was dropped only now is told in a turn of its own, at once
+            self.alarm = Some(self.clock.at(Instant::now()));
+        }
+    }
+
+    fn write_down(&mut self, message: MessageId, arrival: &Arrival, began: Micros) -> Answer {
+        let text = |value: &HeaderValue| value.to_str().map(str::to_string).unwrap_or_default();
+        let taken = Taken {
+            id: text(&arrival.id),
+            key: arrival.key.as_ref().map(text),
+            class: self.class_names.get(arrival.class).cloned().unwrap_or_default(),
+            destination: arrival.destination,
+            taken_at: began,
+            deadline: began + arrival.time,
+            body: arrival.body.to_vec(),
+        };
+        let written = self.journal.take(message.0, taken);
+        if self.check(written) { Answer::Taken } else { Answer::NoRoom }
+    }
+
+    fn send(
+        &mut self, now: Micros, message: MessageId, endpoint: EndpointId, expires: Micros,
+        bundles: &mut Vec<Bundle>,
+    ) {
+        let Some(held) = self.messages.get_mut(&message) else { return };
+        let attempt = held.attempts.len();
+        held.attempts.push(Attempt { endpoint, sent: now, call: u64::MAX, item: 0, out: true });
+        let size = calls::bulk_size(&held.item);
+        let Some(route) = self.routes.get(endpoint.0 as usize) else { return };
+        let written = if held.open {
+            self.journal.sent(message.0, &route.uid, now)
+        } else {
+            Err(JournalError::Full) // it was dropped in this very turn
+        };
+        let most = route.bundle_max;
+        if held.open && !self.check(written) || !self.messages.get(&message).is_some_and(|held| held.open) {
+            self.unsent(message, attempt, endpoint);
+            return;
+        }
+        let room = |bundle: &&mut Bundle| {
+            bundle.endpoint == endpoint && bundle.sends.len() < most && bundle.size + size <= BODY_MOST
+        };
+        match bundles.iter_mut().find(room) {
+            Some(bundle) => {
+                bundle.sends.push((message, attempt));
+                bundle.expires = bundle.expires.max(expires);
+                bundle.size += size;
+            }
+            None => bundles.push(Bundle { endpoint, expires, sends: vec![(message, attempt)], size }),
+        }
+    }
+
+    /// An attempt that never left: the module hears of it in a turn of its own.
+    fn unsent(&mut self, message: MessageId, attempt: usize, endpoint: EndpointId) {
+        let Some(held) = self.messages.get_mut(&message) else { return };
+        if let Some(tried) = held.attempts.get_mut(attempt) {
+            tried.out = false;
+        }
+        let closed = !held.open;
+        let outcome = Outcome::Unsent { no_slot: false };
+        let report = Vec::new();
+        self.events.push(Event::Ended { message, attempt, endpoint, outcome, latency: 0, closed, report });
+        self.alarm = Some(self.clock.at(Instant::now()));
+        self.forget_if_done(message);
+    }
+
+    fn start(&mut self, bundle: Bundle) {
+        let number = self.next_call;
+        self.next_call += 1;
+        let address = self.routes.get(bundle.endpoint.0 as usize).and_then(|route| route.address);
+        let Some(address) = address else { return };
+        let mut items = Vec::with_capacity(bundle.sends.len());
+        for (item, &(message, attempt)) in bundle.sends.iter().enumerate() {
+            let Some(held) = self.messages.get_mut(&message) else { continue };
+            items.push(held.item.clone());
+            if let Some(tried) = held.attempts.get_mut(attempt) {
+                (tried.call, tried.item) = (number, item);
+            }
+        }
+        let (cancels, receiver) = mpsc::unbounded_channel();
+        let left = bundle.sends.len();
+        self.out.insert(number, CallOut { cancels, items: bundle.sends, left });
+        let expires = self.clock.instant(bundle.expires);
+        self.calls.start(Call { number, address, items, expires, cancels: receiver });
+    }
+
+    fn cancel(&mut self, message: MessageId, attempt: usize) {
+        let tried = self.messages.get(&message).and_then(|held| held.attempts.get(attempt));
+        let Some(tried) = tried.filter(|tried| tried.out) else { return };
+        if let Some(call) = self.out.get(&tried.call) {
+            // a call that has just ended has told how
+            let _ = call.cancels.send(tried.item);
+        }
+    }
+
+    /// The module has ended the message undelivered: the platform is told.
+    fn give_up(&mut self, message: MessageId, ending: Ending) {
+        let Some(held) = self.messages.get(&message).filter(|held| held.open) else { return };
+        let id = held.item.id.to_str().map(str::to_string).unwrap_or_default();
+        let written = self.journal.ending(message.0, ending);
+        self.check(written);
+        self.close(message);
+        self.notify(message.0, id, ending);
+    }
+
+    fn notify(&self, number: u64, id: String, ending: Ending) {
+        // the poster lives as long as the process
+        let _ = self.notices.send(Notice { number, id, ending });
+    }
+
+    /// True if the entry was written. Faults are logged when they begin, not for each message.
+    fn check(&mut self, written: Result<(), JournalError>) -> bool {
+        match written {
+            Ok(()) => {
+                if std::mem::take(&mut self.journal_fault) {
+                    eprintln!("journal: written again");
+                }
+                true
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut self.journal_fault, true) {
+                    eprintln!("journal: {error}");
+                }
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/journal.rs
@@ -0,0 +1,333 @@
+//! What the sender has taken on, in a file that outlasts the process.
+//!
+//! Records are appended whole, each by one write straight to the file: what was written outlasts a SIGKILL
+//! without a sync. A record is a mark, a length, a checksum and the encoded entry. Before the file could grow
+//! beyond what lets old and new stand side by side under the limit, what is still owed is written to a new
+//! file that then takes the old one's name.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+const MARK: [u8; 4] = *b"MTJ1";
+const HEAD: usize = 12;
+/// More than any entry needs; a longer length is damage.
+const LONGEST: usize = 1 << 18;
+/// Kept free of new messages, for the outcomes and ends of those that were taken.
+const RESERVE: u64 = 96 * 1024;
+/// For the folder's own blocks and the rounding of two files to whole 512 bytes.
+const ROUNDING: u64 = 4 * 1024;
+/// Below this a file is not worth compacting.
+const SMALL: u64 = 256 * 1024;
+
+/// Why an entry was not written.
+#[derive(Debug, Error)]
+pub enum JournalError {
+    #[error("no room left in the journal")]
+    Full,
+    #[error("the journal can't be written: {0}")]
+    Io(#[from] io::Error),
+    #[error("the journal can't be encoded: {0}")]
+    Encode(#[from] postcard::Error),
+}
+
+/// How a message that was not delivered ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ending {
+    Failed,
+    Returned { after_ms: Option<u64> },
+}
+
+/// A message as it was handed in.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Taken {
+    pub id: String,
+    pub key: Option<String>,
+    pub class: String,
+    pub destination: u64,
+    /// Unix time in microseconds.
+    pub taken_at: i64,
+    pub deadline: i64,
+    pub body: Vec<u8>,
+}
+
+/// One send of a message.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sent {
+    pub uid: String,
+    /// Unix time in microseconds.
+    pub sent_at: i64,
+    /// An outcome has proved that it never ran.
+    pub never_ran: bool,
+}
+
+/// What the journal still holds of a message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Owed {
+    pub taken: Taken,
+    pub attempts: Vec<Sent>,
+    /// It has ended, but its notice has not been answered.
+    pub ending: Option<Ending>,
+    /// Bytes of the records that a compacted file needs for it.
+    size: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Entry {
+    Taken(u64, Taken),
+    Sent(u64, Sent),
+    Outcome { message: u64, attempt: u32, never_ran: bool },
+    Ending(u64, Ending),
+    Over(u64),
+}
+
+/// What was found at the start.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Recovery {
+    pub records: usize,
+    /// Bytes dropped at the end: a record that a kill cut short.
+    pub torn: usize,
+    /// Bytes skipped before sound records: real damage.
+    pub damaged: usize,
+}
+
+/// The open journal.
+#[derive(Debug)]
+pub struct Journal {
+    path: PathBuf,
+    file: File,
+    size: u64,
+    limit: u64,
+    live: u64,
+    owed: BTreeMap<u64, Owed>,
+    /// A write failed half-way and could not be taken back; nothing can be promised any more.
+    broken: bool,
+}
+
+impl Journal {
+    /// Opens the journal in the folder and reads what is owed. `limit` is what the folder may hold.
+    pub fn open(folder: &Path, limit: u64) -> Result<(Self, Recovery), JournalError> {
+        fs::create_dir_all(folder)?;
+        let path = folder.join("journal");
+        // what a kill in the middle of a compaction left behind
+        match fs::remove_file(folder.join("journal.new")) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
+            _ => {}
+        }
+        let bytes = match fs::read(&path) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Vec::new(),
+            other => other?,
+        };
+        let file = OpenOptions::new().append(true).create(true).open(&path)?;
+        let mut journal = Journal {
+            path,
+            file,
+            size: bytes.len() as u64,
+            limit: limit.saturating_sub(ROUNDING),
+            live: 0,
+            owed: BTreeMap::new(),
+            broken: false,
+        };
+        let recovery = journal.read(&bytes);
+        if recovery.damaged > 0 {
+            // a lost record may have told of a send
+            for owed in journal.owed.values_mut() {
+                let presumed = Sent { uid: String::new(), sent_at: owed.taken.taken_at, never_ran: false };
+                owed.attempts.insert(0, presumed);
+            }
+        }
+        if recovery.torn > 0 {
+            journal.size -= recovery.torn as u64;
+            journal.file.set_len(journal.size)?;
+        }
+        if recovery.damaged > 0 {
+            journal.live = 0;
+            for (&number, owed) in &mut journal.owed {
+                owed.size = encode_owed(number, owed)?.len() as u64;
+                journal.live += owed.size;
+            }
+            journal.compact()?;
+        } else if journal.size > SMALL {
+            journal.compact()?;
+        }
+        Ok((journal, recovery))
+    }
+
+    /// What is owed, by the numbers of [`Journal::take`].
+    pub fn owed(&self) -> &BTreeMap<u64, Owed> {
+        &self.owed
+    }
+
+    fn read(&mut self, bytes: &[u8]) -> Recovery {
+        let mut recovery = Recovery::default();
+        let (mut at, mut bad) = (0, 0);
+        while at < bytes.len() {
+            let Some((entry, length)) = decode(&bytes[at..]) else {
+                (at, bad) = (at + 1, bad + 1);
+                continue;
+            };
+            recovery.damaged += std::mem::take(&mut bad);
+            recovery.records += 1;
+            at += length;
+            self.apply(entry, length as u64);
+        }
+        // a kill cuts one record short; more than one lost at the end is damage
+        let tail = &bytes[bytes.len() - bad..];
+        if tail.iter().skip(1).zip(1..).any(|(_, from)| tail[from..].starts_with(&MARK)) {
+            recovery.damaged += bad;
+        } else {
+            recovery.torn = bad;
+        }
+        recovery
+    }
+
+    fn apply(&mut self, entry: Entry, length: u64) {
+        match entry {
+            Entry::Taken(number, taken) => {
+                let owed = Owed { taken, attempts: Vec::new(), ending: None, size: length };
+                self.live += length;
+                if let Some(old) = self.owed.insert(number, owed) {
+                    self.live -= old.size;
+                }
+            }
+            Entry::Over(number) => {
+                if let Some(old) = self.owed.remove(&number) {
+                    self.live -= old.size;
+                }
+            }
+            Entry::Sent(number, sent) => self.grow(number, length, |owed| owed.attempts.push(sent)),
+            Entry::Outcome { message, attempt, never_ran } => self.grow(message, 0, |owed| {
+                if let Some(sent) = owed.attempts.get_mut(attempt as usize) {
+                    sent.never_ran = never_ran;
+                }
+            }),
+            Entry::Ending(number, ending) => self.grow(number, length, |owed| owed.ending = Some(ending)),
+        }
+    }
+
+    fn grow(&mut self, number: u64, length: u64, change: impl FnOnce(&mut Owed)) {
+        if let Some(owed) = self.owed.get_mut(&number) {
+            owed.size += length;
+            self.live += length;
+            change(owed);
+        }
+    }
+
+    /// Writes a message down; it may be promised once this has succeeded.
+    pub fn take(&mut self, number: u64, taken: Taken) -> Result<(), JournalError> {
+        self.append(Entry::Taken(number, taken), RESERVE)
+    }
+
+    /// Writes a send down; its call may begin once this has succeeded.
+    pub fn sent(&mut self, number: u64, uid: &str, sent_at: i64) -> Result<(), JournalError> {
+        self.append(Entry::Sent(number, Sent { uid: uid.to_string(), sent_at, never_ran: false }), 0)
+    }
+
+    /// Writes down that an attempt never ran. That it may have run is what a send without outcome says.
+    pub fn never_ran(&mut self, message: u64, attempt: usize) -> Result<(), JournalError> {
+        self.append(Entry::Outcome { message, attempt: attempt as u32, never_ran: true }, 0)
+    }
+
+    /// Writes down that a notice is owed.
+    pub fn ending(&mut self, number: u64, ending: Ending) -> Result<(), JournalError> {
+        self.append(Entry::Ending(number, ending), 0)
+    }
+
+    /// Writes down that nothing more is owed.
+    pub fn over(&mut self, number: u64) -> Result<(), JournalError> {
+        if !self.owed.contains_key(&number) {
+            return Ok(());
+        }
+        self.append(Entry::Over(number), 0)
+    }
+
+    fn append(&mut self, entry: Entry, reserve: u64) -> Result<(), JournalError> {
+        if self.broken {
+            return Err(JournalError::Full);
+        }
+        let record = encode(&entry)?;
+        let length = record.len() as u64;
+        // old and new file must fit together, also after this record
+        let fits = |journal: &Self| journal.size + journal.live + 2 * length + reserve <= journal.limit;
+        if !fits(self) {
+            self.compact()?;
+            if !fits(self) {
+                return Err(JournalError::Full);
+            }
+        }
+        if let Err(error) = self.file.write_all(&record) {
+            self.broken = self.file.set_len(self.size).is_err();
+            return Err(error.into());
+        }
+        self.size += length;
+        self.apply(entry, length);
+        Ok(())
+    }
+
+    fn compact(&mut self) -> Result<(), JournalError> {
+        let new = self.path.with_extension("new");
+        let mut bytes = Vec::new();
+        for (&number, owed) in &self.owed {
+            bytes.extend(encode_owed(number, owed)?);
+        }
+        if self.size + bytes.len() as u64 > self.limit {
+            return Err(JournalError::Full);
+        }
+        let written = (|| {
+            let mut file = OpenOptions::new().append(true).create_new(true).open(&new)?;
+            file.write_all(&bytes)?;
+            fs::rename(&new, &self.path)?;
+            Ok(file)
+        })();
+        match written {
+            Ok(file) => {
+                self.file = file;
+                self.size = bytes.len() as u64;
+                self.broken = false;
+                Ok(())
+            }
+            Err(error) => {
+                let _ = fs::remove_file(&new);
+                Err(JournalError::Io(error))
+            }
+        }
+    }
+}
+
+fn encode_owed(number: u64, owed: &Owed) -> Result<Vec<u8>, JournalError> {
+    let mut bytes = encode(&Entry::Taken(number, owed.taken.clone()))?;
+    for sent in &owed.attempts {
+        bytes.extend(encode(&Entry::Sent(number, sent.clone()))?);
+    }
+    if let Some(ending) = owed.ending {
+        bytes.extend(encode(&Entry::Ending(number, ending))?);
+    }
+    Ok(bytes)
+}
+
+fn encode(entry: &Entry) -> Result<Vec<u8>, JournalError> {
+    let payload = postcard::to_allocvec(entry)?;
+    let mut record = Vec::with_capacity(HEAD + payload.len());
+    record.extend_from_slice(&MARK);
+    record.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    record.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
+    record.extend_from_slice(&payload);
+    Ok(record)
+}
+
+/// The record at the start of the bytes and its length, if a sound one stands there.
+fn decode(bytes: &[u8]) -> Option<(Entry, usize)> {
+    let word = |at: usize| bytes.get(at..at + 4)?.try_into().ok().map(u32::from_le_bytes);
+    if !bytes.starts_with(&MARK) {
+        return None;
+    }
+    let (length, sum) = (word(4)? as usize, word(8)?);
+    let payload = bytes.get(HEAD..HEAD + length).filter(|_| length <= LONGEST)?;
+    if crc32fast::hash(payload) != sum {
+        return None;
+    }
+    postcard::from_bytes(payload).ok().map(|entry| (entry, HEAD + length))
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -141,8 +141,8 @@
     }
 }
 
-/// The settings of a `begin` line, looked up by path.
-struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+/// Settings as text, looked up by path: those of a `begin` line, or of a real sender's configuration.
+pub struct Pairs<'a>(pub BTreeMap<&'a str, &'a str>);
 
 impl Pairs<'_> {
     fn text(&self, path: &str) -> Option<&str> {
@@ -178,25 +178,39 @@
     }
 }
 
-/// Names of one instance's settings, for reading its later lines.
-#[derive(Default)]
-struct Names {
-    zones: Vec<String>,
-    classes: Vec<String>,
-    kinds: Vec<String>,
-    tenants: Vec<String>,
+/// What a host needs of one instance's settings beside the module: the names that later lines use.
+#[derive(Debug, Default)]
+pub struct Names {
+    /// Zones, in the order of their numbers.
+    pub zones: Vec<String>,
+    /// Classes of message.
+    pub classes: Vec<String>,
+    /// Kinds of destination.
+    pub kinds: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Fields of a load report, in the order in which the module reads them.
+    pub report_fields: Vec<String>,
+    /// A connection that is not up within this time is given up.
+    pub dial_timeout: Micros,
 }
 
-fn position(names: &[String], name: &str) -> usize {
+/// Position of a name among those of the settings; `usize::MAX` for a name that is not there.
+pub fn position(names: &[String], name: &str) -> usize {
     names.iter().position(|known| known == name).unwrap_or(usize::MAX)
 }
 
-fn read_settings(line: &str) -> Result<(Settings, Names), SettingsError> {
-    let pairs = Pairs(line.split(' ').filter_map(|pair| pair.split_once('=')).collect());
+/// Reads the settings, for the wire and for real senders alike: setting names live here only.
+///
+/// # Errors
+/// Names the first setting that is missing or makes no sense.
+pub fn read_settings(pairs: &Pairs) -> Result<(Settings, Names), SettingsError> {
     let owned = |list: Vec<&str>| list.into_iter().map(str::to_string).collect::<Vec<_>>();
     let mut names = Names {
         zones: owned(pairs.list("zones")),
         kinds: owned(pairs.list("machineTypes")),
+        report_fields: owned(pairs.list("report.fields")),
+        dial_timeout: pairs.span_or("caps.dialTimeout", SECOND)?,
         ..Names::default()
     };
     let slots = pairs.need("specifics.callSlots")? as usize;
@@ -485,7 +499,8 @@
     fn begin(&mut self, id: &str, fields: &mut Fields, line: &str) -> Result<(), Fault> {
         let seed = fields.whole("a seed")?;
         let setup = line.splitn(4, ' ').nth(3).unwrap_or("");
-        let (settings, names) = read_settings(setup).map_err(|e| (e.to_string(), "begin".to_string()))?;
+        let pairs = Pairs(setup.split(' ').filter_map(|pair| pair.split_once('=')).collect());
+        let (settings, names) = read_settings(&pairs).map_err(|e| (e.to_string(), "begin".to_string()))?;
         let sender = Sender::new(settings, seed).map_err(|e| (e.to_string(), "begin".to_string()))?;
         let instance = Instance {
             sender,
