--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! reads no clock: the program that hosts it does both. The same events always give the same actions.
 //!
 //! ```
-//! use violetspool::{Action, Class, Effect, Entry, Event, EndpointId, Listing, MessageId, NewMessage,
+//! use milletturn::{Action, Class, Effect, Entry, Event, EndpointId, Listing, MessageId, NewMessage,
 //!     Sender, Settings};
 //!
 //! let mut settings = Settings::new(8, 100);
@@ -18,7 +18,7 @@
 //! ];
 //! sender.handle(1_000_000, &events, &mut actions);
 //! assert!(matches!(actions[0], Action::Send { message: MessageId(5), endpoint: EndpointId(1), .. }));
-//! # Ok::<(), violetspool::SettingsError>(())
+//! # Ok::<(), milletturn::SettingsError>(())
 //! ```
 
 pub mod decide;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod net;
 
+use milletturn::Sender;
 use net::calls::Calls;
 use net::config::Config;
 use net::driver::Driver;
@@ -17,7 +18,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::sleep;
-use violetspool::Sender;
 
 /// From SIGTERM to the end of idle client connections, and to the end of the process. SIGKILL comes no
 /// sooner than 3.7 s after SIGTERM.
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -11,6 +11,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use milletturn::{MILLISECOND, Micros, Outcome};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -25,7 +26,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
-use violetspool::{MILLISECOND, Micros, Outcome};
 
 /// Bodies hold at most this.
 pub const BODY_MOST: usize = 64 * 1024;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,14 +2,14 @@
 //! their names live in one place.
 
 use super::discovery::{ListUpdate, parse_list};
+use milletturn::wire::{Names, Pairs, read_settings};
+use milletturn::{Settings, SettingsError};
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use thiserror::Error;
-use violetspool::wire::{Names, Pairs, read_settings};
-use violetspool::{Settings, SettingsError};
 
 /// Why the sender cannot start.
 #[derive(Debug, Error)]
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,6 +9,7 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use milletturn::Status;
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -19,7 +20,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
-use violetspool::Status;
 
 /// An empty line is due every 2 s; a watch that is silent for longer has lost its connection.
 const SILENCE: Duration = Duration::from_millis(4500);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,16 +6,16 @@
 use super::journal::{Ending, Journal, JournalError, Taken};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
+use milletturn::wire::{Names, position};
+use milletturn::{
+    Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
+    PastAttempt, Sender, Settings,
+};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
-use violetspool::wire::{Names, position};
-use violetspool::{
-    Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
-    PastAttempt, Sender, Settings,
-};
 
 /// Delivered ids that are remembered, for clients whose request crossed a closed connection.
 const REMEMBERED: usize = 4096;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -10,6 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use milletturn::{Class, Effect, MILLISECOND, Micros};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -17,7 +18,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
-use violetspool::{Class, Effect, MILLISECOND, Micros};
 
 /// Longest time for the head of a request, also on a connection that stands idle.
 const HEAD_TIME: Duration = Duration::from_secs(60);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A hand-driven host: scripted events in, actions out, alarms rung when due.
 #![allow(dead_code)]
 
-use violetspool::*;
+use milletturn::*;
 
 pub const T0: Micros = 100 * SECOND;
 
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use violetspool::*;
+use milletturn::*;
 
 fn two_destinations() -> Vec<Entry> {
     vec![entry(1, 7), entry(2, 8)]
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -2,10 +2,10 @@
 
 mod common;
 use common::*;
+use milletturn::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
-use violetspool::*;
 
 struct Out {
     message: u64,
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,8 +1,8 @@
 //! The wire: bad input, restarts, instances together and apart.
 
+use milletturn::wire::Host;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
-use violetspool::wire::Host;
 
 const SETUP: &str = "az=a balancers=2 caps.maxOpen=50 caps.mostTries=6 caps.mayCancel=true \
     caps.secondCopies=true classes.count=2 classes.0.aim=2.0 classes.0.deadline=10.0 \
@@ -27,7 +27,7 @@
 }
 
 fn drill(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_violetspool-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_milletturn-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -77,7 +77,7 @@
         assert_eq!(output.status.code(), Some(2), "{input}");
         assert!(output.stdout.is_empty());
         let error = String::from_utf8(output.stderr).expect("text");
-        assert_eq!(error, format!("violetspool-drill: {expected}\n"));
+        assert_eq!(error, format!("milletturn-benchlink: {expected}\n"));
     }
 }
 
