--- a/src/decide.rs
+++ b/src/decide.rs
@@ -104,6 +104,8 @@
     tenant_tokens: Vec<(f64, Micros)>,
     list_retry: Option<Micros>,
     list_rest: Micros,
+    /// When the process will end, once that is known.
+    ends: Option<Micros>,
     /// The next time at which something may be due; the alarm is set by it.
     due: Micros,
 }
@@ -134,6 +136,7 @@
             tenant_tokens,
             list_retry,
             list_rest: LIST_FIRST,
+            ends: None,
             due: Micros::MAX,
         })
     }
@@ -167,6 +170,7 @@
             }
             Event::Accepted(message) => self.accept(message),
             Event::Resumed { message, attempts } => self.resume(message, attempts),
+            Event::Stopping { ends } => self.ends = Some(*ends),
             Event::ToldWait { endpoint, wait } => {
                 let id = self.unit_of(*endpoint);
                 self.heed(id, *wait, actions);
@@ -284,7 +288,8 @@
         attempt.may_have_run = !outcome.never_ran();
         let (call_id, endpoint_id, sent) = (attempt.call, attempt.endpoint, attempt.sent);
         let class = message.class;
-        if !matches!(outcome, Outcome::Success | Outcome::Unsent { .. }) {
+        // what the host could not send rests too, or a lasting fault there would use up all attempts at once
+        if !matches!(outcome, Outcome::Success | Outcome::Unsent { no_slot: true }) {
             let rest = message.retry_rest;
             message.retry_rest = (rest * 2).min(RETRY_MOST);
             let refused = matches!(outcome, Outcome::Refused { .. });
@@ -666,7 +671,13 @@
                     until.into_iter().flatten().filter(|&at| at > self.now).fold(self.due, Micros::min);
                 continue;
             }
-            let late = self.now + self.unit(unit_id).usual.unwrap_or(0) > self.messages[&id].deadline;
+            let unit = self.unit(unit_id);
+            let (usual, slowest) = (unit.usual.unwrap_or(0), unit.offset.unwrap_or(FIRST_COPY_DELAY));
+            let late = self.now + usual > self.messages[&id].deadline;
+            // a call cut off by the end of the process may have run; the next life makes a whole one
+            if self.ends.is_some_and(|ends| self.now + slowest > ends) {
+                continue;
+            }
             if copy && late || !self.is_wise(unit_id, unsafe_class, copy, joined.is_some()) {
                 continue;
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -456,6 +456,11 @@
         /// Its attempts, in the order of their sending; later ones are numbered on from them.
         attempts: Vec<PastAttempt>,
     },
+    /// The process has been asked to stop: calls that are out then are cut off.
+    Stopping {
+        /// When it ends.
+        ends: Micros,
+    },
     /// A destination told a wait in an answer that turned no message away.
     ToldWait {
         /// The endpoint that told it.
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 use milletturn::Sender;
 use net::calls::Calls;
 use net::config::Config;
-use net::driver::Driver;
+use net::driver::{Driver, Input};
 use net::journal::Journal;
 use net::server::{Server, serve};
 use net::{discovery, journal};
@@ -17,7 +17,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// From SIGTERM to the end of idle client connections, and to the end of the process. SIGKILL comes no
 /// sooner than 3.7 s after SIGTERM.
@@ -42,7 +42,8 @@
 
 async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let (journal, recovery) = Journal::open(&config.state, config.disk)?;
+    let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
+    let (journal, recovery) = Journal::open(&config.state, config.disk, entries)?;
     log_recovery(&config.name, &journal, &recovery);
     let (inputs, received) = mpsc::unbounded_channel();
     let (notices, queue) = mpsc::unbounded_channel();
@@ -53,7 +54,8 @@
     let dial = Duration::from_micros(u64::try_from(config.names.dial_timeout)?);
     let calls = Calls::new(idle, dial, config.names.report_fields.clone(), inputs.clone());
     let sender = Sender::new(config.settings.clone(), config.seed)?;
-    let version = config.known.as_ref().map_or(0, |known| known.version);
+    let version =
+        config.known.as_ref().filter(|known| !known.targets.is_empty()).map_or(0, |known| known.version);
     let server = Server {
         classes: config.settings.classes.clone(),
         inputs: inputs.clone(),
@@ -68,7 +70,7 @@
     let listener = TcpListener::bind(config.listen).await?;
     eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
     tokio::task::spawn_local(discovery::watch(config.discovery, version, inputs.clone()));
-    tokio::task::spawn_local(discovery::post_notices(config.discovery, queue, inputs));
+    tokio::task::spawn_local(discovery::post_notices(config.discovery, queue, inputs.clone()));
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
     let driver = tokio::task::spawn_local(driver.run(received));
     tokio::select! {
@@ -76,6 +78,8 @@
         _ = terminate.recv() => {
             eprintln!("{}: SIGTERM, draining", config.name);
             draining.set(true);
+            let ends = Instant::now() + END;
+            let _ = inputs.send(Input::Stopping(ends));
             sleep(CLOSE_IDLE).await;
             let _ = close.send(true);
             sleep(END - CLOSE_IDLE).await;
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -262,7 +262,8 @@
     stream.set_nodelay(true)?;
     let written = Arc::new(AtomicU64::new(0));
     let counted = Counted { stream, written: written.clone() };
-    let (sender, connection) = http1::handshake(TokioIo::new(counted)).await?;
+    let (sender, connection) =
+        http1::Builder::new().max_buf_size(BODY_MOST).handshake(TokioIo::new(counted)).await?;
     tokio::spawn(connection);
     Ok(Connection { sender, written })
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -27,6 +27,8 @@
 pub enum Input {
     Arrived(Arrival),
     ClientLeft(HeaderValue),
+    /// The process ends at this time.
+    Stopping(Instant),
     Ended(calls::Ended),
     Listed(ListUpdate),
     /// Notices that the platform has taken, by number of message.
@@ -91,6 +93,8 @@
 struct Message {
     item: Item,
     open: bool,
+    /// Clients that were told, or are to be told, that it is taken on.
+    clients: usize,
     /// Attempts of an earlier life count too, as calls that are over.
     attempts: Vec<Attempt>,
 }
@@ -139,8 +143,10 @@
     out: BTreeMap<u64, CallOut>,
     next_call: u64,
     delivered: VecDeque<HeaderValue>,
-    /// Messages that came in this turn, and their clients.
+    /// Messages that came in this turn, with their clients and the times when these sent them.
     arrived: BTreeMap<MessageId, (Arrival, Micros)>,
+    /// Clients that handed in once more what came in this turn: a promise to them must wait for the journal.
+    doubled: Vec<(MessageId, HeaderValue, oneshot::Sender<Answer>)>,
     events: Vec<Event>,
     alarm: Option<Micros>,
     journal_fault: bool,
@@ -174,6 +180,7 @@
             next_call: 0,
             delivered: VecDeque::new(),
             arrived: BTreeMap::new(),
+            doubled: Vec::new(),
             events: Vec::new(),
             alarm: None,
             journal_fault: false,
@@ -188,7 +195,7 @@
     /// Turns until the inputs end.
     pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut sweep = tokio::time::interval(SWEEP);
-        self.turn();
+        self.turns();
         loop {
             let alarm = self.alarm.map(|at| self.clock.instant(at));
             tokio::select! {
@@ -199,12 +206,22 @@
                 () = sleep_until(alarm.unwrap_or_else(Instant::now)), if alarm.is_some() => {}
                 _ = sweep.tick() => {
                     self.calls.sweep();
+                    let written = self.journal.retry();
+                    self.check(written);
                     continue;
                 }
             }
             while let Ok(input) = inputs.try_recv() {
                 self.learn(input);
             }
+            self.turns();
+        }
+    }
+
+    /// A turn, and further ones while its own actions led to news for the module.
+    fn turns(&mut self) {
+        self.turn();
+        while !self.events.is_empty() {
             self.turn();
         }
     }
@@ -249,7 +266,7 @@
             let new = NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now);
             self.events.push(Event::Resumed { message: new, attempts: past });
             let item = Item { id: id.clone(), key, body: owed.taken.body.into() };
-            self.messages.insert(message, Message { item, open: true, attempts });
+            self.messages.insert(message, Message { item, open: true, clients: 1, attempts });
             self.by_id.insert(id, message);
             self.open += 1;
         }
@@ -259,11 +276,15 @@
         match input {
             Input::Arrived(arrival) => self.arrive(arrival),
             Input::ClientLeft(id) => {
-                if let Some(&message) = self.by_id.get(&id) {
+                let Some(&message) = self.by_id.get(&id) else { return };
+                let Some(held) = self.messages.get_mut(&message) else { return };
+                held.clients = held.clients.saturating_sub(1);
+                if held.clients == 0 {
                     self.events.push(Event::Dropped(message));
                     self.end(message);
                 }
             }
+            Input::Stopping(at) => self.events.push(Event::Stopping { ends: self.clock.at(at) }),
             Input::Ended(ended) => self.ended(ended),
             Input::Listed(update) => self.list(update, false),
             Input::Noticed(numbers) => {
@@ -277,8 +298,11 @@
 
     fn arrive(&mut self, arrival: Arrival) {
         // a receiver that is gone is a client that left: its guard says so too
-        if self.by_id.contains_key(&arrival.id) {
-            let _ = arrival.reply.send(Answer::Taken);
+        if let Some(&message) = self.by_id.get(&arrival.id) {
+            if let Some(held) = self.messages.get_mut(&message) {
+                held.clients += 1;
+            }
+            self.doubled.push((message, arrival.id, arrival.reply));
         } else if self.delivered.contains(&arrival.id) {
             let _ = arrival.reply.send(Answer::Delivered);
         } else if self.open >= self.max_held {
@@ -295,7 +319,7 @@
             };
             self.events.push(Event::Accepted(new));
             let item = Item { id: arrival.id.clone(), key: arrival.key.clone(), body: arrival.body.clone() };
-            self.messages.insert(message, Message { item, open: true, attempts: Vec::new() });
+            self.messages.insert(message, Message { item, open: true, clients: 1, attempts: Vec::new() });
             self.by_id.insert(arrival.id.clone(), message);
             self.open += 1;
             self.arrived.insert(message, (arrival, began));
@@ -400,9 +424,8 @@
                 weight: listed.weight,
             });
         }
-        if update.full && !entries.is_empty() || old {
-            // a process that was not told so before; receivers gone means that it ends
-            let _ = self.ready.send(!entries.is_empty());
+        if !entries.is_empty() {
+            self.ready.send_replace(true);
         }
         let listing = match (old, update.full) {
             (true, _) => Listing::Old,
@@ -469,14 +492,16 @@
                     self.events.push(Event::Dropped(message));
                 }
             }
-            if arrival.reply.send(answer).is_err() && answer == Answer::Taken {
-                self.events.push(Event::Dropped(message));
-                self.end(message);
-            }
+            // a client that is gone has said so by its guard
+            let _ = arrival.reply.send(answer);
         }
-        if !self.events.is_empty() {
-            // a message that was dropped only now is told in a turn of its own, at once
-            self.alarm = Some(self.clock.at(Instant::now()));
+        for (message, id, reply) in std::mem::take(&mut self.doubled) {
+            let held = self.messages.get(&message).is_some_and(|held| held.open);
+            let _ = reply.send(match held {
+                true => Answer::Taken,
+                false if self.delivered.contains(&id) => Answer::Delivered,
+                false => Answer::Refused { wait: None },
+            });
         }
     }
 
@@ -503,16 +528,16 @@
         let attempt = held.attempts.len();
         held.attempts.push(Attempt { endpoint, sent: now, call: u64::MAX, item: 0, out: true });
         let size = calls::bulk_size(&held.item);
-        let Some(route) = self.routes.get(endpoint.0 as usize) else { return };
-        let written = if held.open {
-            self.journal.sent(message.0, &route.uid, now)
-        } else {
-            Err(JournalError::Full) // it was dropped in this very turn
+        let open = held.open;
+        let Some((uid, most)) =
+            self.routes.get(endpoint.0 as usize).map(|route| (route.uid.clone(), route.bundle_max))
+        else {
+            return self.unsent(message, attempt, endpoint);
         };
-        let most = route.bundle_max;
-        if held.open && !self.check(written) || !self.messages.get(&message).is_some_and(|held| held.open) {
-            self.unsent(message, attempt, endpoint);
-            return;
+        // one that is not open was dropped in this very turn
+        let written = open.then(|| self.journal.sent(message.0, &uid, now));
+        if !written.is_some_and(|written| self.check(written)) {
+            return self.unsent(message, attempt, endpoint);
         }
         let room = |bundle: &&mut Bundle| {
             bundle.endpoint == endpoint && bundle.sends.len() < most && bundle.size + size <= BODY_MOST
@@ -537,7 +562,6 @@
         let outcome = Outcome::Unsent { no_slot: false };
         let report = Vec::new();
         self.events.push(Event::Ended { message, attempt, endpoint, outcome, latency: 0, closed, report });
-        self.alarm = Some(self.clock.at(Instant::now()));
         self.forget_if_done(message);
     }
 
@@ -545,7 +569,13 @@
         let number = self.next_call;
         self.next_call += 1;
         let address = self.routes.get(bundle.endpoint.0 as usize).and_then(|route| route.address);
-        let Some(address) = address else { return };
+        let Some(address) = address else {
+            bundle
+                .sends
+                .iter()
+                .for_each(|&(message, attempt)| self.unsent(message, attempt, bundle.endpoint));
+            return;
+        };
         let mut items = Vec::with_capacity(bundle.sends.len());
         for (item, &(message, attempt)) in bundle.sends.iter().enumerate() {
             let Some(held) = self.messages.get_mut(&message) else { continue };
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -16,8 +16,10 @@
 const HEAD: usize = 12;
 /// More than any entry needs; a longer length is damage.
 const LONGEST: usize = 1 << 18;
-/// Kept free of new messages, for the outcomes and ends of those that were taken.
-const RESERVE: u64 = 96 * 1024;
+/// Most that one send, outcome or end takes up.
+const SMALL_ENTRY: u64 = 64;
+/// Part of the room that is kept free of new messages, at most.
+const RESERVE_MOST: u64 = 4;
 /// For the folder's own blocks and the rounding of two files to whole 512 bytes.
 const ROUNDING: u64 = 4 * 1024;
 /// Below this a file is not worth compacting.
@@ -102,14 +104,19 @@
     size: u64,
     limit: u64,
     live: u64,
+    /// Kept free of new messages, for the sends, outcomes and ends of those that were taken.
+    reserve: u64,
     owed: BTreeMap<u64, Owed>,
+    /// Messages that are over, though that could not be written yet.
+    unwritten: Vec<u64>,
     /// A write failed half-way and could not be taken back; nothing can be promised any more.
     broken: bool,
 }
 
 impl Journal {
-    /// Opens the journal in the folder and reads what is owed. `limit` is what the folder may hold.
-    pub fn open(folder: &Path, limit: u64) -> Result<(Self, Recovery), JournalError> {
+    /// Opens the journal in the folder and reads what is owed. `limit` is what the folder may hold, `entries`
+    /// the sends, outcomes and ends that the messages held at once may come to.
+    pub fn open(folder: &Path, limit: u64, entries: u64) -> Result<(Self, Recovery), JournalError> {
         fs::create_dir_all(folder)?;
         let path = folder.join("journal");
         // what a kill in the middle of a compaction left behind
@@ -128,7 +135,9 @@
             size: bytes.len() as u64,
             limit: limit.saturating_sub(ROUNDING),
             live: 0,
+            reserve: entries.saturating_mul(SMALL_ENTRY).min(limit / RESERVE_MOST),
             owed: BTreeMap::new(),
+            unwritten: Vec::new(),
             broken: false,
         };
         let recovery = journal.read(&bytes);
@@ -218,7 +227,7 @@
 
     /// Writes a message down; it may be promised once this has succeeded.
     pub fn take(&mut self, number: u64, taken: Taken) -> Result<(), JournalError> {
-        self.append(Entry::Taken(number, taken), RESERVE)
+        self.append(Entry::Taken(number, taken), self.reserve)
     }
 
     /// Writes a send down; its call may begin once this has succeeded.
@@ -241,7 +250,17 @@
         if !self.owed.contains_key(&number) {
             return Ok(());
         }
-        self.append(Entry::Over(number), 0)
+        let written = self.append(Entry::Over(number), 0);
+        if written.is_err() {
+            self.unwritten.push(number);
+        }
+        written
+    }
+
+    /// Tries again to write down which messages are over, where that failed.
+    pub fn retry(&mut self) -> Result<(), JournalError> {
+        let numbers = std::mem::take(&mut self.unwritten);
+        numbers.into_iter().map(|number| self.over(number)).fold(Ok(()), Result::and)
     }
 
     fn append(&mut self, entry: Entry, reserve: u64) -> Result<(), JournalError> {
@@ -251,12 +270,12 @@
         let record = encode(&entry)?;
         let length = record.len() as u64;
         // old and new file must fit together, also after this record
-        let fits = |journal: &Self| journal.size + journal.live + 2 * length + reserve <= journal.limit;
-        if !fits(self) {
-            self.compact()?;
-            if !fits(self) {
+        let fits = |size: u64| size + self.live + 2 * length + reserve <= self.limit;
+        if !fits(self.size) {
+            if !fits(self.live) {
                 return Err(JournalError::Full);
             }
+            self.compact()?;
         }
         if let Err(error) = self.file.write_all(&record) {
             self.broken = self.file.set_len(self.size).is_err();
--- /dev/null
+++ b/tests/node/mod.rs
@@ -0,0 +1,402 @@
+//! A real sender as a process of its own, with a scripted agent and scripted endpoints on loopback sockets.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longest wait for a condition: far beyond what any takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < until, "never came: {what}");
+        thread::sleep(Duration::from_millis(3));
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Request {
+    pub line: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+    pub connection: usize,
+}
+
+impl Request {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// Ids of the messages in a call, single or bulk.
+    pub fn ids(&self) -> Vec<String> {
+        if self.line.starts_with("POST /inbox ") {
+            return vec![self.header("x-request-id").to_string()];
+        }
+        let (mut ids, mut rest) = (Vec::new(), &self.body[..]);
+        while let Some(end) = rest.windows(2).position(|two| two == b"\r\n") {
+            let line = String::from_utf8(rest[..end].to_vec()).expect("a line of text");
+            let words: Vec<&str> = line.split(' ').collect();
+            assert_eq!(words.len(), 3, "{line}");
+            ids.push(words[0].to_string());
+            let length: usize = words[2].parse().expect("a length");
+            assert_eq!(&rest[end + 2 + length..end + 4 + length], b"\r\n");
+            rest = &rest[end + 4 + length..];
+        }
+        ids
+    }
+}
+
+/// Reads one request or answer; none at the end of the connection.
+fn read_http(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+    let mut request = Request::default();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end().to_string();
+        if request.line.is_empty() {
+            request.line = line;
+        } else if line.is_empty() {
+            break;
+        } else if let Some((name, value)) = line.split_once(':') {
+            request.headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
+        }
+    }
+    let length = request.header("content-length").parse().unwrap_or(0);
+    request.body = vec![0; length];
+    reader.read_exact(&mut request.body).ok()?;
+    Some(request)
+}
+
+/// What an endpoint does with a call.
+#[derive(Debug, Clone)]
+pub enum Reply {
+    /// Status line and headers, without the last empty line, and the body.
+    Answer(&'static str, String),
+    /// Nothing, while the connection stays open.
+    Silence,
+    /// The connection ends.
+    Close,
+    /// An answer, and then the connection ends.
+    Last(&'static str),
+}
+
+pub const OK: Reply = Reply::Answer("200 OK", String::new());
+
+type Script = Arc<dyn Fn(&Request, usize) -> Reply + Send + Sync>;
+
+/// A server whose script gets each request and its number.
+#[derive(Clone)]
+pub struct Endpoint {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Request>>>,
+    pub connections: Arc<AtomicUsize>,
+}
+
+impl Endpoint {
+    pub fn new(script: impl Fn(&Request, usize) -> Reply + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let endpoint = Endpoint {
+            address: listener.local_addr().expect("bound"),
+            seen: Arc::default(),
+            connections: Arc::default(),
+        };
+        let (here, script): (_, Script) = (endpoint.clone(), Arc::new(script));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (here, script) = (here.clone(), script.clone());
+                let connection = here.connections.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || here.serve(stream, connection, &script));
+            }
+        });
+        endpoint
+    }
+
+    fn serve(&self, mut stream: TcpStream, connection: usize, script: &Script) {
+        let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
+        while let Some(request) = read_http(&mut reader) {
+            let request = Request { connection, ..request };
+            let number = {
+                let mut seen = self.seen.lock().expect("not poisoned");
+                seen.push(request.clone());
+                seen.len() - 1
+            };
+            let (head, body, last) = match script(&request, number) {
+                Reply::Answer(head, body) => (head, body, false),
+                Reply::Last(head) => (head, String::new(), true),
+                Reply::Silence => continue,
+                Reply::Close => return,
+            };
+            let text = format!("HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.write_all(text.as_bytes()).is_err() || last {
+                return;
+            }
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.lock().expect("not poisoned").len()
+    }
+
+    pub fn request(&self, number: usize) -> Request {
+        self.seen.lock().expect("not poisoned")[number].clone()
+    }
+
+    /// How often a message came.
+    pub fn times(&self, id: &str) -> usize {
+        let seen = self.seen.lock().expect("not poisoned");
+        seen.iter().flat_map(Request::ids).filter(|other| other == id).count()
+    }
+}
+
+/// Discovery: tells one list to each watch, and takes notices.
+pub struct Agent {
+    pub address: SocketAddr,
+    pub notices: Arc<Mutex<Vec<String>>>,
+    /// Lines for the next watch; empty: a silent one, as while discovery is down.
+    pub lines: Arc<Mutex<Vec<String>>>,
+    pub watches: Arc<AtomicUsize>,
+    /// So many requests with notices are answered 500 first.
+    pub faults: Arc<AtomicUsize>,
+}
+
+impl Agent {
+    pub fn new(lines: Vec<String>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let agent = Agent {
+            address: listener.local_addr().expect("bound"),
+            notices: Arc::default(),
+            lines: Arc::new(Mutex::new(lines)),
+            watches: Arc::default(),
+            faults: Arc::default(),
+        };
+        let (notices, lines) = (agent.notices.clone(), agent.lines.clone());
+        let (watches, faults) = (agent.watches.clone(), agent.faults.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (notices, lines) = (notices.clone(), lines.clone());
+                let (watches, faults) = (watches.clone(), faults.clone());
+                thread::spawn(move || serve_agent(stream, &notices, &lines, &watches, &faults));
+            }
+        });
+        agent
+    }
+
+    pub fn notices(&self) -> Vec<String> {
+        self.notices.lock().expect("not poisoned").clone()
+    }
+}
+
+fn serve_agent(
+    mut stream: TcpStream, notices: &Mutex<Vec<String>>, lines: &Mutex<Vec<String>>, watches: &AtomicUsize,
+    faults: &AtomicUsize,
+) {
+    let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
+    let Some(request) = read_http(&mut reader) else { return };
+    if request.line.starts_with("POST /v1/outcomes ") {
+        let faulty =
+            faults.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1)).is_ok();
+        let status = if faulty { "500 Oops" } else { "204 No Content" };
+        if !faulty {
+            let text = String::from_utf8(request.body).expect("text");
+            notices.lock().expect("not poisoned").extend(text.lines().map(str::to_string));
+        }
+        let _ = stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes());
+        return;
+    }
+    assert!(request.line.starts_with("GET /v1/endpoints?watch=1&from="), "{}", request.line);
+    watches.fetch_add(1, Ordering::SeqCst);
+    let mut told = lines.lock().expect("not poisoned").clone();
+    if stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_err() {
+        return;
+    }
+    let silent = told.is_empty();
+    loop {
+        for line in told.drain(..) {
+            let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+            if stream.write_all(chunk.as_bytes()).is_err() {
+                return;
+            }
+        }
+        thread::sleep(Duration::from_millis(500));
+        if !silent {
+            told.push(String::new());
+        }
+    }
+}
+
+/// A list for discovery's form: each endpoint's uid, address, kind, destination and state.
+pub fn list(entries: &[(&str, SocketAddr, &str, u64, &str)]) -> String {
+    let targets: Vec<String> = entries
+        .iter()
+        .map(|(uid, address, kind, destination, state)| {
+            format!(
+                r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"{kind}","pod_group":{destination},"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+            )
+        })
+        .collect();
+    format!(r#"{{"rev":7,"all":true,"targets":[{}]}}"#, targets.join(","))
+}
+
+static FOLDERS: AtomicUsize = AtomicUsize::new(0);
+
+/// The sender and what outlasts its processes.
+pub struct Node {
+    pub folder: PathBuf,
+    discovery: SocketAddr,
+    disk_mb: f64,
+    idle_s: f64,
+    pub process: Child,
+    pub address: SocketAddr,
+    pub log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Node {
+    pub fn new(agent: &Agent) -> Self {
+        Node::with(agent.address, 3.0, 5.0)
+    }
+
+    pub fn with(discovery: SocketAddr, disk_mb: f64, idle_s: f64) -> Self {
+        let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
+        let name = format!("node-{}-{number}", std::process::id());
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(folder.join("state")).expect("a folder");
+        Node::start(folder, discovery, disk_mb, idle_s)
+    }
+
+    fn start(folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64) -> Self {
+        let config = format!(
+            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":{disk_mb}}},
+            "known":{{"rev":0,"all":true,"targets":[]}},
+            "settings":{{"az":"a","balancers":1,"zones":["a"],"machineTypes":["one","bulk"],
+              "caps":{{"maxOpen":50,"mostTries":12,"mayCancel":true,"secondCopies":true,"connIdle":{idle_s},
+                "dialTimeout":0.5,"retryAfter":true,"maxRetryAfter":3.0}},
+              "report":{{"how":"piggyback","fields":["x0","x1"]}},
+              "classes":[
+                {{"name":"webhook","aim":4.0,"deadline":20.0,"effect":"deduplicated","group":"all","window":12.0}},
+                {{"name":"order","aim":4.0,"deadline":20.0,"effect":"at_most_once"}}],
+              "specifics":{{"callSlots":8,"bundleMax":[1,5],"routesApart":[false,false]}},
+              "safety":{{"stopSendingWithin":1.0,"cold":11.0,"startCapacity":0.18,"fallMultiple":2.0,"fall":3.0}}}}}}"#
+        );
+        std::fs::write(folder.join("config.json"), config).expect("written");
+        let mut process = command(&folder).spawn().expect("the sender starts");
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (here, errors) = (log.clone(), process.stderr.take().expect("piped"));
+        thread::spawn(move || {
+            for line in BufReader::new(errors).lines().map_while(Result::ok) {
+                here.lock().expect("not poisoned").push(line);
+            }
+        });
+        let mut address = None;
+        wait_until("the sender listens", || {
+            let log = log.lock().expect("not poisoned");
+            address = log.iter().find_map(|line| line.split_once("listening on ")?.1.parse().ok());
+            address.is_some()
+        });
+        let address = address.expect("found");
+        Node { folder, discovery, disk_mb, idle_s, process, address, log }
+    }
+
+    /// Waits until it is ready.
+    pub fn ready(self) -> Self {
+        wait_until("ready", || self.get_ready() == 200);
+        self
+    }
+
+    pub fn get_ready(&self) -> u16 {
+        self.raw("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n".as_bytes()).0
+    }
+
+    /// Sends the bytes on a connection of their own; the status and head of the answer, 0 if none comes.
+    pub fn raw(&self, bytes: &[u8]) -> (u16, Request) {
+        let mut client = Client::new(self);
+        client.send(bytes).unwrap_or_default()
+    }
+
+    /// Hands a message in.
+    pub fn hand_in(&self, class: &str, id: &str, dest: u64, time_ms: u64, body: &[u8]) -> u16 {
+        self.raw(&message(class, id, dest, time_ms, body)).0
+    }
+
+    /// Ends the process with no warning.
+    pub fn kill(&mut self) {
+        let _ = self.process.kill();
+        self.process.wait().expect("ended");
+    }
+
+    pub fn terminate(&self) {
+        let id = self.process.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+    }
+
+    /// Kills it if it runs, and starts it again with the same folder.
+    pub fn restart(mut self) -> Self {
+        self.kill();
+        Node::start(self.folder.clone(), self.discovery, self.disk_mb, self.idle_s)
+    }
+
+    pub fn journal(&self) -> PathBuf {
+        self.folder.join("state/journal")
+    }
+
+    pub fn logged(&self, text: &str) -> bool {
+        self.log.lock().expect("not poisoned").iter().any(|line| line.contains(text))
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+/// The program with the variables that name its configuration and its lasting folder.
+pub fn command(folder: &std::path::Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_milletturn"));
+    command
+        .env("RELAY_CONFIG", folder.join("config.json"))
+        .env("RELAY_STATE", folder.join("state"))
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped());
+    command
+}
+
+pub fn message(class: &str, id: &str, dest: u64, time_ms: u64, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "POST /{class} HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
+         X-Timeout: {time_ms}m\r\nIdempotency-Key: key-{id}\r\nContent-Length: {}\r\nEnvelope: dest={dest}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// A connection of a client.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn new(node: &Node) -> Self {
+        let stream = TcpStream::connect(node.address).expect("the sender accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        Client(BufReader::new(stream))
+    }
+
+    /// The answer's status and head; none if the connection ends first.
+    pub fn send(&mut self, bytes: &[u8]) -> Option<(u16, Request)> {
+        self.0.get_mut().write_all(bytes).ok()?;
+        let answer = read_http(&mut self.0)?;
+        let status = answer.line.split(' ').nth(1)?.parse().ok()?;
+        Some((status, answer))
+    }
+}
