Outlive the reader of the log; leave a silent watch after 3 s

Seen by reading: eprintln! panics when the log's pipe is gone, which would end the driver and so the sender; all lines now go through one function that ignores such a failure. A watch was left after 4.5 s of silence, though an empty line is due every 2 s and changes count as told after 6 s; now 3 s. Tests for both.

--- a/src/main.rs
+++ b/src/main.rs
@@ -68,7 +68,7 @@
     let driver =
         Driver::new(sender, &config.settings, config.names, config.known, journal, calls, notices, ready);
     let listener = TcpListener::bind(config.listen).await?;
-    eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
+    net::log(format_args!("{}: listening on {}", config.name, listener.local_addr()?));
     tokio::task::spawn_local(discovery::watch(config.discovery, version, inputs.clone()));
     tokio::task::spawn_local(discovery::post_notices(config.discovery, queue, inputs.clone()));
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
@@ -76,14 +76,14 @@
     tokio::select! {
         ended = driver => ended?,
         _ = terminate.recv() => {
-            eprintln!("{}: SIGTERM, draining", config.name);
+            net::log(format_args!("{}: SIGTERM, draining", config.name));
             draining.set(true);
             let ends = Instant::now() + END;
             let _ = inputs.send(Input::Stopping(ends));
             sleep(CLOSE_IDLE).await;
             let _ = close.send(true);
             sleep(END - CLOSE_IDLE).await;
-            eprintln!("{}: ends", config.name);
+            net::log(format_args!("{}: ends", config.name));
         }
     }
     Ok(())
@@ -93,9 +93,11 @@
     let journal::Recovery { records, torn, damaged } = recovery;
     if *records + *torn + *damaged > 0 {
         let owed = journal.owed().len();
-        eprintln!("{name}: journal has {records} records, {owed} messages owed, {torn} bytes torn off");
+        net::log(format_args!(
+            "{name}: journal has {records} records, {owed} messages owed, {torn} bytes torn off"
+        ));
     }
     if *damaged > 0 {
-        eprintln!("{name}: journal damaged, {damaged} bytes skipped; all it holds may have run");
+        net::log(format_args!("{name}: journal damaged, {damaged} bytes skipped; all it holds may have run"));
     }
 }
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -237,12 +237,12 @@
         StatusCode::GATEWAY_TIMEOUT => (Outcome::Unsent { no_slot: false }, false),
         StatusCode::GONE => (Outcome::Unsent { no_slot: false }, true),
         StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE if items.len() > 1 => {
-            eprintln!("calls: {address} answered a bulk call with {}", head.status);
+            super::log(format_args!("calls: {address} answered a bulk call with {}", head.status));
             (Outcome::Unsent { no_slot: false }, false)
         }
         status => {
             if status != StatusCode::INTERNAL_SERVER_ERROR {
-                eprintln!("calls: {address} answered {status}");
+                super::log(format_args!("calls: {address} answered {status}"));
             }
             (Outcome::Error, false)
         }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -21,8 +21,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-/// An empty line is due every 2 s; a watch that is silent for longer has lost its connection.
-const SILENCE: Duration = Duration::from_millis(4500);
+/// An empty line is due every 2 s; a watch that is silent for longer has lost its connection. What is missed
+/// meanwhile counts as told after 6 s, so the next watch must have answered by then.
+const SILENCE: Duration = Duration::from_millis(3000);
 /// The agent is on this machine and answers at once.
 const ANSWER: Duration = Duration::from_secs(1);
 const RETRY_FIRST: Duration = Duration::from_millis(50);
@@ -124,7 +125,7 @@
     let targets = line.targets.iter().filter_map(|value| match read(value) {
         Ok(listed) => Some(listed),
         Err(error) => {
-            eprintln!("discovery: entry skipped: {error}");
+            super::log(format_args!("discovery: entry skipped: {error}"));
             None
         }
     });
@@ -142,7 +143,7 @@
             Err(error) => error.to_string(),
         };
         if error != told {
-            eprintln!("discovery: watch lost: {error}");
+            super::log(format_args!("discovery: watch lost: {error}"));
             told = error;
         }
         if version != before {
@@ -188,10 +189,10 @@
                     }
                 }
                 None if text.is_empty() && !skipping => {}
-                None => eprintln!(
+                None => super::log(format_args!(
                     "discovery: line skipped: {}",
                     String::from_utf8_lossy(&text[..text.len().min(80)])
-                ),
+                )),
             }
             line.clear();
             skipping = false;
@@ -246,8 +247,12 @@
                 if !std::mem::replace(&mut failing, true) {
                     let count = batch.len();
                     match other {
-                        Ok(status) => eprintln!("discovery: {count} notices answered {status}"),
-                        Err(error) => eprintln!("discovery: {count} notices not delivered: {error}"),
+                        Ok(status) => {
+                            super::log(format_args!("discovery: {count} notices answered {status}"))
+                        }
+                        Err(error) => {
+                            super::log(format_args!("discovery: {count} notices not delivered: {error}"))
+                        }
                     }
                 }
                 sleep(rest).await;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -464,7 +464,7 @@
                         self.calls.disconnect(address);
                     }
                 }
-                Action::Log(text) => eprintln!("{text}"),
+                Action::Log(text) => super::log(format_args!("{text}")),
                 // the watch is always on; probes and notes are not to be had on sockets
                 Action::Subscribe | Action::Probe(_) | Action::Note(_) => {}
             }
@@ -620,13 +620,13 @@
         match written {
             Ok(()) => {
                 if std::mem::take(&mut self.journal_fault) {
-                    eprintln!("journal: written again");
+                    super::log(format_args!("journal: written again"));
                 }
                 true
             }
             Err(error) => {
                 if !std::mem::replace(&mut self.journal_fault, true) {
-                    eprintln!("journal: {error}");
+                    super::log(format_args!("journal: {error}"));
                 }
                 false
             }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -63,7 +63,7 @@
                 });
             }
             Err(error) => {
-                eprintln!("clients: no connection accepted: {error}");
+                super::log(format_args!("clients: no connection accepted: {error}"));
                 sleep(Duration::from_millis(50)).await;
             }
         }
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -258,6 +258,7 @@
     pub process: Child,
     pub address: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
+    reading: Arc<AtomicBool>,
 }
 
 impl Node {
@@ -292,9 +293,14 @@
         let mut process = command(&folder).spawn().expect("the sender starts");
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         let (here, errors) = (log.clone(), process.stderr.take().expect("piped"));
+        let reading = Arc::new(AtomicBool::new(true));
+        let read = reading.clone();
         thread::spawn(move || {
             for line in BufReader::new(errors).lines().map_while(Result::ok) {
                 here.lock().expect("not poisoned").push(line);
+                if !read.load(Ordering::SeqCst) {
+                    return;
+                }
             }
         });
         let mut address = None;
@@ -304,7 +310,7 @@
             address.is_some()
         });
         let address = address.expect("found");
-        Node { folder, discovery, disk_mb, idle_s, process, address, log }
+        Node { folder, discovery, disk_mb, idle_s, process, address, log, reading }
     }
 
     /// Waits until it is ready.
@@ -349,6 +355,11 @@
         self.folder.join("state/journal")
     }
 
+    /// The log is read up to its next line, then its pipe is closed.
+    pub fn log_closes(&mut self) {
+        self.reading.store(false, Ordering::SeqCst);
+    }
+
     pub fn logged(&self, text: &str) -> bool {
         self.log.lock().expect("not poisoned").iter().any(|line| line.contains(text))
     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -441,14 +441,31 @@
     let agent = Agent::new(Vec::new());
     let node = Node::new(&agent);
     wait_until("a watch", || agent.watches.load(Ordering::SeqCst) > 0);
+    let began = Instant::now();
     assert_eq!(node.get_ready(), 503, "no list is known");
     assert_eq!(node.hand_in("webhook", "early", 7, 20_000, b"x"), 503);
     *agent.lines.lock().expect("not poisoned") = vec![list(&[("s-1", endpoint.address, "one", 7, "up")])];
     let node = node.ready();
+    // what was missed counts as told after 6 s
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
     assert_eq!(node.hand_in("webhook", "m1", 7, 20_000, b"x"), 202);
     wait_until("delivered", || endpoint.times("m1") == 1);
 }
 
+#[test]
+fn a_log_that_nobody_reads_does_not_end_the_sender() {
+    // guards against eprintln, which panics when its pipe is gone
+    let endpoint = Endpoint::new(|_, _| Reply::Answer("418 Teapot", String::new()));
+    let agent = one(&endpoint);
+    let mut node = Node::new(&agent).ready();
+    node.log_closes();
+    assert_eq!(node.hand_in("order", "m1", 7, 20_000, b"x"), 202);
+    wait_until("its notice", || agent.notices().contains(&failed("m1")));
+    assert_eq!(node.hand_in("order", "m2", 7, 20_000, b"x"), 202);
+    wait_until("the next one's notice", || agent.notices().contains(&failed("m2")));
+    assert!(node.process.try_wait().expect("asked").is_none(), "it still runs");
+}
+
 #[test]
 fn a_client_that_leaves_before_its_answer_is_no_client() {
     let endpoint = Endpoint::new(|_, _| OK);
