--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -3,6 +3,7 @@
 //! Nothing here sends a call again by itself: a repeat that the decision module doesn't know of would be a
 //! duplicate. When it is unsure whether a call may have run, the outcome says that it may.
 
+use super::Seldom;
 use super::driver::Input;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -88,6 +89,7 @@
     idle_most: Duration,
     dial_timeout: Duration,
     report_fields: Vec<String>,
+    faults: Seldom,
     inputs: mpsc::UnboundedSender<Input>,
 }
 
@@ -117,7 +119,14 @@
     ) -> Self {
         let idle = if idle.is_zero() { Duration::from_secs(5) } else { idle };
         let idle_most = (idle * 9 / 10).min(idle.saturating_sub(Duration::from_millis(300)));
-        Calls(Rc::new(Shared { idle: RefCell::default(), idle_most, dial_timeout, report_fields, inputs }))
+        Calls(Rc::new(Shared {
+            idle: RefCell::default(),
+            idle_most,
+            dial_timeout,
+            report_fields,
+            faults: Seldom::default(),
+            inputs,
+        }))
     }
 
     /// Starts a call; its messages' ends come as inputs.
@@ -237,12 +246,12 @@
         StatusCode::GATEWAY_TIMEOUT => (Outcome::Unsent { no_slot: false }, false),
         StatusCode::GONE => (Outcome::Unsent { no_slot: false }, true),
         StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE if items.len() > 1 => {
-            super::log(format_args!("calls: {address} answered a bulk call with {}", head.status));
+            shared.faults.log(format_args!("calls: {address} answered a bulk call with {}", head.status));
             (Outcome::Unsent { no_slot: false }, false)
         }
         status => {
             if status != StatusCode::INTERNAL_SERVER_ERROR {
-                super::log(format_args!("calls: {address} answered {status}"));
+                shared.faults.log(format_args!("calls: {address} answered {status}"));
             }
             (Outcome::Error, false)
         }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,6 +1,7 @@
 //! The turns: all that is ready becomes events, the decision module is asked once, its actions become calls.
 //! This is the only owner of the module and of the messages.
 
+use super::Seldom;
 use super::calls::{self, BODY_MOST, Call, Calls, Item};
 use super::discovery::{ListUpdate, Notice};
 use super::journal::{Ending, Journal, JournalError, Taken};
@@ -149,7 +150,7 @@
     doubled: Vec<(MessageId, HeaderValue, oneshot::Sender<Answer>)>,
     events: Vec<Event>,
     alarm: Option<Micros>,
-    journal_fault: bool,
+    journal_fault: Seldom,
 }
 
 impl Driver {
@@ -183,7 +184,7 @@
             doubled: Vec::new(),
             events: Vec::new(),
             alarm: None,
-            journal_fault: false,
+            journal_fault: Seldom::default(),
         };
         if let Some(known) = known {
             driver.list(known, true);
@@ -615,21 +616,8 @@
         let _ = self.notices.send(Notice { number, id, ending });
     }
 
-    /// True if the entry was written. Faults are logged when they begin, not for each message.
-    fn check(&mut self, written: Result<(), JournalError>) -> bool {
-        match written {
-            Ok(()) => {
-                if std::mem::take(&mut self.journal_fault) {
-                    super::log(format_args!("journal: written again"));
-                }
-                true
-            }
-            Err(error) => {
-                if !std::mem::replace(&mut self.journal_fault, true) {
-                    super::log(format_args!("journal: {error}"));
-                }
-                false
-            }
-        }
+    /// True if the entry was written.
+    fn check(&self, written: Result<(), JournalError>) -> bool {
+        written.inspect_err(|error| self.journal_fault.log(format_args!("journal: {error}"))).is_ok()
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,5 +1,6 @@
 //! The clients' side: reads messages that are handed in, and answers as the driver decides.
 
+use super::Seldom;
 use super::calls::BODY_MOST;
 use super::driver::{Answer, Arrival, Input};
 use bytes::Bytes;
@@ -50,6 +51,7 @@
 
 /// Accepts clients for ever.
 pub async fn serve(listener: TcpListener, server: Rc<Server>) {
+    let faults = Seldom::default();
     let places = std::sync::Arc::new(Semaphore::new(server.most));
     loop {
         // clients beyond the limit wait in the kernel's queue, so that calls never lack descriptors
@@ -63,7 +65,7 @@
                 });
             }
             Err(error) => {
-                super::log(format_args!("clients: no connection accepted: {error}"));
+                faults.log(format_args!("clients: no connection accepted: {error}"));
                 sleep(Duration::from_millis(50)).await;
             }
         }
