Reload on SIGHUP; hold clients to times and places; one budget of descriptors

Changed: SIGHUP re-reads the file; watch and owed notices move at once, the new list is asked for whole. First head within 2 s and body within 2.4 s of connecting, idle 2.5 s; the oldest connection with no open request goes when places run short. Content-Length beside Transfer-Encoding: hyper removes or skips the length (role.rs), so the raw head is kept and looked at; 400 and close, as after each bad request, with a short linger instead of a reset.

Each new test in tests/service.rs names what it guards against.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,23 +1,25 @@
-//! The real sender: starts up, wires the parts together, ends on SIGTERM.
+//! The real sender: starts up, wires the parts together, reloads on SIGHUP, ends on SIGTERM.
 
 mod net;
 
 use milletturn::Sender;
 use net::calls::Calls;
-use net::config::Config;
+use net::config::{Config, reload};
 use net::driver::{Driver, Input};
 use net::journal::Journal;
 use net::server::{Server, serve};
 use net::{discovery, journal};
 use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// From SIGTERM to the end of idle client connections, and to the end of the process. SIGKILL comes no
 /// sooner than 3.7 s after SIGTERM.
@@ -35,13 +37,15 @@
 }
 
 fn start() -> Result<(), Box<dyn std::error::Error>> {
-    let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run())
 }
 
-async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
+async fn run() -> Result<(), Box<dyn std::error::Error>> {
+    // before the file is read: a SIGHUP behind that must neither kill nor be missed
     let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let config = Config::from_env()?;
     let entries = config.settings.max_held.saturating_mul(2 * config.settings.max_attempts + 1) as u64;
     let (journal, recovery) = Journal::open(&config.state, config.disk, entries)?;
     log_recovery(&config.name, &journal, &recovery);
@@ -61,34 +65,59 @@
         inputs: inputs.clone(),
         ready: ready_seen,
         draining: draining.clone(),
-        // half for clients; calls, idle connections and files share the rest
-        most: (config.sockets / 2).max(1),
+        most: config.budget.clients,
+        bodies: Semaphore::new(config.budget.bodies),
         closing,
     };
     let driver =
         Driver::new(sender, &config.settings, config.names, config.known, journal, calls, notices, ready);
     let listener = TcpListener::bind(config.listen).await?;
     net::log(format_args!("{}: listening on {}", config.name, listener.local_addr()?));
-    tokio::task::spawn_local(discovery::watch(config.discovery, version, inputs.clone()));
-    tokio::task::spawn_local(discovery::post_notices(config.discovery, queue, inputs.clone()));
+    let (agent, agents) = watch::channel(config.discovery);
+    tokio::task::spawn_local(discovery::watch(agents.clone(), version, inputs.clone()));
+    tokio::task::spawn_local(discovery::post_notices(agents, queue, inputs.clone()));
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
-    let driver = tokio::task::spawn_local(driver.run(received));
-    tokio::select! {
-        ended = driver => ended?,
-        _ = terminate.recv() => {
-            net::log(format_args!("{}: SIGTERM, draining", config.name));
-            draining.set(true);
-            let ends = Instant::now() + END;
-            let _ = inputs.send(Input::Stopping(ends));
-            sleep(CLOSE_IDLE).await;
-            let _ = close.send(true);
-            sleep(END - CLOSE_IDLE).await;
-            net::log(format_args!("{}: ends", config.name));
+    let mut driver = tokio::task::spawn_local(driver.run(received));
+    loop {
+        tokio::select! {
+            ended = &mut driver => return Ok(ended?),
+            Some(()) = hangup.recv() => reload_discovery(&config.name, &config.path, &agent),
+            _ = terminate.recv() => break,
+        }
+    }
+    net::log(format_args!("{}: SIGTERM, draining", config.name));
+    draining.set(true);
+    let ends = Instant::now() + END;
+    let _ = inputs.send(Input::Stopping(ends));
+    let ending = async {
+        sleep(CLOSE_IDLE).await;
+        let _ = close.send(true);
+        sleep_until(ends).await;
+    };
+    tokio::pin!(ending);
+    loop {
+        tokio::select! {
+            () = &mut ending => break,
+            // notices are still owed while draining
+            Some(()) = hangup.recv() => reload_discovery(&config.name, &config.path, &agent),
         }
     }
+    net::log(format_args!("{}: ends", config.name));
     Ok(())
 }
 
+/// Moves the watch and the notices to the address that the file now names; a file that can't be read changes
+/// nothing.
+fn reload_discovery(name: &str, path: &Path, agent: &watch::Sender<SocketAddr>) {
+    match reload(path) {
+        Ok(address) => {
+            let before = agent.send_replace(address);
+            net::log(format_args!("{name}: SIGHUP, discovery at {address}, before at {before}"));
+        }
+        Err(error) => net::log(format_args!("{name}: SIGHUP, nothing changed: {error}")),
+    }
+}
+
 fn log_recovery(name: &str, journal: &Journal, recovery: &journal::Recovery) {
     let journal::Recovery { records, torn, damaged } = recovery;
     if *records + *torn + *damaged > 0 {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -18,8 +18,8 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 
 /// An empty line is due every 2 s; a watch that is silent for longer has lost its connection. What is missed
 /// meanwhile counts as told after 6 s, so the next watch must have answered by then.
@@ -132,15 +132,34 @@
     Some(ListUpdate { version: line.rev, full: line.all, targets: targets.collect() })
 }
 
-/// Watches the list for ever and hands each change on.
-pub async fn watch(agent: SocketAddr, mut version: u64, inputs: mpsc::UnboundedSender<Input>) {
+/// Watches the list for ever and hands each change on. A new address of the agent counts at once, and its first
+/// list is asked for whole: the versions of another agent say nothing.
+pub async fn watch(
+    mut agents: watch::Receiver<SocketAddr>, mut version: u64, inputs: mpsc::UnboundedSender<Input>,
+) {
     let mut rest = RETRY_FIRST;
     let mut told = String::new();
     loop {
         let before = version;
-        let error = match watch_once(agent, &mut version, &inputs).await {
-            Ok(()) => return,
-            Err(error) => error.to_string(),
+        let agent = *agents.borrow_and_update();
+        let failed = async {
+            match watch_once(agent, &mut version, &inputs).await {
+                Ok(()) => None,
+                Err(error) => Some(error.to_string()),
+            }
+        };
+        let error = tokio::select! {
+            moved = agents.changed() => {
+                if moved.is_err() {
+                    return;
+                }
+                (version, rest, told) = (0, RETRY_FIRST, String::new());
+                continue;
+            }
+            failed = failed => match failed {
+                Some(error) => error,
+                None => return,
+            },
         };
         if error != told {
             super::log(format_args!("discovery: watch lost: {error}"));
@@ -149,8 +168,12 @@
         if version != before {
             (rest, told) = (RETRY_FIRST, String::new());
         }
-        sleep(rest).await;
-        rest = (rest * 2).min(RETRY_MOST);
+        // the change itself is seen at the head of the loop
+        let moved = matches!(timeout(rest, agents.changed()).await, Ok(Ok(())));
+        rest = if moved { RETRY_FIRST } else { (rest * 2).min(RETRY_MOST) };
+        if moved {
+            version = 0;
+        }
     }
 }
 
@@ -208,9 +231,10 @@
     pub ending: Ending,
 }
 
-/// Posts notices until each has been answered 204.
+/// Posts notices until each has been answered 204, always to the agent's present address.
 pub async fn post_notices(
-    agent: SocketAddr, mut queue: mpsc::UnboundedReceiver<Notice>, inputs: mpsc::UnboundedSender<Input>,
+    mut agents: watch::Receiver<SocketAddr>, mut queue: mpsc::UnboundedReceiver<Notice>,
+    inputs: mpsc::UnboundedSender<Input>,
 ) {
     let mut owed: BTreeMap<u64, Notice> = BTreeMap::new();
     let mut rest = RETRY_FIRST;
@@ -227,12 +251,20 @@
         }
         let batch: Vec<u64> = owed.keys().copied().take(BATCH).collect();
         let text: String = batch.iter().filter_map(|number| owed.get(number)).map(line_of).collect();
+        let agent = *agents.borrow_and_update();
         let request = Request::post("/v1/outcomes")
             .header(HOST, agent.to_string())
             .header(CONTENT_TYPE, "application/x-ndjson")
             .body(Full::new(Bytes::from(text)));
         let answer = match request {
-            Ok(request) => call(agent, request, ANSWER).await.map(|response| response.status()),
+            Ok(request) => tokio::select! {
+                answer = call(agent, request, ANSWER) => answer.map(|response| response.status()),
+                // a notice twice does no harm
+                Ok(()) = agents.changed() => {
+                    rest = RETRY_FIRST;
+                    continue;
+                }
+            },
             Err(error) => Err(CallError::from(error)),
         };
         match answer {
@@ -255,8 +287,8 @@
                         }
                     }
                 }
-                sleep(rest).await;
-                rest = (rest * 2).min(RETRY_MOST);
+                let moved = matches!(timeout(rest, agents.changed()).await, Ok(Ok(())));
+                rest = if moved { RETRY_FIRST } else { (rest * 2).min(RETRY_MOST) };
             }
         }
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -4,26 +4,41 @@
 use super::calls::BODY_MOST;
 use super::driver::{Answer, Arrival, Input};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{ALLOW, CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use milletturn::{Class, Effect, MILLISECOND, Micros};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-/// Longest time for the head of a request, also on a connection that stands idle.
-const HEAD_TIME: Duration = Duration::from_secs(60);
-/// Longest time for a body: the client gives up long before.
-const BODY_TIME: Duration = Duration::from_secs(5);
+/// From connecting to the end of the first request's head: a silent or endless one is closed in good time.
+const FIRST_HEAD: Duration = Duration::from_millis(2000);
+/// From connecting, or from the head of a later request, to the end of the body.
+const BODY_TIME: Duration = Duration::from_millis(2400);
+/// From an answer to the end of the next head. Longer keeps more connections that nobody uses.
+const IDLE: Duration = Duration::from_millis(2500);
+/// After an answer that closes: what is still coming is read and dropped for so long and so far, or its sender
+/// would be reset before it has read the answer.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_MOST: usize = 256 * 1024;
+/// Longest wait of a new connection for the place of one that is asked to go.
+const PLACE_TIME: Duration = Duration::from_millis(100);
+/// Longest head.
+const HEAD_MOST: usize = 16 * 1024;
 /// Longest id or key.
 const WORD_MOST: usize = 256;
 /// A longer time to deliver is cut to this.
@@ -38,6 +53,8 @@
     pub draining: Rc<Cell<bool>>,
     /// Connections that may be open at once.
     pub most: usize,
+    /// Bytes of bodies that may be in reading at once.
+    pub bodies: Semaphore,
     /// Turns true when idle connections are to be closed too.
     pub closing: watch::Receiver<bool>,
 }
@@ -49,54 +66,231 @@
     (StatusCode::BAD_REQUEST, what)
 }
 
-/// Accepts clients for ever.
+/// One connection, as it is seen from outside.
+struct Place {
+    /// Connected, or answered last.
+    since: Cell<Instant>,
+    /// With no request open then, it is closed.
+    until: Cell<Instant>,
+    /// When the body of the request that comes next must have ended, if that request is the first.
+    first: Cell<Option<Instant>>,
+    /// A request's head has been read, and its answer is owed.
+    open: Cell<bool>,
+    /// Its place is wanted.
+    leave: Notify,
+    leaving: Cell<bool>,
+    /// The head that is being read, as it came.
+    head: RefCell<Vec<u8>>,
+}
+
+impl Place {
+    fn new() -> Self {
+        let now = Instant::now();
+        Place {
+            since: Cell::new(now),
+            until: Cell::new(now + FIRST_HEAD),
+            first: Cell::new(Some(now + BODY_TIME)),
+            open: Cell::new(false),
+            leave: Notify::new(),
+            leaving: Cell::new(false),
+            head: RefCell::default(),
+        }
+    }
+
+    /// A head has been read; the end of the time for its body.
+    fn begin(&self) -> Instant {
+        self.open.set(true);
+        self.first.take().unwrap_or_else(|| Instant::now() + BODY_TIME)
+    }
+
+    fn answered(&self, closes: bool) {
+        let now = Instant::now();
+        self.open.set(false);
+        self.since.set(now);
+        self.until.set(now + if closes { LINGER } else { IDLE });
+    }
+
+    /// True unless the head as it came is known to have no `Content-Length`. hyper drops that header beside a
+    /// `Transfer-Encoding`, though the two together may hide a second request in the body.
+    fn may_have_length(&self) -> bool {
+        let head = self.head.borrow();
+        let mut headers = [httparse::EMPTY_HEADER; 100];
+        let mut request = httparse::Request::new(&mut headers);
+        match request.parse(&head) {
+            Ok(httparse::Status::Complete(_)) => {
+                request.headers.iter().any(|header| header.name.eq_ignore_ascii_case("content-length"))
+            }
+            _ => true,
+        }
+    }
+}
+
+/// The open connections, in the order of their coming.
+#[derive(Default)]
+struct Places(RefCell<BTreeMap<u64, Rc<Place>>>);
+
+impl Places {
+    /// Asks the connection to go that has been without an open request for longest.
+    fn ask_oldest(&self) {
+        let places = self.0.borrow();
+        let free = places.values().filter(|place| !place.open.get() && !place.leaving.get());
+        if let Some(oldest) = free.min_by_key(|place| place.since.get()) {
+            oldest.leaving.set(true);
+            oldest.leave.notify_one();
+        }
+    }
+}
+
+/// Accepts clients for ever. Nobody waits long behind those who say nothing: when places run short, the
+/// oldest connection with no open request goes.
 pub async fn serve(listener: TcpListener, server: Rc<Server>) {
     let faults = Seldom::default();
-    let places = std::sync::Arc::new(Semaphore::new(server.most));
-    loop {
-        // clients beyond the limit wait in the kernel's queue, so that calls never lack descriptors
-        let Ok(place) = places.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let server = server.clone();
-                tokio::task::spawn_local(async move {
-                    serve_one(stream, server).await;
-                    drop(place);
-                });
-            }
+    let free = std::sync::Arc::new(Semaphore::new(server.most));
+    let places = Rc::new(Places::default());
+    for number in 0u64.. {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
             Err(error) => {
                 faults.log(format_args!("clients: no connection accepted: {error}"));
                 sleep(Duration::from_millis(50)).await;
+                continue;
             }
+        };
+        if free.available_permits() == 0 {
+            places.ask_oldest();
         }
+        let Ok(Ok(permit)) = timeout(PLACE_TIME, free.clone().acquire_owned()).await else {
+            faults.log(format_args!("clients: all {} places have an open request", server.most));
+            continue;
+        };
+        let (server, places, place) = (server.clone(), places.clone(), Rc::new(Place::new()));
+        places.0.borrow_mut().insert(number, place.clone());
+        tokio::task::spawn_local(async move {
+            serve_one(stream, server, place).await;
+            places.0.borrow_mut().remove(&number);
+            drop(permit);
+        });
     }
 }
 
-async fn serve_one(stream: TcpStream, server: Rc<Server>) {
+async fn serve_one(stream: TcpStream, server: Rc<Server>, place: Rc<Place>) {
     // without it answers still come, only later
     let _ = stream.set_nodelay(true);
     let mut closing = server.closing.clone();
-    let service = service_fn(move |request| answer(request, server.clone()));
+    let (seen, stream) = (place.clone(), Watched { stream, place: place.clone(), dropped: 0 });
+    let service = service_fn(move |request| answer(request, server.clone(), seen.clone()));
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
-        .max_buf_size(32 * 1024)
+        .header_read_timeout(None) // `Place::until` covers it
+        .max_buf_size(HEAD_MOST)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    tokio::select! {
-        // how a client leaves is its own affair; a message it left behind is withdrawn by its guard
-        _ = &mut connection => {}
-        _ = closing.wait_for(|closing| *closing) => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+    let mut stays = true;
+    loop {
+        let until = place.until.get();
+        tokio::select! {
+            // a request that has come counts more than the end of its time
+            biased;
+            // how a client leaves is its own affair; a message it left behind is withdrawn by its guard
+            _ = &mut connection => return,
+            _ = closing.wait_for(|closing| *closing), if stays => {
+                stays = false;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = place.leave.notified() => {
+                if !place.open.get() {
+                    return;
+                }
+                place.leaving.set(false);
+            }
+            () = sleep_until(until) => {
+                if place.open.get() {
+                    // its handler ends by itself: looked at again when that is long over
+                    place.until.set(Instant::now() + IDLE);
+                } else if place.until.get() <= Instant::now() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// The client's stream: keeps the head that is being read, and closes without a reset.
+struct Watched {
+    stream: TcpStream,
+    place: Rc<Place>,
+    dropped: usize,
+}
+
+impl Watched {
+    fn wrote(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(result, Poll::Ready(Ok(1..))) {
+            self.place.head.borrow_mut().clear();
+        }
+        result
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let mut head = self.place.head.borrow_mut();
+        // bodies behind the head are cut off at a read's end: only the head matters, and that has a bound
+        let ended = head.windows(4).any(|four| four == b"\r\n\r\n");
+        if !ended && head.len() < HEAD_MOST {
+            let new = &buffer.filled()[before..];
+            head.extend_from_slice(&new[..new.len().min(HEAD_MOST)]);
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.wrote(result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.wrote(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    /// Ends the sending and drops what still comes. The time for that is bounded by `Place::until`.
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+        let mut scratch = [0; 8192];
+        while self.dropped < LINGER_MOST {
+            let mut buffer = ReadBuf::new(&mut scratch);
+            match ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer)) {
+                Ok(()) if !buffer.filled().is_empty() => self.dropped += buffer.filled().len(),
+                _ => break,
+            }
         }
+        Poll::Ready(Ok(()))
     }
 }
 
-async fn answer(request: Request<Incoming>, server: Rc<Server>) -> Result<Response<Full<Bytes>>, Infallible> {
-    let close = server.draining.clone();
-    let mut response = match handle(request, &server).await {
-        Ok(response) => response,
+async fn answer(
+    request: Request<Incoming>, server: Rc<Server>, place: Rc<Place>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let ends = place.begin();
+    let (response, close) = match handle(request, &server, &place, ends).await {
+        Ok(response) => (response, false),
         Err((status, what)) => {
             let mut response = Response::new(Full::from(format!("{what}\n")));
             *response.status_mut() = status;
@@ -104,23 +298,32 @@
                 let allowed = if what == ONLY_GET { "GET" } else { "POST" };
                 response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
             }
-            if status == StatusCode::PAYLOAD_TOO_LARGE || status == StatusCode::REQUEST_TIMEOUT {
-                // the rest of the body is not read
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            response
+            // what stands behind a bad request is not read: nobody knows where that one ends
+            (response, status.is_client_error())
         }
     };
-    if close.get() {
+    let mut response = response;
+    let close = close || server.draining.get();
+    if close {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    // hyper writes the answer in the same breath, before anybody can ask for the place
+    place.answered(close);
     Ok(response)
 }
 
 const ONLY_GET: &str = "only GET";
 
-async fn handle(request: Request<Incoming>, server: &Server) -> Result<Response<Full<Bytes>>, Refusal> {
+async fn handle(
+    request: Request<Incoming>, server: &Server, place: &Place, ends: Instant,
+) -> Result<Response<Full<Bytes>>, Refusal> {
     let began = Instant::now();
+    let coding = single(request.headers(), "transfer-encoding", "Transfer-Encoding")?;
+    if coding
+        .is_some_and(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"chunked") || place.may_have_length())
+    {
+        return Err(bad("the length of the body is not clear"));
+    }
     let path = request.uri().path();
     if path == "/ready" {
         if request.method() != Method::GET {
@@ -162,18 +365,19 @@
     let destination = envelope.to_str().ok().and_then(read_destination).ok_or(bad("dest can't be read"))?;
     let retried = single(headers, "x-retried", "X-Retried")?;
     let (again, orphan) = (retried.is_some(), retried.is_some_and(|value| value == "again"));
-    let (id, key) = (id.clone(), key.cloned());
+    let (id, key) = (copied(id)?, key.map(copied).transpose()?);
     if request.body().size_hint().lower() > BODY_MOST as u64 {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
     }
-    let body = match timeout(BODY_TIME, Limited::new(request.into_body(), BODY_MOST).collect()).await {
-        Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
-        }
-        Ok(Err(_)) => return Err(bad("the body is malformed")),
-        Ok(Ok(body)) => body.to_bytes(),
+    let most =
+        request.body().size_hint().upper().map_or(BODY_MOST, |most| most.min(BODY_MOST as u64) as usize);
+    let Ok(room) = server.bodies.try_acquire_many(most as u32) else {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, "too many bodies at once"));
     };
+    let body = timeout_at(ends, read_body(request.into_body()))
+        .await
+        .map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))??;
+    drop(room);
     if !*server.ready.borrow() {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "not ready"));
     }
@@ -204,6 +408,26 @@
     Ok(response)
 }
 
+/// The body in memory of its own: a slice would hold the connection's whole read buffer.
+async fn read_body(mut body: Incoming) -> Result<Bytes, Refusal> {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| bad("the body is malformed"))?;
+        let data = frame.into_data().unwrap_or_default();
+        if bytes.len() + data.len() > BODY_MOST {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    bytes.shrink_to_fit();
+    Ok(bytes.into())
+}
+
+/// The value in memory of its own, as the body.
+fn copied(value: &HeaderValue) -> Result<HeaderValue, Refusal> {
+    HeaderValue::from_bytes(value.as_bytes()).map_err(|_| bad("an id or key can't be read"))
+}
+
 /// A client that goes before its answer hands its message in anew elsewhere: hyper drops the request then.
 struct Guard<'a> {
     left: Option<HeaderValue>,
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -255,6 +255,7 @@
     discovery: SocketAddr,
     disk_mb: f64,
     idle_s: f64,
+    sockets: usize,
     pub process: Child,
     pub address: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
@@ -271,13 +272,21 @@
         let name = format!("node-{}-{number}", std::process::id());
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(folder.join("state")).expect("a folder");
-        Node::start(folder, discovery, disk_mb, idle_s)
+        Node::start(folder, discovery, disk_mb, idle_s, 1024)
     }
 
-    fn start(folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64) -> Self {
+    /// One that may hold so few descriptors.
+    pub fn narrow(agent: &Agent, sockets: usize) -> Self {
+        let node = Node::new(agent);
+        let (folder, discovery) = (node.folder.clone(), node.discovery);
+        drop(node);
+        Node::start(folder, discovery, 3.0, 5.0, sockets)
+    }
+
+    fn start(folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize) -> Self {
         let config = format!(
             r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":{disk_mb}}},
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets},"disk_mb":{disk_mb}}},
             "known":{{"rev":0,"all":true,"targets":[]}},
             "settings":{{"az":"a","balancers":1,"zones":["a"],"machineTypes":["one","bulk"],
               "caps":{{"maxOpen":50,"mostTries":12,"mayCancel":true,"secondCopies":true,"connIdle":{idle_s},
@@ -310,7 +319,7 @@
             address.is_some()
         });
         let address = address.expect("found");
-        Node { folder, discovery, disk_mb, idle_s, process, address, log, reading }
+        Node { folder, discovery, disk_mb, idle_s, sockets, process, address, log, reading }
     }
 
     /// Waits until it is ready.
@@ -341,14 +350,27 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.process.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    /// Replaces the configuration by what `change` makes of it, and sends SIGHUP.
+    pub fn reload(&self, change: impl FnOnce(String) -> String) {
+        let (file, new) = (self.folder.join("config.json"), self.folder.join("config.new"));
+        let text = std::fs::read_to_string(&file).expect("the configuration");
+        std::fs::write(&new, change(text)).expect("written");
+        std::fs::rename(&new, &file).expect("replaced");
+        self.signal("-HUP");
     }
 
     /// Kills it if it runs, and starts it again with the same folder.
     pub fn restart(mut self) -> Self {
         self.kill();
-        Node::start(self.folder.clone(), self.discovery, self.disk_mb, self.idle_s)
+        Node::start(self.folder.clone(), self.discovery, self.disk_mb, self.idle_s, self.sockets)
     }
 
     pub fn journal(&self) -> PathBuf {
@@ -403,6 +425,21 @@
         Client(BufReader::new(stream))
     }
 
+    /// True once the sender has closed the connection, with whatever answer before that.
+    pub fn is_closed(&mut self) -> bool {
+        let mut rest = Vec::new();
+        self.0.get_mut().set_read_timeout(Some(Duration::from_millis(20))).expect("set");
+        match self.0.read_to_end(&mut rest) {
+            Ok(_) => true,
+            Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+
+    /// Writes and waits for nothing.
+    pub fn write(&mut self, bytes: &[u8]) {
+        let _ = self.0.get_mut().write_all(bytes);
+    }
+
     /// The answer's status and head; none if the connection ends first.
     pub fn send(&mut self, bytes: &[u8]) -> Option<(u16, Request)> {
         self.0.get_mut().write_all(bytes).ok()?;
--- /dev/null
+++ b/tests/service.rs
@@ -0,0 +1,116 @@
+//! What holds in service: reloads, clients that misbehave, and limits that bind.
+
+mod node;
+
+use node::*;
+use std::time::{Duration, Instant};
+
+fn one(endpoint: &Endpoint) -> Agent {
+    Agent::new(vec![list(&[("s-1", endpoint.address, "one", 7, "up")])])
+}
+
+#[test]
+fn a_reload_moves_the_watch_and_the_notices_that_are_owed() {
+    // guards against a SIGHUP that kills, and against notices that go on to an address that is gone
+    let (first, second) = (Endpoint::new(|_, _| OK), Endpoint::new(|_, _| OK));
+    let dead = Endpoint::new(|_, _| Reply::Close);
+    let lines = |live: &Endpoint, uid: &str| {
+        vec![list(&[(uid, live.address, "one", 7, "up"), ("s-0", dead.address, "one", 8, "up")])]
+    };
+    let (old, new) = (Agent::new(lines(&first, "s-1")), Agent::new(lines(&second, "s-2")));
+    old.faults.store(usize::MAX, std::sync::atomic::Ordering::SeqCst);
+    let node = Node::new(&old).ready();
+    assert_eq!(node.hand_in("order", "owed", 8, 5_000, b"x"), 202);
+    wait_until("its notice is owed", || node.logged("notices answered 500"));
+    // a file that can't be read changes nothing
+    let sound = std::fs::read_to_string(node.folder.join("config.json")).expect("the configuration");
+    node.reload(|_| "{".to_string());
+    wait_until("the bad file is told", || node.logged("nothing changed"));
+    assert_eq!(node.hand_in("webhook", "m1", 7, 20_000, b"x"), 202);
+    wait_until("delivered as before", || first.times("m1") == 1);
+    node.reload(|_| sound.replace(&old.address.to_string(), &new.address.to_string()));
+    wait_until("the owed notice comes to the new address", || {
+        new.notices().iter().any(|line| line.contains("owed"))
+    });
+    wait_until("the new list holds", || {
+        let id = format!("n{}", first.count());
+        assert_eq!(node.hand_in("webhook", &id, 7, 20_000, b"x"), 202);
+        wait_until("delivered", || first.times(&id) + second.times(&id) > 0);
+        second.count() > 0
+    });
+    assert!(old.notices().is_empty());
+}
+
+#[test]
+fn silent_and_endless_clients_are_closed_in_time() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let node = Node::new(&one(&endpoint)).ready();
+    let text = message("webhook", "m1", 7, 20_000, b"12345");
+    // nothing at all, half a head, half a body
+    for part in [0, 30, text.len() - 2] {
+        let began = Instant::now();
+        let mut client = Client::new(&node);
+        client.write(&text[..part]);
+        wait_until("it is closed", || client.is_closed());
+        assert!(began.elapsed() < Duration::from_secs(3), "{part} bytes: {:?}", began.elapsed());
+    }
+    assert_eq!(endpoint.count(), 0);
+}
+
+#[test]
+fn when_places_run_short_the_oldest_that_says_nothing_goes() {
+    // guards against new clients that wait unaccepted behind silent ones
+    let endpoint = Endpoint::new(|_, _| OK);
+    let node = Node::narrow(&one(&endpoint), 64).ready();
+    let mut silent: Vec<Client> = (0..40).map(|_| Client::new(&node)).collect();
+    let began = Instant::now();
+    assert_eq!(node.hand_in("webhook", "m1", 7, 20_000, b"x"), 202);
+    // far sooner than the silent ones' time is up
+    assert!(began.elapsed() < Duration::from_millis(1500), "{:?}", began.elapsed());
+    wait_until("the oldest is closed", || silent[0].is_closed());
+}
+
+#[test]
+fn a_body_of_unclear_length_hides_no_second_request() {
+    // hyper shows only one of the two headers; the hidden request must not be read, in either order
+    let endpoint = Endpoint::new(|_, _| OK);
+    let node = Node::new(&one(&endpoint)).ready();
+    let hidden = String::from_utf8(message("webhook", "hidden", 7, 20_000, b"x")).expect("text");
+    let plain = String::from_utf8(message("webhook", "m1", 7, 20_000, b"")).expect("text");
+    let body = format!("0\r\n\r\n{hidden}");
+    let length = format!("Content-Length: {}\r\n", body.len());
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    let with = |headers: String| plain.replace("Content-Length: 0\r\n", &headers) + &body;
+    for text in [
+        with(format!("{length}{chunked}")),
+        with(format!("{chunked}{length}")),
+        with(format!("transfer-encoding: Chunked\r\ncontent-LENGTH: {}\r\n", body.len())),
+        with("Transfer-Encoding: gzip, chunked\r\n".to_string()),
+        with("Content-Length: 5\r\nContent-Length: 6\r\n".to_string()),
+        with("Content-Length: -5\r\n".to_string()),
+        with("Content-Length: 99999999999999999999999\r\n".to_string()),
+    ] {
+        let mut client = Client::new(&node);
+        let answer = client.send(text.as_bytes());
+        assert_eq!(answer.map(|(status, _)| status), Some(400), "{text}");
+        wait_until("it is closed", || client.is_closed());
+    }
+    // chunks alone are plain HTTP
+    let text = with(chunked.to_string()).replace(&body, "1\r\nx\r\n0\r\n\r\n");
+    assert_eq!(node.raw(text.as_bytes()).0, 202);
+    wait_until("the plain one is delivered", || endpoint.times("m1") == 1);
+    assert_eq!(endpoint.count(), 1);
+}
+
+#[test]
+fn a_large_upload_is_answered_while_it_still_comes() {
+    // guards against a reset that takes the answer with it
+    let endpoint = Endpoint::new(|_, _| OK);
+    let node = Node::new(&one(&endpoint)).ready();
+    let text = String::from_utf8(message("webhook", "m1", 7, 20_000, b"")).expect("text");
+    let mut bytes = text.replace("Content-Length: 0", "Content-Length: 60000000").into_bytes();
+    bytes.resize(bytes.len() + 200_000, b'x');
+    let mut client = Client::new(&node);
+    assert_eq!(client.send(&bytes).map(|(status, _)| status), Some(413));
+    wait_until("it is closed", || client.is_closed());
+}
