Judge answers by their raw first line; key connections by endpoint; refuse unknown destinations; forget what is gone

Causes, by file and confirmed by raw bytes over loopback (tests/service.rs): - calls.rs took hyper's parse for the outcome: a first line 200 with a bad or endless head, a wrong length, or behind a 101 (which ends HTTP for hyper) was no success. Now a small layer watches the first line that counts. A lone message with 200 is delivered, also when called off or out of time; other answers count only when whole, else the call may have run. Bytes of 1xx answers, heads and bodies are bounded in size and time. - Idle connections lay under the address, so a new endpoint there got the old one's; now under the endpoint, and dropped when it drains, goes or is missing from a whole list. After an answer a connection rests 5 ms, and just before the next write the socket is peeked at: late bytes or an end mean another connection. - driver.rs: routes and by_uid hold listed endpoints only. decide.rs: no table is indexed by id any more; reports with an absurd share or limit are ignored; an unknown destination is refused with a time to come again, since the list may only be late; one whose endpoints have all gone stays known for 60 s. Connections to endpoints come from the budget.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -69,6 +69,8 @@
 /// Lower frees crowded endpoints sooner, higher saves handshakes.
 const CROWDED_WEIGHT: f64 = 0.2;
 const CROWDED: f64 = 0.1;
+/// A told share may lie so far above 1, by noise, and still count.
+const LEFT_SLACK: f64 = 0.2;
 /// Most of a told limit that counts as left: higher lets a lone sender take more at once.
 const LEFT_MOST: f64 = 0.9;
 /// Rest before a message is tried again: first, and at most. Longer spares attempts, shorter saves time.
@@ -81,6 +83,11 @@
 /// Backoff of a failed subscription: first and most.
 const LIST_FIRST: Micros = 300 * MILLISECOND;
 const LIST_MOST: Micros = 4 * SECOND;
+/// A destination is known for so long after its last endpoint has gone: longer bridges replacements of all
+/// endpoints at once, shorter tells clients sooner.
+const LISTED_KEPT: Micros = 60 * SECOND;
+/// A told limit beyond this, in calls a second, is no report.
+const LIMIT_MOST: f64 = 1e5;
 /// Span of a tenant's token bucket, seconds of its share.
 const TENANT_BURST: f64 = 2.0;
 
@@ -93,6 +100,8 @@
     alarm: Micros,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     routes: BTreeMap<DestinationId, BTreeSet<EndpointId>>,
+    /// When the list last had something at a destination.
+    listed: BTreeMap<DestinationId, Micros>,
     units: BTreeMap<UnitId, Unit>,
     messages: BTreeMap<MessageId, Held>,
     keys: BTreeMap<u64, KeyLine>,
@@ -126,6 +135,7 @@
             alarm: Micros::MAX,
             endpoints: BTreeMap::new(),
             routes: BTreeMap::new(),
+            listed: BTreeMap::new(),
             units: BTreeMap::new(),
             messages: BTreeMap::new(),
             keys: BTreeMap::new(),
@@ -168,7 +178,15 @@
                 self.list_retry = Some(self.now + self.list_rest / 2 + jitter);
                 self.list_rest = (self.list_rest * 2).min(LIST_MOST);
             }
-            Event::Accepted(message) => self.accept(message),
+            Event::Accepted(message) => {
+                self.accept(message);
+                // no list ever named its destination: the client is told at once, and may come again, since
+                // the list may be late
+                let unknown = !self.listed.is_empty() && !self.listed.contains_key(&message.destination);
+                if let Some(held) = self.messages.get_mut(&message.id).filter(|_| unknown) {
+                    held.unknown = true;
+                }
+            }
             Event::Resumed { message, attempts } => self.resume(message, attempts),
             Event::Stopping { ends } => self.ends = Some(*ends),
             Event::ToldWait { endpoint, wait } => {
@@ -206,6 +224,7 @@
             (known.destination, known.zone, known.kind) = (entry.destination, entry.zone, entry.kind);
             known.serving = entry.status == Status::Serving;
             self.routes.entry(entry.destination).or_default().insert(entry.endpoint);
+            self.listed.insert(entry.destination, self.now);
             let id = self.unit_of(entry.endpoint);
             let told = self.settings.weight_trust * entry.weight / f64::from(self.settings.senders);
             let unit = self.unit(id);
@@ -223,6 +242,8 @@
         self.routes.values_mut().for_each(|routes| routes.retain(|id| known.contains_key(id)));
         self.routes.retain(|_, routes| !routes.is_empty());
         let (now, routes) = (self.now, &self.routes);
+        self.listed.iter_mut().filter(|(id, _)| routes.contains_key(id)).for_each(|(_, at)| *at = now);
+        self.listed.retain(|_, at| now - *at < LISTED_KEPT);
         self.units.retain(|(destination, route), unit| {
             let listed = routes.get(destination).is_some_and(|ids| route.is_none_or(|id| ids.contains(&id)));
             listed || unit.in_flight > 0 || unit.wait_until > now
@@ -306,7 +327,7 @@
             self.calls.remove(&call_id);
             self.copies_out -= usize::from(copy);
             let unit = self.unit(unit_id);
-            unit.in_flight -= 1;
+            unit.in_flight = unit.in_flight.saturating_sub(1);
             unit.look_anew();
             self.close_idle(unit_id, endpoint_id, actions);
         }
@@ -416,7 +437,10 @@
         let read = |at: Option<usize>| at.and_then(|index| report.get(index).copied());
         let (limit, left) = (read(self.settings.report_limit), read(self.settings.report_left));
         let share = limit.unwrap_or(0.0) / f64::from(self.settings.senders);
-        let Some(limit) = limit.filter(|&limit| limit > 0.0 && limit.is_finite()) else { return };
+        let Some(limit) = limit.filter(|&limit| limit > 0.0 && limit <= LIMIT_MOST) else { return };
+        if left.is_some_and(|left| !(0.0..=1.0 + LEFT_SLACK).contains(&left)) {
+            return; // what tells an absurd share tells no limit either
+        }
         let unit = self.unit(id);
         (unit.told_limit, unit.share) = (Some(limit), share);
         unit.best_rate = unit.best_rate.max(share);
@@ -575,7 +599,7 @@
             }
             let out = message.is_out();
             self.due = self.due.min(message.deadline - MARGIN);
-            if self.now + MARGIN >= message.deadline || (!out && self.is_spent(message)) {
+            if self.now + MARGIN >= message.deadline || message.unknown || (!out && self.is_spent(message)) {
                 ends.push(id);
             } else if excess > 0 && !out && self.may_refuse(message) && self.is_stuck(message) {
                 stuck.push((message.worth, message.born, id));
@@ -585,7 +609,7 @@
         excess = excess.min(stuck.len());
         ends.extend(stuck[..excess].iter().map(|&(_, _, id)| id));
         for id in ends {
-            let message = &self.messages[&id];
+            let Some(message) = self.messages.get(&id) else { continue };
             actions.push(if self.may_refuse(message) {
                 let wait = self.settings.max_client_wait / 2;
                 Action::Refuse { message: id, wait: (wait > 0).then_some(wait) }
@@ -620,7 +644,8 @@
         let mut due: Vec<(f64, MessageId)> = Vec::new();
         for (&id, message) in &self.messages {
             let out = message.is_out();
-            let turn = message.key.is_none_or(|key| self.keys[&key].turn.front() == Some(&id));
+            let line = message.key.and_then(|key| self.keys.get(&key));
+            let turn = line.is_none_or(|line| line.turn.front() == Some(&id));
             let at = if out { message.copy_at } else { message.retry_at };
             if message.open && turn && at > self.now {
                 self.due = self.due.min(at);
@@ -631,7 +656,7 @@
         due.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let mut opened: BTreeMap<EndpointId, u64> = BTreeMap::new();
         for (_, id) in due {
-            let copy = self.messages[&id].is_out();
+            let Some(copy) = self.messages.get(&id).map(Held::is_out) else { continue };
             let full = copy && self.copies_out >= share_of(self.settings.call_slots, COPY_SHARE);
             // a copy skipped at the ceiling comes up again next turn: its offset is not doubled
             if let Some((endpoint, joined)) = self.pick(id, copy, &opened).filter(|_| !full) {
@@ -653,27 +678,30 @@
     fn pick(
         &mut self, id: MessageId, copy: bool, opened: &BTreeMap<EndpointId, u64>,
     ) -> Option<(EndpointId, Option<u64>)> {
-        let message = &self.messages[&id];
-        let unsafe_class = self.effect(message.class) == Effect::Unsafe;
+        let message = self.messages.get(&id)?;
+        let (class, deadline) = (message.class, message.deadline);
+        let key = message.key;
+        let unsafe_class = self.effect(class) == Effect::Unsafe;
         let routes: Vec<EndpointId> = self.routes.get(&message.destination)?.iter().copied().collect();
         let mut options = Vec::new();
         for endpoint in routes {
-            let known = &self.endpoints[&endpoint];
+            let Some(known) = self.endpoints.get(&endpoint) else { continue };
             let bundle = self.settings.kinds.get(known.kind).map_or(1, |kind| kind.bundle_max);
-            let joined = opened.get(&endpoint).copied().filter(|call| self.calls[call].size < bundle);
-            let tries =
-                self.messages[&id].attempts.iter().filter(|attempt| attempt.endpoint == endpoint).count();
+            let room = |call: &u64| self.calls.get(call).is_some_and(|call| call.size < bundle);
+            let joined = opened.get(&endpoint).copied().filter(room);
+            let attempts = &self.messages.get(&id)?.attempts;
+            let tries = attempts.iter().filter(|attempt| attempt.endpoint == endpoint).count();
             let unit_id = self.unit_of(endpoint);
             if (copy && tries > 0) || !self.may_send(id, endpoint, joined.is_some()) {
-                let key = self.messages[&id].key.and_then(|key| self.keys.get(&key));
-                let until = [key.map(|line| line.rest_until), Some(self.unit(unit_id).wait_until)];
+                let line = key.and_then(|key| self.keys.get(&key));
+                let until = [line.map(|line| line.rest_until), Some(self.unit(unit_id).wait_until)];
                 self.due =
                     until.into_iter().flatten().filter(|&at| at > self.now).fold(self.due, Micros::min);
                 continue;
             }
             let unit = self.unit(unit_id);
             let (usual, slowest) = (unit.usual.unwrap_or(0), unit.offset.unwrap_or(FIRST_COPY_DELAY));
-            let late = self.now + usual > self.messages[&id].deadline;
+            let late = self.now + usual > deadline;
             // a call cut off by the end of the process may have run; the next life makes a whole one
             if self.ends.is_some_and(|ends| self.now + slowest > ends) {
                 continue;
@@ -681,10 +709,10 @@
             if copy && late || !self.is_wise(unit_id, unsafe_class, copy, joined.is_some()) {
                 continue;
             }
-            let known = &self.endpoints[&endpoint];
-            let record = known.classes.get(&self.messages[&id].class);
+            let Some(known) = self.endpoints.get(&endpoint) else { continue };
+            let record = known.classes.get(&class);
             let struck = record.is_some_and(|class| class.struck_until > self.now && class.strikes > 0);
-            let health = match self.units[&unit_id].health {
+            let health = match self.units.get(&unit_id).map(|unit| unit.health).unwrap_or_default() {
                 Health::Well => 0,
                 Health::Returning { .. } => 1,
                 Health::Sick { .. } => 2,
@@ -754,7 +782,7 @@
         let silence = self.unit(unit_id).silence_limit();
         let offset = self.unit(unit_id).offset.unwrap_or(FIRST_COPY_DELAY);
         self.calls.entry(call_id).and_modify(|call| (call.left, call.size) = (call.left + 1, call.size + 1));
-        let effect = self.effect(self.messages[&id].class);
+        let effect = self.messages.get(&id).map_or(Effect::Unsafe, |message| self.effect(message.class));
         let Some(message) = self.messages.get_mut(&id) else { return };
         let expires = match effect {
             Effect::Unsafe => message.deadline,
--- a/src/main.rs
+++ b/src/main.rs
@@ -56,7 +56,7 @@
     let draining = Rc::new(Cell::new(false));
     let idle = Duration::from_micros(u64::try_from(config.settings.connection_idle)?);
     let dial = Duration::from_micros(u64::try_from(config.names.dial_timeout)?);
-    let calls = Calls::new(idle, dial, config.names.report_fields.clone(), inputs.clone());
+    let calls = Calls::new(idle, dial, config.names.report_fields.clone(), &config.budget, inputs.clone());
     let sender = Sender::new(config.settings.clone(), config.seed)?;
     let version =
         config.known.as_ref().filter(|known| !known.targets.is_empty()).map_or(0, |known| known.version);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,16 +3,16 @@
 
 use super::Seldom;
 use super::calls::{self, BODY_MOST, Call, Calls, Item};
-use super::discovery::{ListUpdate, Notice};
+use super::discovery::{ListUpdate, Listed, Notice};
 use super::journal::{Ending, Journal, JournalError, Taken};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use milletturn::wire::{Names, position};
 use milletturn::{
     Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
-    PastAttempt, Sender, Settings,
+    PastAttempt, Sender, Settings, Status,
 };
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -118,7 +118,7 @@
 /// Where an endpoint is and what its kind allows.
 struct Route {
     uid: String,
-    address: Option<SocketAddr>,
+    address: SocketAddr,
     bundle_max: usize,
 }
 
@@ -134,7 +134,9 @@
     calls: Calls,
     notices: mpsc::UnboundedSender<Notice>,
     ready: watch::Sender<bool>,
-    routes: Vec<Route>,
+    /// Listed endpoints only: those that are gone leave nothing here, and come back under a new number.
+    routes: BTreeMap<EndpointId, Route>,
+    next_endpoint: u32,
     by_uid: HashMap<String, EndpointId>,
     messages: BTreeMap<MessageId, Message>,
     by_id: HashMap<HeaderValue, MessageId>,
@@ -171,7 +173,8 @@
             calls,
             notices,
             ready,
-            routes: Vec::new(),
+            routes: BTreeMap::new(),
+            next_endpoint: 0,
             by_uid: HashMap::new(),
             messages: BTreeMap::new(),
             by_id: HashMap::new(),
@@ -401,21 +404,20 @@
     }
 
     fn list(&mut self, update: ListUpdate, old: bool) {
+        if update.full {
+            let listed: HashSet<&str> = update.targets.iter().map(|listed| listed.uid.as_str()).collect();
+            let gone: Vec<String> =
+                self.by_uid.keys().filter(|uid| !listed.contains(uid.as_str())).cloned().collect();
+            gone.iter().for_each(|uid| _ = self.forget_endpoint(uid));
+        }
         let mut entries = Vec::with_capacity(update.targets.len());
         for listed in update.targets {
             let kind = position(&self.names.kinds, &listed.kind);
-            let next = EndpointId(self.routes.len() as u32);
-            let endpoint = *self.by_uid.entry(listed.uid.clone()).or_insert(next);
-            if endpoint == next {
-                self.routes.push(Route { uid: listed.uid, address: None, bundle_max: 1 });
-            }
-            if let Some(route) = self.routes.get_mut(endpoint.0 as usize) {
-                if let Some(before) = route.address.filter(|&before| before != listed.address) {
-                    self.calls.disconnect(before);
-                }
-                route.address = Some(listed.address);
-                route.bundle_max = self.bundle_max.get(kind).copied().unwrap_or(1);
-            }
+            let known = match listed.status {
+                Status::Gone => self.forget_endpoint(&listed.uid),
+                _ => Some(self.know_endpoint(&listed, kind)),
+            };
+            let Some(endpoint) = known else { continue };
             entries.push(Entry {
                 endpoint,
                 destination: listed.destination,
@@ -436,6 +438,30 @@
         self.events.push(Event::Listed { listing, entries });
     }
 
+    fn know_endpoint(&mut self, listed: &Listed, kind: usize) -> EndpointId {
+        let endpoint = *self.by_uid.entry(listed.uid.clone()).or_insert_with(|| {
+            self.next_endpoint += 1;
+            EndpointId(self.next_endpoint)
+        });
+        let (uid, address) = (listed.uid.clone(), listed.address);
+        let bundle_max = self.bundle_max.get(kind).copied().unwrap_or(1);
+        self.routes.insert(endpoint, Route { uid, address, bundle_max });
+        if listed.status == Status::Serving {
+            self.calls.admit(endpoint, address);
+        } else {
+            self.calls.forget(endpoint);
+        }
+        endpoint
+    }
+
+    /// Its number, if it was known.
+    fn forget_endpoint(&mut self, uid: &str) -> Option<EndpointId> {
+        let endpoint = self.by_uid.remove(uid)?;
+        self.routes.remove(&endpoint);
+        self.calls.forget(endpoint);
+        Some(endpoint)
+    }
+
     fn turn(&mut self) {
         let now = self.clock.at(Instant::now());
         if self.alarm.take_if(|at| *at <= now).is_some() {
@@ -458,13 +484,7 @@
                 }
                 Action::Fail(message) => self.give_up(message, Ending::Failed),
                 Action::SetAlarm(at) => self.alarm = Some(at),
-                Action::Disconnect(endpoint) => {
-                    if let Some(address) =
-                        self.routes.get(endpoint.0 as usize).and_then(|route| route.address)
-                    {
-                        self.calls.disconnect(address);
-                    }
-                }
+                Action::Disconnect(endpoint) => self.calls.disconnect(endpoint),
                 Action::Log(text) => super::log(format_args!("{text}")),
                 // the watch is always on; probes and notes are not to be had on sockets
                 Action::Subscribe | Action::Probe(_) | Action::Note(_) => {}
@@ -530,8 +550,7 @@
         held.attempts.push(Attempt { endpoint, sent: now, call: u64::MAX, item: 0, out: true });
         let size = calls::bulk_size(&held.item);
         let open = held.open;
-        let Some((uid, most)) =
-            self.routes.get(endpoint.0 as usize).map(|route| (route.uid.clone(), route.bundle_max))
+        let Some((uid, most)) = self.routes.get(&endpoint).map(|route| (route.uid.clone(), route.bundle_max))
         else {
             return self.unsent(message, attempt, endpoint);
         };
@@ -569,7 +588,7 @@
     fn start(&mut self, bundle: Bundle) {
         let number = self.next_call;
         self.next_call += 1;
-        let address = self.routes.get(bundle.endpoint.0 as usize).and_then(|route| route.address);
+        let address = self.routes.get(&bundle.endpoint).map(|route| route.address);
         let Some(address) = address else {
             bundle
                 .sends
@@ -589,7 +608,7 @@
         let left = bundle.sends.len();
         self.out.insert(number, CallOut { cancels, items: bundle.sends, left });
         let expires = self.clock.instant(bundle.expires);
-        self.calls.start(Call { number, address, items, expires, cancels: receiver });
+        self.calls.start(Call { number, endpoint: bundle.endpoint, address, items, expires }, receiver);
     }
 
     fn cancel(&mut self, message: MessageId, attempt: usize) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,6 +62,8 @@
     pub worth: f64,
     /// No final answer yet.
     pub open: bool,
+    /// For a destination that was not known when it came.
+    pub unknown: bool,
     pub attempts: Vec<Attempt>,
     /// Earliest next attempt, and the rest after the one that fails then.
     pub retry_at: Micros,
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -88,6 +88,10 @@
     Close,
     /// An answer, and then the connection ends.
     Last(&'static str),
+    /// These bytes, while the connection stays open.
+    Raw(&'static str),
+    /// These bytes, and the others a moment later.
+    Late(&'static str, &'static str),
 }
 
 pub const OK: Reply = Reply::Answer("200 OK", String::new());
@@ -134,6 +138,16 @@
                 Reply::Answer(head, body) => (head, body, false),
                 Reply::Last(head) => (head, String::new(), true),
                 Reply::Silence => continue,
+                Reply::Raw(text) => {
+                    let _ = stream.write_all(text.as_bytes());
+                    continue;
+                }
+                Reply::Late(text, late) => {
+                    let _ = stream.write_all(text.as_bytes());
+                    thread::sleep(Duration::from_millis(50));
+                    let _ = stream.write_all(late.as_bytes());
+                    continue;
+                }
                 Reply::Close => return,
             };
             let text = format!("HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -3,6 +3,7 @@
 mod node;
 
 use node::*;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 fn one(endpoint: &Endpoint) -> Agent {
@@ -18,7 +19,7 @@
         vec![list(&[(uid, live.address, "one", 7, "up"), ("s-0", dead.address, "one", 8, "up")])]
     };
     let (old, new) = (Agent::new(lines(&first, "s-1")), Agent::new(lines(&second, "s-2")));
-    old.faults.store(usize::MAX, std::sync::atomic::Ordering::SeqCst);
+    old.faults.store(usize::MAX, Ordering::SeqCst);
     let node = Node::new(&old).ready();
     assert_eq!(node.hand_in("order", "owed", 8, 5_000, b"x"), 202);
     wait_until("its notice is owed", || node.logged("notices answered 500"));
@@ -114,3 +115,98 @@
     assert_eq!(client.send(&bytes).map(|(status, _)| status), Some(413));
     wait_until("it is closed", || client.is_closed());
 }
+
+/// How often an unsafe message whose first answer is this is sent, and the notices about it.
+fn spoilt(first: &'static str) -> (usize, Vec<String>) {
+    let endpoint = Endpoint::new(move |_, number| if number == 0 { Reply::Raw(first) } else { OK });
+    let agent = one(&endpoint);
+    let node = Node::new(&agent).ready();
+    assert_eq!(node.hand_in("order", "m1", 7, 3_000, b"x"), 202);
+    wait_until("it is out", || endpoint.times("m1") == 1);
+    wait_until("it is over", || {
+        // with no time left it would not be sent anew
+        !agent.notices().is_empty() || node.hand_in("order", "m1", 7, 0, b"x") == 200
+    });
+    // what came behind an answer must not become the next call's
+    assert_eq!(node.hand_in("webhook", "m2", 7, 20_000, b"x"), 202);
+    wait_until("the next is delivered", || node.hand_in("webhook", "m2", 7, 20_000, b"x") == 200);
+    assert_eq!(endpoint.times("m2"), 1, "{first}");
+    (endpoint.times("m1"), agent.notices())
+}
+
+#[test]
+fn a_first_line_with_200_delivers_whatever_follows() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\nX-Half: a head without e",
+        "HTTP/1.1 200 OK\r\nno header\x01\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Server-Load: x0=9e99,x1=-4\r\nRetry-After: -1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n\x01\x02 noise",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    ] {
+        assert_eq!(spoilt(answer), (1, vec![]), "{answer}");
+    }
+}
+
+#[test]
+fn a_spoilt_answer_that_does_not_say_200_may_have_run() {
+    let failed = vec![r#"{"id":"m1","state":"failed"}"#.to_string()];
+    for answer in [
+        "\x01\x02 noise\r\n\r\n",
+        "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200",
+        "HTTP/1.1 429 Later\r\nContent-Length: 9\r\n\r\nshort",
+        "HTTP/1.1 503 Full\r\nX-Half: a head without e",
+        "HTTP/1.1 410 Gone\r\nContent-Length: 3000000000\r\n\r\nxxxx",
+    ] {
+        assert_eq!(spoilt(answer), (1, failed.clone()), "{answer}");
+    }
+}
+
+#[test]
+fn a_connection_on_which_something_came_late_is_not_used_again() {
+    const LATE: &str = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
+    let endpoint = Endpoint::new(|_, number| match number {
+        0 => Reply::Late("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", LATE),
+        _ => OK,
+    });
+    let agent = one(&endpoint);
+    let node = Node::new(&agent).ready();
+    assert_eq!(node.hand_in("webhook", "m1", 7, 20_000, b"x"), 202);
+    wait_until("delivered", || node.hand_in("webhook", "m1", 7, 20_000, b"x") == 200);
+    std::thread::sleep(Duration::from_millis(100)); // until the late bytes are there
+    assert_eq!(node.hand_in("order", "m2", 7, 20_000, b"x"), 202);
+    wait_until("delivered", || node.hand_in("order", "m2", 7, 20_000, b"x") == 200);
+    assert_eq!((endpoint.times("m2"), endpoint.connections.load(Ordering::SeqCst)), (1, 2));
+}
+
+#[test]
+fn a_new_endpoint_at_an_old_address_gets_a_connection_of_its_own() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = one(&endpoint);
+    let node = Node::new(&agent).ready();
+    assert_eq!(node.hand_in("webhook", "m1", 7, 20_000, b"x"), 202);
+    wait_until("delivered", || endpoint.times("m1") == 1);
+    let next = Agent::new(vec![list(&[("s-2", endpoint.address, "one", 8, "up")])]);
+    node.reload(|text| text.replace(&agent.address.to_string(), &next.address.to_string()));
+    // an unknown destination is refused, with a time to come again, until the list names it
+    wait_until("it is known", || node.hand_in("webhook", "m2", 8, 20_000, b"x") == 202);
+    wait_until("delivered", || endpoint.times("m2") == 1);
+    assert_eq!(endpoint.request(1).connection, 1);
+}
+
+#[test]
+fn an_unknown_destination_is_refused_and_told_when_to_come_again() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = one(&endpoint);
+    let node = Node::new(&agent).ready();
+    let (status, answer) = node.raw(&message("webhook", "m1", 4711, 20_000, b"x"));
+    assert_eq!(status, 429);
+    assert!(!answer.header("retry-after").is_empty());
+    assert_eq!(node.hand_in("webhook", "m2", 7, 20_000, b"x"), 202);
+    wait_until("the other is delivered", || endpoint.times("m2") == 1);
+    assert!(agent.notices().is_empty());
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -10,7 +10,13 @@
 use std::time::{Duration, Instant};
 
 fn one(endpoint: &Endpoint) -> Agent {
-    Agent::new(vec![list(&[("s-1", endpoint.address, "one", 7, "up")])])
+    Agent::new(vec![only(endpoint)])
+}
+
+/// One endpoint, and destinations that are known but have none that takes anything.
+fn only(endpoint: &Endpoint) -> String {
+    let away = |uid, destination| (uid, endpoint.address, "one", destination, "draining");
+    list(&[("s-1", endpoint.address, "one", 7, "up"), away("d-8", 8), away("d-9", 9), away("d-99", 99)])
 }
 
 /// An address that refuses connections.
@@ -44,7 +50,9 @@
     let node = Node::with(one(&endpoint).address, 3.0, 1.0).ready();
     for n in 0..3 {
         assert_eq!(node.hand_in("webhook", &format!("m{n}"), 7, 20_000, b"x"), 202);
-        wait_until("delivered", || endpoint.count() == n + 1);
+        wait_until("its end is known", || node.hand_in("webhook", &format!("m{n}"), 7, 0, b"x") == 200);
+        assert_eq!(endpoint.count(), n + 1);
+        std::thread::sleep(Duration::from_millis(20)); // the rest that a connection gets behind an answer
     }
     assert_eq!(endpoint.connections.load(Ordering::SeqCst), 1);
     std::thread::sleep(Duration::from_millis(1000)); // the idle time itself
@@ -314,7 +322,8 @@
 #[test]
 fn a_torn_record_is_dropped_and_damage_keeps_what_is_sound() {
     let endpoint = Endpoint::new(|_, _| OK);
-    let agent = Agent::new(vec![list(&[("s-9", endpoint.address, "one", 5, "up")])]);
+    let away = ("s-7", endpoint.address, "one", 7, "draining");
+    let agent = Agent::new(vec![list(&[("s-9", endpoint.address, "one", 5, "up"), away])]);
     let mut node = Node::new(&agent).ready();
     for id in ["m1", "m2"] {
         assert_eq!(node.hand_in("webhook", id, 7, 20_000, b"x"), 202);
@@ -425,7 +434,7 @@
         "{not json".to_string(),
         r#"{"rev":8,"all":false,"targets":[{"uid":5},{"uid":"s-3","endpoint":"nowhere","pod_group":7,"state":"up"}]}"#
             .to_string(),
-        list(&[("s-1", old.address, "one", 7, "draining")]).replace("true", "false"),
+        list(&[("s-1", old.address, "one", 7, "draining")]).replace("\"all\":true", "\"all\":false"),
     ]);
     let node = Node::new(&agent).ready();
     wait_until("both lines are skipped", || node.logged("line skipped") && node.logged("entry skipped"));
