Resets say little about a destination's health; half a request holds no place

At fault: decide.rs, learn_outcome, the branch of failures: a reset weighed 0.25 in the failure score and cut the window like congestion, so four in a row made a destination sick. It now weighs 0.08 and cuts nothing; resets alone still make a dead destination sick, later. Test: tests/guards.rs.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -57,6 +57,9 @@
 const USUAL_SLOWNESS: i64 = 50;
 /// Latencies seen before they are believed: fewer finds trouble sooner, more spares small destinations.
 const LATENCIES_LEAST: usize = 8;
+/// Weight of a reset instead: connections break under calls for reasons of their own, and a process that
+/// has died shows by those refused next. Higher finds it sooner, lower spares those behind bad connections.
+const RESET_WEIGHT: f64 = 0.08;
 /// Refusals in a row, over at least this long, that mean shut rather than throttled.
 const SHUT_RUN: u32 = 4;
 const SHUT_SPAN: Micros = SECOND;
@@ -405,15 +408,16 @@
                 }
             }
             _ if outcome.failed() => {
-                unit.fails += FAIL_WEIGHT * (1.0 - unit.fails);
+                let reset = outcome == Outcome::Reset;
+                unit.fails += if reset { RESET_WEIGHT } else { FAIL_WEIGHT } * (1.0 - unit.fails);
                 let (rate, lone) = (unit.served_rate(now, span), !unit.succeeded);
-                let fresh = (lone || outcome != Outcome::Error) && unit.cut(sent, now);
+                let fresh = !reset && (lone || outcome != Outcome::Error) && unit.cut(sent, now);
                 // with a call or more in a span the failure score is soon sure
                 let rare = unit.usual_rate(now, cold) * seconds(span) < 1.0;
                 if fresh && lone && rare {
                     unit.slow_down(rate, senders, phase);
                 }
-                unit.succeeded = false;
+                unit.succeeded &= reset;
                 if unit.fails > FAIL_SICK {
                     self.fall_sick(unit_id, false, "fails", actions);
                 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -140,22 +140,8 @@
             found: file.seed.clone(),
             wanted: "a hexadecimal number",
         })?;
-        let disk = file.limits.disk_mb * 1e6;
-        if !(disk.is_finite() && disk >= 0.0) {
-            return Err(ConfigError::Value {
-                name: "limits.disk_mb",
-                found: disk.to_string(),
-                wanted: "a size of zero or more",
-            });
-        }
-        let memory = file.limits.memory_mb * 1e6;
-        if !(memory.is_finite() && memory >= 0.0) {
-            return Err(ConfigError::Value {
-                name: "limits.memory_mb",
-                found: memory.to_string(),
-                wanted: "a size of zero or more",
-            });
-        }
+        let disk = bytes_of("limits.disk_mb", file.limits.disk_mb)?;
+        let memory = bytes_of("limits.memory_mb", file.limits.memory_mb)?;
         let mut flat = BTreeMap::new();
         flatten("", &file.settings, &mut flat);
         let pairs = flat.iter().map(|(path, text)| (path.as_str(), text.as_str())).collect();
@@ -167,8 +153,8 @@
             discovery,
             state,
             seed,
-            disk: disk as u64,
-            budget: Budget::new(file.limits.sockets, memory as u64, settings.call_slots),
+            disk,
+            budget: Budget::new(file.limits.sockets, memory, settings.call_slots),
             path,
             known: parse_list(&file.known),
             settings,
@@ -177,6 +163,13 @@
     }
 }
 
+fn bytes_of(name: &'static str, megabytes: f64) -> Result<u64, ConfigError> {
+    if megabytes.is_finite() && megabytes >= 0.0 {
+        return Ok((megabytes * 1e6) as u64);
+    }
+    Err(ConfigError::Value { name, found: megabytes.to_string(), wanted: "a size of zero or more" })
+}
+
 fn address(name: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| ConfigError::Value { name, found: text, wanted: "an address with a port" })
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -28,8 +28,8 @@
 const ANSWER: Duration = Duration::from_secs(1);
 const RETRY_FIRST: Duration = Duration::from_millis(50);
 const RETRY_MOST: Duration = Duration::from_millis(1000);
-/// A longer line is not kept.
-const LONGEST_LINE: usize = 4 << 20;
+/// A longer line is not kept: read, it takes up several times its size.
+const LONGEST_LINE: usize = 1 << 20;
 /// Notices in one request.
 const BATCH: usize = 200;
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -333,7 +333,7 @@
     fn ended(&mut self, ended: calls::Ended) {
         let Some(call) = self.out.get_mut(&ended.call) else { return };
         let Some(&(message, attempt)) = call.items.get(ended.item) else { return };
-        call.left -= 1;
+        call.left = call.left.saturating_sub(1);
         if call.left == 0 {
             self.out.remove(&ended.call);
         }
@@ -596,17 +596,22 @@
                 .for_each(|&(message, attempt)| self.unsent(message, attempt, bundle.endpoint));
             return;
         };
-        let mut items = Vec::with_capacity(bundle.sends.len());
-        for (item, &(message, attempt)) in bundle.sends.iter().enumerate() {
+        // positions in the call and in `sends` must agree, or answers would be mixed up
+        let (mut items, mut sends) = (Vec::new(), Vec::new());
+        for (message, attempt) in bundle.sends {
             let Some(held) = self.messages.get_mut(&message) else { continue };
-            items.push(held.item.clone());
             if let Some(tried) = held.attempts.get_mut(attempt) {
-                (tried.call, tried.item) = (number, item);
+                (tried.call, tried.item) = (number, items.len());
             }
+            items.push(held.item.clone());
+            sends.push((message, attempt));
+        }
+        if items.is_empty() {
+            return;
         }
         let (cancels, receiver) = mpsc::unbounded_channel();
-        let left = bundle.sends.len();
-        self.out.insert(number, CallOut { cancels, items: bundle.sends, left });
+        let left = sends.len();
+        self.out.insert(number, CallOut { cancels, items: sends, left });
         let expires = self.clock.instant(bundle.expires);
         self.calls.start(Call { number, endpoint: bundle.endpoint, address, items, expires }, receiver);
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -74,7 +74,7 @@
     until: Cell<Instant>,
     /// When the body of the request that comes next must have ended, if that request is the first.
     first: Cell<Option<Instant>>,
-    /// A request's head has been read, and its answer is owed.
+    /// A request has been read, and its answer is owed.
     open: Cell<bool>,
     /// Its place is wanted.
     leave: Notify,
@@ -97,10 +97,17 @@
         }
     }
 
-    /// A head has been read; the end of the time for its body.
+    /// A head has been read; the end of the time for its body. Until that has come whole, the place may still
+    /// be asked for: half a request must not hold it against others.
     fn begin(&self) -> Instant {
+        let ends = self.first.take().unwrap_or_else(|| Instant::now() + BODY_TIME);
+        self.until.set(ends + PLACE_TIME);
+        ends
+    }
+
+    /// The driver gets the message: its answer is owed.
+    fn hand_on(&self) {
         self.open.set(true);
-        self.first.take().unwrap_or_else(|| Instant::now() + BODY_TIME)
     }
 
     fn answered(&self, closes: bool) {
@@ -382,6 +389,7 @@
         return Err((StatusCode::SERVICE_UNAVAILABLE, "not ready"));
     }
     let (reply, answer) = oneshot::channel();
+    place.hand_on();
     let mut guard = Guard { left: Some(id.clone()), inputs: &server.inputs };
     let arrival = Arrival { id, key, class, destination, time, began, again, orphan, body, reply };
     if server.inputs.send(Input::Arrived(arrival)).is_err() {
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -242,3 +242,29 @@
     assert!(unsafe_sends >= 60, "{unsafe_sends} unsafe messages sent");
     assert!(lost[0] >= 1 && lost[1] <= 8, "lost to the failing endpoint: {lost:?}");
 }
+
+#[test]
+fn broken_connections_alone_do_not_make_a_destination_sick() {
+    // wide+reset+stale: a third of the calls was reset, and 15 healthy destinations got trials only
+    let mut rig = Rig::new(settings(8), two_destinations());
+    warm(&mut rig);
+    for id in 0..60 {
+        rig.tell(vec![message(id, FREE, 7)]);
+        rig.now += 100 * MILLISECOND;
+        // runs of five in a row come
+        let outcome = if id % 10 < 5 { Outcome::Reset } else { Outcome::Success };
+        rig.end(id, outcome, 100 * MILLISECOND);
+        rig.tell(vec![Event::Dropped(MessageId(id))]); // no retry
+    }
+    assert_eq!(rig.count(|action| matches!(action, Action::Log(line) if line.contains("sick"))), 0);
+    // when nothing else comes, it is down
+    for id in 100..130 {
+        rig.tell(vec![message(id, FREE, 7)]);
+        rig.now += 100 * MILLISECOND;
+        if !rig.sends_of(id).is_empty() {
+            rig.end(id, Outcome::Reset, 100 * MILLISECOND);
+        }
+        rig.tell(vec![Event::Dropped(MessageId(id))]);
+    }
+    assert_eq!(rig.count(|action| matches!(action, Action::Log(line) if line.contains("sick"))), 1);
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -63,7 +63,10 @@
     // guards against new clients that wait unaccepted behind silent ones
     let endpoint = Endpoint::new(|_, _| OK);
     let node = Node::narrow(&one(&endpoint), 64).ready();
+    let text = message("webhook", "half", 7, 20_000, b"12345");
     let mut silent: Vec<Client> = (0..40).map(|_| Client::new(&node)).collect();
+    // half a request counts as nothing said
+    silent.iter_mut().skip(20).for_each(|client| client.write(&text[..text.len() - 2]));
     let began = Instant::now();
     assert_eq!(node.hand_in("webhook", "m1", 7, 20_000, b"x"), 202);
     // far sooner than the silent ones' time is up
