--- a/tests/wire.rs
+++ b/crates/benchlink/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The wire: bad input, restarts, instances together and apart.
 
-use milletturn::wire::Host;
+use milletturn_benchlink::wire::Host;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
--- a/src/net/driver.rs
+++ b/crates/engine/src/engine.rs
@@ -1,86 +1,70 @@
-//! The turns: all that is ready becomes events, the decision module is asked once, its actions become calls.
-//! This is the only owner of the module and of the messages.
-
-use super::Seldom;
-use super::calls::{self, BODY_MOST, Call, Calls, Item};
-use super::discovery::{ListUpdate, Listed, Notice};
-use super::journal::{Ending, Journal, JournalError, Taken};
-use bytes::Bytes;
-use hyper::header::HeaderValue;
-use milletturn::wire::{Names, position};
-use milletturn::{
+//! The turns, and the books of messages, calls and endpoints that they need.
+
+use crate::clock::Clock;
+use crate::door::{Answer, Arrival, Notice};
+use crate::ledger::{Ending, Ledger, LedgerError, Taken};
+use crate::observer::{Fact, Observer};
+use crate::source::{ListUpdate, Listed};
+use crate::transport::{Call, Ended, Item, Transport};
+use crate::word::Word;
+use milletturn_policy::{
     Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
-    PastAttempt, Sender, Settings, Status,
+    PastAttempt, Sender, Settings, SettingsError, Status,
 };
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
-/// Delivered ids that are remembered, for clients whose request crossed a closed connection.
+/// Delivered ids that are remembered, for clients whose request crossed a closed connection: at 120 messages a
+/// second those of the last half minute, longer than any such client waits.
 const REMEMBERED: usize = 4096;
-/// How often idle connections are looked at.
+/// How often the transport sweeps and the ledger tries again.
 const SWEEP: Duration = Duration::from_millis(250);
 
-/// What the rest of the program tells the driver.
+/// What the ports tell the engine. The channel that carries it needs no bound of its own: what arrives is bounded
+/// by the doors' places, what ends by the calls out, notices by what is held, lists by their source.
 #[derive(Debug)]
 pub enum Input {
+    /// A message was handed in.
     Arrived(Arrival),
-    ClientLeft(HeaderValue),
+    /// The client of a message with this id went before its answer.
+    ClientLeft(Word),
     /// The process ends at this time.
     Stopping(Instant),
-    Ended(calls::Ended),
+    /// A message of a call has ended.
+    Ended(Ended),
+    /// News of the endpoints.
     Listed(ListUpdate),
-    /// Notices that the platform has taken, by number of message.
+    /// Notices that have been taken, by number of message.
     Noticed(Vec<u64>),
 }
 
-/// A message that is handed in.
-#[derive(Debug)]
-pub struct Arrival {
-    pub id: HeaderValue,
-    pub key: Option<HeaderValue>,
-    pub class: usize,
-    pub destination: u64,
-    pub time: Micros,
-    pub began: Instant,
-    pub again: bool,
-    pub orphan: bool,
-    pub body: Bytes,
-    pub reply: oneshot::Sender<Answer>,
-}
-
-/// The answer to a client.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Answer {
-    Taken,
-    Delivered,
-    Refused { wait: Option<Micros> },
-    NoRoom,
-    Failed,
-}
-
-/// Module time: Unix microseconds at the start, carried on by the monotonic clock.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Micros,
-}
-
-impl Clock {
-    pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
-        Clock { start: Instant::now(), unix: Micros::try_from(unix).unwrap_or(0) }
-    }
-
-    fn at(&self, instant: Instant) -> Micros {
-        self.unix + Micros::try_from(instant.saturating_duration_since(self.start).as_micros()).unwrap_or(0)
-    }
-
-    fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(u64::try_from(at - self.unix).unwrap_or(0))
-    }
+/// What the engine is put together from.
+pub struct Ports {
+    /// The decisions.
+    pub settings: Settings,
+    /// For random numbers.
+    pub seed: u64,
+    /// Zones, in the order of their numbers.
+    pub zones: Vec<String>,
+    /// Kinds of destination, in the order of their numbers.
+    pub kinds: Vec<String>,
+    /// Module time.
+    pub clock: Clock,
+    /// The list as last known before this life, maybe old.
+    pub known: Option<ListUpdate>,
+    /// What outlasts the process.
+    pub ledger: Box<dyn Ledger>,
+    /// What carries calls.
+    pub transport: Box<dyn Transport>,
+    /// Gets the ends of what is not delivered.
+    pub notices: mpsc::UnboundedSender<Notice>,
+    /// Hears what happens.
+    pub observer: Box<dyn Observer>,
+    /// Turns true once endpoints are known.
+    pub ready: watch::Sender<bool>,
 }
 
 struct Attempt {
@@ -93,6 +77,10 @@
 
 struct Message {
     item: Item,
+    class: usize,
+    destination: u64,
+    /// When it was handed in.
+    born: Micros,
     open: bool,
     /// Clients that were told, or are to be told, that it is taken on.
     clients: usize,
@@ -123,15 +111,17 @@
 }
 
 /// Owner of the module and the messages.
-pub struct Driver {
+pub struct Engine {
     sender: Sender,
     clock: Clock,
-    names: Names,
+    zones: Vec<String>,
+    kinds: Vec<String>,
     bundle_max: Vec<usize>,
     max_held: usize,
     class_names: Vec<String>,
-    journal: Journal,
-    calls: Calls,
+    ledger: Box<dyn Ledger>,
+    transport: Box<dyn Transport>,
+    observer: Box<dyn Observer>,
     notices: mpsc::UnboundedSender<Notice>,
     ready: watch::Sender<bool>,
     /// Listed endpoints only: those that are gone leave nothing here, and come back under a new number.
@@ -139,38 +129,44 @@
     next_endpoint: u32,
     by_uid: HashMap<String, EndpointId>,
     messages: BTreeMap<MessageId, Message>,
-    by_id: HashMap<HeaderValue, MessageId>,
+    by_id: HashMap<Word, MessageId>,
     /// Messages without a final answer.
     open: usize,
     next_message: u64,
     out: BTreeMap<u64, CallOut>,
     next_call: u64,
-    delivered: VecDeque<HeaderValue>,
+    delivered: VecDeque<Word>,
     /// Messages that came in this turn, with their clients and the times when these sent them.
     arrived: BTreeMap<MessageId, (Arrival, Micros)>,
     /// Clients that handed in once more what came in this turn: a promise to them must wait for the journal.
-    doubled: Vec<(MessageId, HeaderValue, oneshot::Sender<Answer>)>,
+    doubled: Vec<(MessageId, Word, oneshot::Sender<Answer>)>,
     events: Vec<Event>,
     alarm: Option<Micros>,
-    journal_fault: Seldom,
 }
 
-impl Driver {
-    /// Sets the module up and hands it the list as last known and what the journal holds.
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        sender: Sender, settings: &Settings, names: Names, known: Option<ListUpdate>, journal: Journal,
-        calls: Calls, notices: mpsc::UnboundedSender<Notice>, ready: watch::Sender<bool>,
-    ) -> Self {
-        let mut driver = Driver {
-            sender,
-            clock: Clock::new(),
-            names,
-            bundle_max: settings.kinds.iter().map(|kind| kind.bundle_max).collect(),
-            max_held: settings.max_held,
-            class_names: settings.classes.iter().map(|class| class.name.clone()).collect(),
-            journal,
-            calls,
+impl Engine {
+    /// Sets the module up and hands it the list as last known and what the ledger holds.
+    ///
+    /// # Errors
+    /// When the settings make no sense.
+    pub fn new(ports: Ports) -> Result<Self, SettingsError> {
+        let Ports {
+            settings, zones, kinds, clock, known, ledger, transport, notices, observer, ready, ..
+        } = ports;
+        let bundle_max = settings.kinds.iter().map(|kind| kind.bundle_max).collect();
+        let class_names = settings.classes.iter().map(|class| class.name.clone()).collect();
+        let max_held = settings.max_held;
+        let mut engine = Engine {
+            sender: Sender::new(settings, ports.seed)?,
+            clock,
+            zones,
+            kinds,
+            bundle_max,
+            max_held,
+            class_names,
+            ledger,
+            transport,
+            observer,
             notices,
             ready,
             routes: BTreeMap::new(),
@@ -187,13 +183,12 @@
             doubled: Vec::new(),
             events: Vec::new(),
             alarm: None,
-            journal_fault: Seldom::default(),
         };
         if let Some(known) = known {
-            driver.list(known, true);
+            engine.list(known, true);
         }
-        driver.resume();
-        driver
+        engine.resume();
+        Ok(engine)
     }
 
     /// Turns until the inputs end.
@@ -209,8 +204,8 @@
                 },
                 () = sleep_until(alarm.unwrap_or_else(Instant::now)), if alarm.is_some() => {}
                 _ = sweep.tick() => {
-                    self.calls.sweep();
-                    let written = self.journal.retry();
+                    self.transport.sweep();
+                    let written = self.ledger.retry();
                     self.check(written);
                     continue;
                 }
@@ -232,20 +227,16 @@
 
     /// Hands back what an earlier life had taken on; what had ended is owed its notice again.
     fn resume(&mut self) {
-        let owed = self.journal.owed().clone();
-        let now = self.clock.at(Instant::now());
+        let owed = self.ledger.owed();
+        let now = self.clock.now();
         for (number, owed) in owed {
             self.next_message = self.next_message.max(number + 1);
+            let key = owed.taken.key.as_deref().map(|key| Word::new(key.as_bytes())).transpose();
+            let (Ok(id), Ok(key)) = (Word::new(owed.taken.id.as_bytes()), key) else { continue };
             if let Some(ending) = owed.ending {
-                self.notify(number, owed.taken.id, ending);
+                self.notify(number, id, ending);
                 continue;
             }
-            let (Ok(id), key) = (
-                HeaderValue::from_str(&owed.taken.id),
-                owed.taken.key.as_deref().and_then(|key| HeaderValue::from_str(key).ok()),
-            ) else {
-                continue;
-            };
             let message = MessageId(number);
             let past: Vec<PastAttempt> = owed
                 .attempts
@@ -267,10 +258,12 @@
                 })
                 .collect();
             let class = position(&self.class_names, &owed.taken.class);
+            let (destination, born) = (owed.taken.destination, owed.taken.taken_at);
             let new = NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now);
             self.events.push(Event::Resumed { message: new, attempts: past });
             let item = Item { id: id.clone(), key, body: owed.taken.body.into() };
-            self.messages.insert(message, Message { item, open: true, clients: 1, attempts });
+            let held = Message { item, class, destination, born, open: true, clients: 1, attempts };
+            self.messages.insert(message, held);
             self.by_id.insert(id, message);
             self.open += 1;
         }
@@ -293,7 +286,7 @@
             Input::Listed(update) => self.list(update, false),
             Input::Noticed(numbers) => {
                 for number in numbers {
-                    let written = self.journal.over(number);
+                    let written = self.ledger.over(number);
                     self.check(written);
                 }
             }
@@ -315,7 +308,7 @@
             let message = MessageId(self.next_message);
             self.next_message += 1;
             let began = self.clock.at(arrival.began);
-            let left = began + arrival.time - self.clock.at(Instant::now());
+            let left = began + arrival.time - self.clock.now();
             let new = NewMessage {
                 again: arrival.again,
                 orphan: arrival.orphan,
@@ -323,27 +316,32 @@
             };
             self.events.push(Event::Accepted(new));
             let item = Item { id: arrival.id.clone(), key: arrival.key.clone(), body: arrival.body.clone() };
-            self.messages.insert(message, Message { item, open: true, clients: 1, attempts: Vec::new() });
+            let (class, destination) = (arrival.class, arrival.destination);
+            let attempts = Vec::new();
+            let held = Message { item, class, destination, born: began, open: true, clients: 1, attempts };
+            self.messages.insert(message, held);
             self.by_id.insert(arrival.id.clone(), message);
             self.open += 1;
             self.arrived.insert(message, (arrival, began));
         }
     }
 
-    fn ended(&mut self, ended: calls::Ended) {
+    fn ended(&mut self, ended: Ended) {
         let Some(call) = self.out.get_mut(&ended.call) else { return };
         let Some(&(message, attempt)) = call.items.get(ended.item) else { return };
         call.left = call.left.saturating_sub(1);
         if call.left == 0 {
             self.out.remove(&ended.call);
         }
-        let now = self.clock.at(Instant::now());
+        let now = self.clock.now();
         let Some(held) = self.messages.get_mut(&message) else { return };
         let Some(tried) = held.attempts.get_mut(attempt).filter(|tried| tried.out) else { return };
         tried.out = false;
         let (endpoint, latency) = (tried.endpoint, now - tried.sent);
+        let (destination, outcome) = (held.destination, ended.outcome);
+        self.observer.observe(&Fact::AttemptEnded { destination, outcome, latency });
         if ended.outcome.never_ran() && held.open {
-            let written = self.journal.never_ran(message.0, attempt);
+            let written = self.ledger.never_ran(message.0, attempt);
             self.check(written);
         }
         if let Some(wait) = ended.wait {
@@ -352,6 +350,10 @@
         if ended.closed {
             if ended.outcome == Outcome::Success {
                 self.remember(message);
+                if let Some(held) = self.messages.get(&message).filter(|held| held.open) {
+                    let (class, destination, age) = (held.class, held.destination, now - held.born);
+                    self.observer.observe(&Fact::Delivered { class, destination, age });
+                }
             }
             self.end(message);
         }
@@ -379,7 +381,7 @@
     /// Nothing more is owed for the message.
     fn end(&mut self, message: MessageId) {
         if self.close(message) {
-            let written = self.journal.over(message.0);
+            let written = self.ledger.over(message.0);
             self.check(written);
         }
     }
@@ -412,7 +414,7 @@
         }
         let mut entries = Vec::with_capacity(update.targets.len());
         for listed in update.targets {
-            let kind = position(&self.names.kinds, &listed.kind);
+            let kind = position(&self.kinds, &listed.kind);
             let known = match listed.status {
                 Status::Gone => self.forget_endpoint(&listed.uid),
                 _ => Some(self.know_endpoint(&listed, kind)),
@@ -421,7 +423,7 @@
             entries.push(Entry {
                 endpoint,
                 destination: listed.destination,
-                zone: position(&self.names.zones, &listed.zone) as u16,
+                zone: position(&self.zones, &listed.zone) as u16,
                 kind,
                 status: listed.status,
                 weight: listed.weight,
@@ -447,9 +449,9 @@
         let bundle_max = self.bundle_max.get(kind).copied().unwrap_or(1);
         self.routes.insert(endpoint, Route { uid, address, bundle_max });
         if listed.status == Status::Serving {
-            self.calls.admit(endpoint, address);
+            self.transport.admit(endpoint, address);
         } else {
-            self.calls.forget(endpoint);
+            self.transport.forget(endpoint);
         }
         endpoint
     }
@@ -458,12 +460,12 @@
     fn forget_endpoint(&mut self, uid: &str) -> Option<EndpointId> {
         let endpoint = self.by_uid.remove(uid)?;
         self.routes.remove(&endpoint);
-        self.calls.forget(endpoint);
+        self.transport.forget(endpoint);
         Some(endpoint)
     }
 
     fn turn(&mut self) {
-        let now = self.clock.at(Instant::now());
+        let now = self.clock.now();
         if self.alarm.take_if(|at| *at <= now).is_some() {
             self.events.push(Event::Alarm);
         }
@@ -484,8 +486,8 @@
                 }
                 Action::Fail(message) => self.give_up(message, Ending::Failed),
                 Action::SetAlarm(at) => self.alarm = Some(at),
-                Action::Disconnect(endpoint) => self.calls.disconnect(endpoint),
-                Action::Log(text) => super::log(format_args!("{text}")),
+                Action::Disconnect(endpoint) => self.transport.disconnect(endpoint),
+                Action::Log(text) => self.observer.observe(&Fact::Remark(&text)),
                 // the watch is always on; probes and notes are not to be had on sockets
                 Action::Subscribe | Action::Probe(_) | Action::Note(_) => {}
             }
@@ -507,6 +509,11 @@
                 continue; // its client has left
             }
             let answer = ends.unwrap_or_else(|| self.write_down(message, &arrival, began));
+            let (class, destination, at) = (arrival.class, arrival.destination, began);
+            self.observer.observe(&match answer {
+                Answer::Taken => Fact::Taken { class, destination, at },
+                _ => Fact::TurnedAway { class, destination, at },
+            });
             if answer != Answer::Taken {
                 self.close(message);
                 if answer == Answer::NoRoom {
@@ -527,17 +534,16 @@
     }
 
     fn write_down(&mut self, message: MessageId, arrival: &Arrival, began: Micros) -> Answer {
-        let text = |value: &HeaderValue| value.to_str().map(str::to_string).unwrap_or_default();
         let taken = Taken {
-            id: text(&arrival.id),
-            key: arrival.key.as_ref().map(text),
+            id: arrival.id.to_string(),
+            key: arrival.key.as_ref().map(Word::to_string),
             class: self.class_names.get(arrival.class).cloned().unwrap_or_default(),
             destination: arrival.destination,
             taken_at: began,
             deadline: began + arrival.time,
             body: arrival.body.to_vec(),
         };
-        let written = self.journal.take(message.0, taken);
+        let written = self.ledger.take(message.0, taken);
         if self.check(written) { Answer::Taken } else { Answer::NoRoom }
     }
 
@@ -548,20 +554,22 @@
         let Some(held) = self.messages.get_mut(&message) else { return };
         let attempt = held.attempts.len();
         held.attempts.push(Attempt { endpoint, sent: now, call: u64::MAX, item: 0, out: true });
-        let size = calls::bulk_size(&held.item);
+        let size = self.transport.weigh(&held.item);
         let open = held.open;
         let Some((uid, most)) = self.routes.get(&endpoint).map(|route| (route.uid.clone(), route.bundle_max))
         else {
             return self.unsent(message, attempt, endpoint);
         };
         // one that is not open was dropped in this very turn
-        let written = open.then(|| self.journal.sent(message.0, &uid, now));
+        let written = open.then(|| self.ledger.sent(message.0, &uid, now));
         if !written.is_some_and(|written| self.check(written)) {
             return self.unsent(message, attempt, endpoint);
         }
+        let room_all = self.transport.call_most();
         let room = |bundle: &&mut Bundle| {
-            bundle.endpoint == endpoint && bundle.sends.len() < most && bundle.size + size <= BODY_MOST
+            bundle.endpoint == endpoint && bundle.sends.len() < most && bundle.size + size <= room_all
         };
+        self.observer.observe(&Fact::Sent { uid: &uid, attempt, at: now });
         match bundles.iter_mut().find(room) {
             Some(bundle) => {
                 bundle.sends.push((message, attempt));
@@ -613,7 +621,7 @@
         let left = sends.len();
         self.out.insert(number, CallOut { cancels, items: sends, left });
         let expires = self.clock.instant(bundle.expires);
-        self.calls.start(Call { number, endpoint: bundle.endpoint, address, items, expires }, receiver);
+        self.transport.start(Call { number, endpoint: bundle.endpoint, address, items, expires }, receiver);
     }
 
     fn cancel(&mut self, message: MessageId, attempt: usize) {
@@ -628,20 +636,28 @@
     /// The module has ended the message undelivered: the platform is told.
     fn give_up(&mut self, message: MessageId, ending: Ending) {
         let Some(held) = self.messages.get(&message).filter(|held| held.open) else { return };
-        let id = held.item.id.to_str().map(str::to_string).unwrap_or_default();
-        let written = self.journal.ending(message.0, ending);
+        let id = held.item.id.clone();
+        let (class, destination, born) = (held.class, held.destination, held.born);
+        let written = self.ledger.ending(message.0, ending);
         self.check(written);
         self.close(message);
+        let age = self.clock.now() - born;
+        self.observer.observe(&Fact::GivenUp { class, destination, ending, age });
         self.notify(message.0, id, ending);
     }
 
-    fn notify(&self, number: u64, id: String, ending: Ending) {
+    fn notify(&self, number: u64, id: Word, ending: Ending) {
         // the poster lives as long as the process
         let _ = self.notices.send(Notice { number, id, ending });
     }
 
     /// True if the entry was written.
-    fn check(&self, written: Result<(), JournalError>) -> bool {
-        written.inspect_err(|error| self.journal_fault.log(format_args!("journal: {error}"))).is_ok()
+    fn check(&mut self, written: Result<(), LedgerError>) -> bool {
+        written.inspect_err(|error| self.observer.observe(&Fact::LedgerFault(error))).is_ok()
     }
 }
+
+/// Position of a name; `usize::MAX` for one that is not there.
+fn position(names: &[String], name: &str) -> usize {
+    names.iter().position(|known| known == name).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/engine/src/ledger.rs
@@ -0,0 +1,107 @@
+//! The ledger: what outlasts the process.
+
+use milletturn_policy::Micros;
+use std::collections::BTreeMap;
+use std::error::Error;
+use thiserror::Error;
+
+/// Why an entry was not written.
+#[derive(Debug, Error)]
+pub enum LedgerError {
+    /// What is owed takes up all the room that the settings give.
+    #[error("no room left in the ledger")]
+    Full,
+    /// The medium failed.
+    #[error("the ledger can't be written: {0}")]
+    Write(#[source] Box<dyn Error + Send + Sync>),
+}
+
+/// How a message that was not delivered ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// Given up; nothing is promised of a repeat.
+    Failed,
+    /// Refused: handing it in again is harmless.
+    Returned {
+        /// Advice to the client, milliseconds.
+        after_ms: Option<u64>,
+    },
+}
+
+/// A message as it was handed in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Taken {
+    /// Its client's id for it.
+    pub id: String,
+    /// By which its destination drops repeats.
+    pub key: Option<String>,
+    /// Its class, by name: positions may differ in the next life.
+    pub class: String,
+    /// Its destination.
+    pub destination: u64,
+    /// Unix time in microseconds.
+    pub taken_at: Micros,
+    /// Unix time in microseconds.
+    pub deadline: Micros,
+    /// What is delivered.
+    pub body: Vec<u8>,
+}
+
+/// One send of a message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sent {
+    /// The endpoint's name.
+    pub uid: String,
+    /// Unix time in microseconds.
+    pub sent_at: Micros,
+    /// An outcome has proved that it never ran.
+    pub never_ran: bool,
+}
+
+/// What the ledger holds of a message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Owed {
+    /// As it was handed in.
+    pub taken: Taken,
+    /// Its sends, in order.
+    pub attempts: Vec<Sent>,
+    /// It has ended, but its notice has not been answered.
+    pub ending: Option<Ending>,
+}
+
+/// Writes down what the sender owes. An entry counts as written when it outlasts a SIGKILL at any later instant.
+/// Messages have numbers that the engine gives.
+pub trait Ledger {
+    /// What an earlier life owes, by number.
+    fn owed(&self) -> BTreeMap<u64, Owed>;
+    /// Writes a message down; it may be promised once this has succeeded.
+    ///
+    /// # Errors
+    /// When the entry is not written; nothing has changed then. The same holds for all the others.
+    fn take(&mut self, number: u64, taken: Taken) -> Result<(), LedgerError>;
+    /// Writes a send down; its call may begin once this has succeeded.
+    ///
+    /// # Errors
+    /// As [`Ledger::take`].
+    fn sent(&mut self, number: u64, uid: &str, sent_at: Micros) -> Result<(), LedgerError>;
+    /// Writes down that an attempt never ran. That it may have run is what a send without outcome says.
+    ///
+    /// # Errors
+    /// As [`Ledger::take`].
+    fn never_ran(&mut self, number: u64, attempt: usize) -> Result<(), LedgerError>;
+    /// Writes down that a notice is owed.
+    ///
+    /// # Errors
+    /// As [`Ledger::take`].
+    fn ending(&mut self, number: u64, ending: Ending) -> Result<(), LedgerError>;
+    /// Writes down that nothing more is owed.
+    ///
+    /// # Errors
+    /// As [`Ledger::take`]; the entry is kept for [`Ledger::retry`].
+    fn over(&mut self, number: u64) -> Result<(), LedgerError>;
+    /// Tries again to write down which messages are over, where that failed.
+    ///
+    /// # Errors
+    /// When that fails again.
+    fn retry(&mut self) -> Result<(), LedgerError>;
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,33 @@
+//! The turns of the sender: all that is ready becomes events, the decision module is asked once, its actions
+//! become calls and answers. This package owns the module and the messages; it opens no sockets and files and
+//! reads no wall clock. The world is known by ports only:
+//!
+//! | port | what it is | module |
+//! | --- | --- | --- |
+//! | door | hands messages in ([`Arrival`]) and gets an [`Answer`] | [`door`] |
+//! | ends | gets the one final end of what was taken on and not delivered ([`Notice`]) | [`door`] |
+//! | transport | makes calls to endpoints ([`Transport`], [`Call`], [`Ended`]) | [`transport`] |
+//! | source | tells which endpoints there are ([`ListUpdate`]) | [`source`] |
+//! | ledger | what outlasts the process ([`Ledger`]) | [`ledger`] |
+//! | observer | hears what happened ([`Observer`], [`Fact`]) | [`observer`] |
+//!
+//! All that comes in is an [`Input`] on one channel. Under tokio's paused clock, with stand-ins for the ports,
+//! the whole runs in virtual time and the same way each time.
+
+mod clock;
+pub mod door;
+mod engine;
+pub mod ledger;
+pub mod observer;
+pub mod source;
+pub mod transport;
+mod word;
+
+pub use clock::Clock;
+pub use door::{Answer, Arrival, BODY_MOST, Notice};
+pub use engine::{Engine, Input, Ports};
+pub use ledger::{Ending, Ledger, LedgerError, Owed, Sent, Taken};
+pub use observer::{Fact, Observer};
+pub use source::{ListUpdate, Listed};
+pub use transport::{Call, Ended, Item, Transport};
+pub use word::{Word, WordError};
--- /dev/null
+++ b/crates/engine/src/observer.rs
@@ -0,0 +1,83 @@
+//! Observers: hear what happened, and change nothing.
+
+use crate::{Ending, LedgerError};
+use milletturn_policy::{Micros, Outcome};
+
+/// Something that happened. Times are module time in microseconds.
+#[derive(Debug)]
+pub enum Fact<'a> {
+    /// A message was taken on.
+    Taken {
+        /// Position of its class.
+        class: usize,
+        /// Its destination.
+        destination: u64,
+        /// When.
+        at: Micros,
+    },
+    /// A message was turned away at the door.
+    TurnedAway {
+        /// Position of its class.
+        class: usize,
+        /// Its destination.
+        destination: u64,
+        /// When.
+        at: Micros,
+    },
+    /// An attempt started.
+    Sent {
+        /// The endpoint's name.
+        uid: &'a str,
+        /// Its number among the message's, from 0.
+        attempt: usize,
+        /// When.
+        at: Micros,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// Where it went.
+        destination: u64,
+        /// How.
+        outcome: Outcome,
+        /// Time since its start.
+        latency: Micros,
+    },
+    /// A message was delivered.
+    Delivered {
+        /// Position of its class.
+        class: usize,
+        /// Its destination.
+        destination: u64,
+        /// Time since it was handed in.
+        age: Micros,
+    },
+    /// A message that had been taken on was given up.
+    GivenUp {
+        /// Position of its class.
+        class: usize,
+        /// Its destination.
+        destination: u64,
+        /// How it ended.
+        ending: Ending,
+        /// Time since it was handed in.
+        age: Micros,
+    },
+    /// The decision module has something to say.
+    Remark(&'a str),
+    /// The ledger could not be written.
+    LedgerFault(&'a LedgerError),
+}
+
+/// Hears each fact as it happens, on the engine's thread: what it does must be short.
+pub trait Observer {
+    /// One fact.
+    fn observe(&mut self, fact: &Fact<'_>);
+}
+
+/// An observer that wants to hear nothing.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Deaf;
+
+impl Observer for Deaf {
+    fn observe(&mut self, _: &Fact<'_>) {}
+}
--- /dev/null
+++ b/crates/engine/src/word.rs
@@ -0,0 +1,54 @@
+//! Ids and keys as they travel through every door and transport.
+
+use std::fmt;
+use std::sync::Arc;
+use thiserror::Error;
+
+/// An id or a key: 1 to [`Word::MOST`] visible ASCII characters without spaces, so that it can stand in a header
+/// and in a line of a bulk call alike. Copies share one text.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Word(Arc<str>);
+
+/// A text that can't be an id or key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("an id or key holds 1 to {most} visible ASCII characters", most = Word::MOST)]
+pub struct WordError;
+
+impl Word {
+    /// Longest id or key in bytes: far more than a UUID or hash needs, and little beside a body.
+    pub const MOST: usize = 256;
+
+    /// Checks the bytes and copies them.
+    ///
+    /// # Errors
+    /// When they are none, too many, or hold anything but visible ASCII.
+    pub fn new(bytes: &[u8]) -> Result<Self, WordError> {
+        let visible = bytes.iter().all(u8::is_ascii_graphic) && (1..=Self::MOST).contains(&bytes.len());
+        let text = std::str::from_utf8(bytes).ok().filter(|_| visible).ok_or(WordError)?;
+        Ok(Word(text.into()))
+    }
+
+    /// The text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Word {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Word;
+
+    #[test]
+    fn only_visible_ascii_of_a_fair_length_is_a_word() {
+        for bad in [&b""[..], b"a b", b"a\n", "\u{e4}".as_bytes(), &[b'x'; 257]] {
+            assert!(Word::new(bad).is_err(), "{bad:?}");
+        }
+        assert_eq!(Word::new(&[b'~'; 256]).expect("fits").as_str().len(), 256);
+    }
+}
--- a/src/net/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -5,12 +5,13 @@
 //! beyond what lets old and new stand side by side under the limit, what is still owed is written to a new
 //! file that then takes the old one's name.
 
+use milletturn_engine::{Ending, Ledger, LedgerError, Owed, Sent, Taken};
+use milletturn_policy::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use thiserror::Error;
 
 const MARK: [u8; 4] = *b"MTJ1";
 const HEAD: usize = 12;
@@ -25,70 +26,57 @@
 /// Below this a file is not worth compacting.
 const SMALL: u64 = 256 * 1024;
 
-/// Why an entry was not written.
-#[derive(Debug, Error)]
-pub enum JournalError {
-    #[error("no room left in the journal")]
-    Full,
-    #[error("the journal can't be written: {0}")]
-    Io(#[from] io::Error),
-    #[error("the journal can't be encoded: {0}")]
-    Encode(#[from] postcard::Error),
-}
-
-/// How a message that was not delivered ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Ending {
-    Failed,
-    Returned { after_ms: Option<u64> },
+/// A message, as it was handed in, as the file has it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(remote = "Taken")]
+struct TakenForm {
+    id: String,
+    key: Option<String>,
+    class: String,
+    destination: u64,
+    taken_at: i64,
+    deadline: i64,
+    body: Vec<u8>,
 }
 
-/// A message as it was handed in.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Taken {
-    pub id: String,
-    pub key: Option<String>,
-    pub class: String,
-    pub destination: u64,
-    /// Unix time in microseconds.
-    pub taken_at: i64,
-    pub deadline: i64,
-    pub body: Vec<u8>,
+/// One send of a message, as the file has it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(remote = "Sent")]
+struct SentForm {
+    uid: String,
+    sent_at: i64,
+    never_ran: bool,
 }
 
-/// One send of a message.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sent {
-    pub uid: String,
-    /// Unix time in microseconds.
-    pub sent_at: i64,
-    /// An outcome has proved that it never ran.
-    pub never_ran: bool,
+/// The end of a message, as the file has it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(remote = "Ending")]
+enum EndingForm {
+    Failed,
+    Returned { after_ms: Option<u64> },
 }
 
 /// What the journal still holds of a message.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Owed {
-    pub taken: Taken,
-    pub attempts: Vec<Sent>,
-    /// It has ended, but its notice has not been answered.
-    pub ending: Option<Ending>,
+#[derive(Debug)]
+struct Kept {
+    owed: Owed,
     /// Bytes of the records that a compacted file needs for it.
     size: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 enum Entry {
-    Taken(u64, Taken),
-    Sent(u64, Sent),
+    Taken(u64, #[serde(with = "TakenForm")] Taken),
+    Sent(u64, #[serde(with = "SentForm")] Sent),
     Outcome { message: u64, attempt: u32, never_ran: bool },
-    Ending(u64, Ending),
+    Ending(u64, #[serde(with = "EndingForm")] Ending),
     Over(u64),
 }
 
 /// What was found at the start.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Recovery {
+    /// Sound records.
     pub records: usize,
     /// Bytes dropped at the end: a record that a kill cut short.
     pub torn: usize,
@@ -106,7 +94,7 @@
     live: u64,
     /// Kept free of new messages, for the sends, outcomes and ends of those that were taken.
     reserve: u64,
-    owed: BTreeMap<u64, Owed>,
+    owed: BTreeMap<u64, Kept>,
     /// Messages that are over, though that could not be written yet.
     unwritten: Vec<u64>,
     /// A write failed half-way and could not be taken back; nothing can be promised any more.
@@ -114,21 +102,24 @@
 }
 
 impl Journal {
-    /// Opens the journal in the folder and reads what is owed. `limit` is what the folder may hold, `entries`
-    /// the sends, outcomes and ends that the messages held at once may come to.
-    pub fn open(folder: &Path, limit: u64, entries: u64) -> Result<(Self, Recovery), JournalError> {
-        fs::create_dir_all(folder)?;
+    /// Opens the journal in the folder and reads what is owed. `limit` is what the folder may hold in bytes,
+    /// `entries` the sends, outcomes and ends that the messages held at once may come to.
+    ///
+    /// # Errors
+    /// When the folder or the file can't be read or written. Damage is no error: it is told in [`Recovery`].
+    pub fn open(folder: &Path, limit: u64, entries: u64) -> Result<(Self, Recovery), LedgerError> {
+        fs::create_dir_all(folder).map_err(unwritten)?;
         let path = folder.join("journal");
         // what a kill in the middle of a compaction left behind
         match fs::remove_file(folder.join("journal.new")) {
-            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
+            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(unwritten(error)),
             _ => {}
         }
         let bytes = match fs::read(&path) {
             Err(error) if error.kind() == io::ErrorKind::NotFound => Vec::new(),
-            other => other?,
+            other => other.map_err(unwritten)?,
         };
-        let file = OpenOptions::new().append(true).create(true).open(&path)?;
+        let file = OpenOptions::new().append(true).create(true).open(&path).map_err(unwritten)?;
         let mut journal = Journal {
             path,
             file,
@@ -143,20 +134,20 @@
         let recovery = journal.read(&bytes);
         if recovery.damaged > 0 {
             // a lost record may have told of a send
-            for owed in journal.owed.values_mut() {
+            for Kept { owed, .. } in journal.owed.values_mut() {
                 let presumed = Sent { uid: String::new(), sent_at: owed.taken.taken_at, never_ran: false };
                 owed.attempts.insert(0, presumed);
             }
         }
         if recovery.torn > 0 {
             journal.size -= recovery.torn as u64;
-            journal.file.set_len(journal.size)?;
+            journal.file.set_len(journal.size).map_err(unwritten)?;
         }
         if recovery.damaged > 0 {
             journal.live = 0;
-            for (&number, owed) in &mut journal.owed {
-                owed.size = encode_owed(number, owed)?.len() as u64;
-                journal.live += owed.size;
+            for (&number, kept) in &mut journal.owed {
+                kept.size = encode_owed(number, &kept.owed)?.len() as u64;
+                journal.live += kept.size;
             }
             journal.compact()?;
         } else if journal.size > SMALL {
@@ -165,11 +156,6 @@
         Ok((journal, recovery))
     }
 
-    /// What is owed, by the numbers of [`Journal::take`].
-    pub fn owed(&self) -> &BTreeMap<u64, Owed> {
-        &self.owed
-    }
-
     fn read(&mut self, bytes: &[u8]) -> Recovery {
         let mut recovery = Recovery::default();
         let (mut at, mut bad) = (0, 0);
@@ -196,9 +182,9 @@
     fn apply(&mut self, entry: Entry, length: u64) {
         match entry {
             Entry::Taken(number, taken) => {
-                let owed = Owed { taken, attempts: Vec::new(), ending: None, size: length };
+                let owed = Owed { taken, attempts: Vec::new(), ending: None };
                 self.live += length;
-                if let Some(old) = self.owed.insert(number, owed) {
+                if let Some(old) = self.owed.insert(number, Kept { owed, size: length }) {
                     self.live -= old.size;
                 }
             }
@@ -218,54 +204,16 @@
     }
 
     fn grow(&mut self, number: u64, length: u64, change: impl FnOnce(&mut Owed)) {
-        if let Some(owed) = self.owed.get_mut(&number) {
-            owed.size += length;
+        if let Some(kept) = self.owed.get_mut(&number) {
+            kept.size += length;
             self.live += length;
-            change(owed);
-        }
-    }
-
-    /// Writes a message down; it may be promised once this has succeeded.
-    pub fn take(&mut self, number: u64, taken: Taken) -> Result<(), JournalError> {
-        self.append(Entry::Taken(number, taken), self.reserve)
-    }
-
-    /// Writes a send down; its call may begin once this has succeeded.
-    pub fn sent(&mut self, number: u64, uid: &str, sent_at: i64) -> Result<(), JournalError> {
-        self.append(Entry::Sent(number, Sent { uid: uid.to_string(), sent_at, never_ran: false }), 0)
-    }
-
-    /// Writes down that an attempt never ran. That it may have run is what a send without outcome says.
-    pub fn never_ran(&mut self, message: u64, attempt: usize) -> Result<(), JournalError> {
-        self.append(Entry::Outcome { message, attempt: attempt as u32, never_ran: true }, 0)
-    }
-
-    /// Writes down that a notice is owed.
-    pub fn ending(&mut self, number: u64, ending: Ending) -> Result<(), JournalError> {
-        self.append(Entry::Ending(number, ending), 0)
-    }
-
-    /// Writes down that nothing more is owed.
-    pub fn over(&mut self, number: u64) -> Result<(), JournalError> {
-        if !self.owed.contains_key(&number) {
-            return Ok(());
-        }
-        let written = self.append(Entry::Over(number), 0);
-        if written.is_err() {
-            self.unwritten.push(number);
+            change(&mut kept.owed);
         }
-        written
     }
 
-    /// Tries again to write down which messages are over, where that failed.
-    pub fn retry(&mut self) -> Result<(), JournalError> {
-        let numbers = std::mem::take(&mut self.unwritten);
-        numbers.into_iter().map(|number| self.over(number)).fold(Ok(()), Result::and)
-    }
-
-    fn append(&mut self, entry: Entry, reserve: u64) -> Result<(), JournalError> {
+    fn append(&mut self, entry: Entry, reserve: u64) -> Result<(), LedgerError> {
         if self.broken {
-            return Err(JournalError::Full);
+            return Err(LedgerError::Full);
         }
         let record = encode(&entry)?;
         let length = record.len() as u64;
@@ -273,29 +221,29 @@
         let fits = |size: u64| size + self.live + 2 * length + reserve <= self.limit;
         if !fits(self.size) {
             if !fits(self.live) {
-                return Err(JournalError::Full);
+                return Err(LedgerError::Full);
             }
             self.compact()?;
         }
         if let Err(error) = self.file.write_all(&record) {
             self.broken = self.file.set_len(self.size).is_err();
-            return Err(error.into());
+            return Err(unwritten(error));
         }
         self.size += length;
         self.apply(entry, length);
         Ok(())
     }
 
-    fn compact(&mut self) -> Result<(), JournalError> {
+    fn compact(&mut self) -> Result<(), LedgerError> {
         let new = self.path.with_extension("new");
         let mut bytes = Vec::new();
-        for (&number, owed) in &self.owed {
-            bytes.extend(encode_owed(number, owed)?);
+        for (&number, kept) in &self.owed {
+            bytes.extend(encode_owed(number, &kept.owed)?);
         }
         if self.size + bytes.len() as u64 > self.limit {
-            return Err(JournalError::Full);
+            return Err(LedgerError::Full);
         }
-        let written = (|| {
+        let written = (|| -> io::Result<File> {
             let mut file = OpenOptions::new().append(true).create_new(true).open(&new)?;
             file.write_all(&bytes)?;
             fs::rename(&new, &self.path)?;
@@ -310,13 +258,51 @@
             }
             Err(error) => {
                 let _ = fs::remove_file(&new);
-                Err(JournalError::Io(error))
+                Err(unwritten(error))
             }
         }
     }
 }
 
-fn encode_owed(number: u64, owed: &Owed) -> Result<Vec<u8>, JournalError> {
+impl Ledger for Journal {
+    fn owed(&self) -> BTreeMap<u64, Owed> {
+        self.owed.iter().map(|(&number, kept)| (number, kept.owed.clone())).collect()
+    }
+
+    fn take(&mut self, number: u64, taken: Taken) -> Result<(), LedgerError> {
+        self.append(Entry::Taken(number, taken), self.reserve)
+    }
+
+    fn sent(&mut self, number: u64, uid: &str, sent_at: Micros) -> Result<(), LedgerError> {
+        self.append(Entry::Sent(number, Sent { uid: uid.to_string(), sent_at, never_ran: false }), 0)
+    }
+
+    fn never_ran(&mut self, number: u64, attempt: usize) -> Result<(), LedgerError> {
+        self.append(Entry::Outcome { message: number, attempt: attempt as u32, never_ran: true }, 0)
+    }
+
+    fn ending(&mut self, number: u64, ending: Ending) -> Result<(), LedgerError> {
+        self.append(Entry::Ending(number, ending), 0)
+    }
+
+    fn over(&mut self, number: u64) -> Result<(), LedgerError> {
+        if !self.owed.contains_key(&number) {
+            return Ok(());
+        }
+        let written = self.append(Entry::Over(number), 0);
+        if written.is_err() {
+            self.unwritten.push(number);
+        }
+        written
+    }
+
+    fn retry(&mut self) -> Result<(), LedgerError> {
+        let numbers = std::mem::take(&mut self.unwritten);
+        numbers.into_iter().map(|number| self.over(number)).fold(Ok(()), Result::and)
+    }
+}
+
+fn encode_owed(number: u64, owed: &Owed) -> Result<Vec<u8>, LedgerError> {
     let mut bytes = encode(&Entry::Taken(number, owed.taken.clone()))?;
     for sent in &owed.attempts {
         bytes.extend(encode(&Entry::Sent(number, sent.clone()))?);
@@ -327,8 +313,8 @@
     Ok(bytes)
 }
 
-fn encode(entry: &Entry) -> Result<Vec<u8>, JournalError> {
-    let payload = postcard::to_allocvec(entry)?;
+fn encode(entry: &Entry) -> Result<Vec<u8>, LedgerError> {
+    let payload = postcard::to_allocvec(entry).map_err(unwritten)?;
     let mut record = Vec::with_capacity(HEAD + payload.len());
     record.extend_from_slice(&MARK);
     record.extend_from_slice(&(payload.len() as u32).to_le_bytes());
@@ -350,3 +336,7 @@
     }
     postcard::from_bytes(payload).ok().map(|entry| (entry, HEAD + length))
 }
+
+fn unwritten(error: impl std::error::Error + Send + Sync + 'static) -> LedgerError {
+    LedgerError::Write(Box::new(error))
+}
--- a/src/net/mod.rs
+++ b/crates/log/src/lib.rs
@@ -1,14 +1,7 @@
-//! The real sender round the decision module: sockets in, calls out, one job a file.
+//! Lines for the log. A reader of the log that has gone away must not take the sender with it, and a fault that
+//! lasts must not fill it.
 
-pub mod calls;
-pub mod config;
-pub mod discovery;
-pub mod driver;
-pub mod journal;
-pub mod server;
-
-/// A line for the log. A reader of the log that has gone away must not take the sender with it, as a failed
-/// `eprintln!` would.
+/// A line on standard error; one that can't be written is dropped, where a failed `eprintln!` would panic.
 pub fn log(line: std::fmt::Arguments<'_>) {
     use std::io::Write;
     let _ = std::io::stderr().lock().write_all(format!("{line}\n").as_bytes());
--- a/src/net/discovery.rs
+++ b/crates/platform/src/agent.rs
@@ -1,7 +1,6 @@
 //! The platform's agent: the watch of the endpoint list, and the notices that end undelivered messages.
 
-use super::driver::Input;
-use super::journal::Ending;
+use crate::list::parse_list;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Full};
 use hyper::body::Body;
@@ -9,9 +8,7 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use milletturn::Status;
-use serde::Deserialize;
-use serde_json::Value;
+use milletturn_engine::{Ending, Input, Notice};
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -33,47 +30,6 @@
 /// Notices in one request.
 const BATCH: usize = 200;
 
-/// One endpoint as the list has it.
-#[derive(Debug, Clone)]
-pub struct Listed {
-    pub uid: String,
-    pub address: SocketAddr,
-    pub zone: String,
-    pub kind: String,
-    pub destination: u64,
-    pub status: Status,
-    pub weight: f64,
-}
-
-/// A list, or changes to one.
-#[derive(Debug, Clone)]
-pub struct ListUpdate {
-    pub version: u64,
-    pub full: bool,
-    pub targets: Vec<Listed>,
-}
-
-#[derive(Deserialize)]
-struct Line {
-    rev: u64,
-    all: bool,
-    targets: Vec<Value>,
-}
-
-#[derive(Deserialize)]
-struct Target {
-    uid: String,
-    endpoint: String,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    pod_group: u64,
-    state: String,
-    #[serde(default)]
-    capacity_hint: f64,
-}
-
 #[derive(Debug, Error)]
 enum WatchError {
     #[error("silent for {SILENCE:?}")]
@@ -100,38 +56,6 @@
     Time,
 }
 
-/// Reads a list; none if it has not the form of one. Entries that can't be read are logged and left out.
-pub fn parse_list(value: &Value) -> Option<ListUpdate> {
-    let line = Line::deserialize(value).ok()?;
-    let read = |value: &Value| {
-        let target = Target::deserialize(value).map_err(|error| error.to_string())?;
-        let status = match target.state.as_str() {
-            "up" => Status::Serving,
-            "draining" => Status::Draining,
-            "removed" => Status::Gone,
-            other => return Err(format!("unknown state '{other}'")),
-        };
-        let address = target.endpoint.parse().map_err(|_| format!("bad address '{}'", target.endpoint))?;
-        Ok(Listed {
-            uid: target.uid,
-            address,
-            zone: target.az,
-            kind: target.model,
-            destination: target.pod_group,
-            status,
-            weight: target.capacity_hint,
-        })
-    };
-    let targets = line.targets.iter().filter_map(|value| match read(value) {
-        Ok(listed) => Some(listed),
-        Err(error) => {
-            super::log(format_args!("discovery: entry skipped: {error}"));
-            None
-        }
-    });
-    Some(ListUpdate { version: line.rev, full: line.all, targets: targets.collect() })
-}
-
 /// Watches the list for ever and hands each change on. A new address of the agent counts at once, and its first
 /// list is asked for whole: the versions of another agent say nothing.
 pub async fn watch(
@@ -162,7 +86,7 @@
             },
         };
         if error != told {
-            super::log(format_args!("discovery: watch lost: {error}"));
+            milletturn_log::log(format_args!("discovery: watch lost: {error}"));
             told = error;
         }
         if version != before {
@@ -212,7 +136,7 @@
                     }
                 }
                 None if text.is_empty() && !skipping => {}
-                None => super::log(format_args!(
+                None => milletturn_log::log(format_args!(
                     "discovery: line skipped: {}",
                     String::from_utf8_lossy(&text[..text.len().min(80)])
                 )),
@@ -223,14 +147,6 @@
     }
 }
 
-/// A notice that is owed, by the number of its message.
-#[derive(Debug)]
-pub struct Notice {
-    pub number: u64,
-    pub id: String,
-    pub ending: Ending,
-}
-
 /// Posts notices until each has been answered 204, always to the agent's present address.
 pub async fn post_notices(
     mut agents: watch::Receiver<SocketAddr>, mut queue: mpsc::UnboundedReceiver<Notice>,
@@ -280,11 +196,11 @@
                     let count = batch.len();
                     match other {
                         Ok(status) => {
-                            super::log(format_args!("discovery: {count} notices answered {status}"))
-                        }
-                        Err(error) => {
-                            super::log(format_args!("discovery: {count} notices not delivered: {error}"))
+                            milletturn_log::log(format_args!("discovery: {count} notices answered {status}"))
                         }
+                        Err(error) => milletturn_log::log(format_args!(
+                            "discovery: {count} notices not delivered: {error}"
+                        )),
                     }
                 }
                 let moved = matches!(timeout(rest, agents.changed()).await, Ok(Ok(())));
@@ -295,7 +211,7 @@
 }
 
 fn line_of(notice: &Notice) -> String {
-    let mut object = serde_json::json!({ "id": notice.id });
+    let mut object = serde_json::json!({ "id": notice.id.as_str() });
     match notice.ending {
         Ending::Failed => object["state"] = "failed".into(),
         Ending::Returned { after_ms } => {
--- /dev/null
+++ b/crates/platform/src/call_text.rs
@@ -0,0 +1,98 @@
+//! Calls and their answers as the protocol page writes them: requests, bulk bodies, ends, waits, load reports.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::{HOST, HeaderMap, RETRY_AFTER};
+use milletturn_engine::{Item, Word};
+use milletturn_policy::{MILLISECOND, Micros, Outcome};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use tokio::time::Instant;
+
+/// A longer told wait is absurd: no message lives nearly as long.
+const WAIT_MOST_S: f64 = 3600.0;
+
+/// The request, and the fewest bytes that it takes on the wire.
+pub fn request_of(
+    address: SocketAddr, items: &[Item], expires: Instant,
+) -> Option<(Request<Full<Bytes>>, u64)> {
+    let (path, body) = match items {
+        [item] => ("/inbox", item.body.clone()),
+        _ => ("/inbox/bulk", bulk_of(items)),
+    };
+    let left = expires.saturating_duration_since(Instant::now()).as_millis().max(1);
+    let size = body.len() as u64;
+    let mut request = Request::post(path)
+        .header(HOST, address.to_string())
+        .header("x-timeout", format!("{left}m"))
+        .header("content-length", size);
+    if let [item] = items {
+        request = request.header("x-request-id", item.id.as_str());
+        if let Some(key) = &item.key {
+            request = request.header("idempotency-key", key.as_str());
+        }
+    }
+    let request = request.body(Full::new(body)).ok()?;
+    let line = "POST  HTTP/1.1\r\n\r\n".len() + path.len();
+    let headers: usize =
+        request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    Some((request, (line + headers) as u64 + size))
+}
+
+/// Bytes that a message takes in the body of a bulk call.
+pub fn bulk_size(item: &Item) -> usize {
+    item.id.as_str().len() + item.key.as_ref().map_or(1, |key| key.as_str().len()) + item.body.len() + 16
+}
+
+fn bulk_of(items: &[Item]) -> Bytes {
+    let mut body = Vec::new();
+    for item in items {
+        let key = item.key.as_ref().map_or("-", Word::as_str).as_bytes();
+        body.extend_from_slice(item.id.as_str().as_bytes());
+        body.push(b' ');
+        body.extend_from_slice(key);
+        body.extend_from_slice(format!(" {}\r\n", item.body.len()).as_bytes());
+        body.extend_from_slice(&item.body);
+        body.extend_from_slice(b"\r\n");
+    }
+    body.into()
+}
+
+/// Each message's end; one that the answer doesn't name, or names in no known word, may have run.
+pub fn ends_of(text: &[u8], items: &[Item], wait: Option<Micros>) -> Vec<(Outcome, bool)> {
+    let lines: HashMap<&[u8], &[u8]> = text
+        .split(|&byte| byte == b'\n')
+        .filter_map(|line| {
+            let at = line.iter().position(|&byte| byte == b' ')?;
+            Some((&line[..at], line[at + 1..].trim_ascii()))
+        })
+        .collect();
+    let end = |item: &Item| match lines.get(item.id.as_str().as_bytes()).copied() {
+        Some(b"ok") => (Outcome::Success, true),
+        Some(b"later") => (Outcome::Refused { wait }, false),
+        Some(b"gone") => (Outcome::Unsent { no_slot: false }, true),
+        Some(b"exhausted") => (Outcome::Unsent { no_slot: false }, false),
+        _ => (Outcome::Error, false),
+    };
+    items.iter().map(end).collect()
+}
+
+/// The wait of a `Retry-After` in seconds, with or without decimals; none where it can't be read or is absurd.
+pub fn wait_of(headers: &HeaderMap) -> Option<Micros> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    (seconds > 0.0 && seconds <= WAIT_MOST_S).then(|| (seconds * 1e3).ceil() as Micros * MILLISECOND)
+}
+
+/// The load report in the order of the settings; none unless it is whole and sound.
+pub fn report_of(headers: &HeaderMap, fields: &[String]) -> Vec<f64> {
+    let Some(text) = headers.get("x-server-load").and_then(|value| value.to_str().ok()) else {
+        return Vec::new();
+    };
+    let pairs: HashMap<&str, f64> = text
+        .split(',')
+        .filter_map(|pair| pair.trim().split_once('='))
+        .filter_map(|(name, value)| Some((name, value.parse().ok().filter(|v: &f64| v.is_finite())?)))
+        .collect();
+    fields.iter().map(|field| pairs.get(field.as_str()).copied()).collect::<Option<_>>().unwrap_or_default()
+}
--- a/src/net/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -2,36 +2,29 @@
 //!
 //! Nothing here sends a call again by itself: a repeat that the decision module doesn't know of would be a
 //! duplicate. When it is unsure whether a call may have run, the outcome says that it may. What hyper does not
-//! tell, such as the first line of an answer whose head it rejects, is seen by [`Wired`] on the raw bytes.
+//! tell, such as the first line of an answer whose head it rejects, is seen by `Wired` on the raw bytes.
 
-use super::Seldom;
-use super::config::Budget;
-use super::driver::Input;
+use crate::budget::Budget;
+use crate::call_text::{bulk_size, ends_of, report_of, request_of, wait_of};
+use crate::wire::{Wire, Wired};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use milletturn::{EndpointId, MILLISECOND, Micros, Outcome};
-use socket2::SockRef;
-use std::cell::{Cell, RefCell};
+use milletturn_engine::{BODY_MOST, Call, Ended, Input, Item, Transport};
+use milletturn_log::Seldom;
+use milletturn_policy::{EndpointId, Micros, Outcome};
+use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::{Instant, sleep_until, timeout};
 
-/// Bodies hold at most this.
-pub const BODY_MOST: usize = 64 * 1024;
 /// Idle connections kept for one endpoint.
 const IDLE_EACH: usize = 16;
 /// Longest time for the rest of an answer whose first bytes have come: no answer is large.
@@ -43,41 +36,6 @@
 const REST: Duration = Duration::from_millis(5);
 /// Longest wait for the descriptor of an idle connection that gives way to a new one.
 const PLACE: Duration = Duration::from_millis(200);
-/// A longer told wait is absurd: no message lives nearly as long.
-const WAIT_MOST_S: f64 = 3600.0;
-
-/// One message in a call.
-#[derive(Debug, Clone)]
-pub struct Item {
-    pub id: HeaderValue,
-    pub key: Option<HeaderValue>,
-    pub body: Bytes,
-}
-
-/// How one message of a call ended.
-#[derive(Debug)]
-pub struct Ended {
-    pub call: u64,
-    /// Its position in the call.
-    pub item: usize,
-    pub outcome: Outcome,
-    /// Nothing more is owed for it.
-    pub closed: bool,
-    pub report: Vec<f64>,
-    /// A wait that the answer told and that no outcome carries.
-    pub wait: Option<Micros>,
-}
-
-/// A call to make.
-#[derive(Debug)]
-pub struct Call {
-    pub number: u64,
-    pub endpoint: EndpointId,
-    pub address: SocketAddr,
-    pub items: Vec<Item>,
-    pub expires: Instant,
-}
-
 struct Idle {
     connection: Connection,
     since: Instant,
@@ -94,7 +52,7 @@
     idle: Vec<Idle>,
 }
 
-/// The connections to the endpoints and what calls have in common.
+/// The connections to the endpoints and what calls have in common: the transport of the platform.
 #[derive(Clone)]
 pub struct Calls(Rc<Shared>);
 
@@ -150,15 +108,17 @@
             inputs,
         }))
     }
+}
 
+impl Transport for Calls {
     /// Starts a call; its messages' ends come as inputs. `cancels` has the positions that are called off.
-    pub fn start(&self, call: Call, cancels: mpsc::UnboundedReceiver<usize>) {
+    fn start(&self, call: Call, cancels: mpsc::UnboundedReceiver<usize>) {
         let shared = self.0.clone();
         tokio::task::spawn_local(async move { run(shared, call, cancels).await });
     }
 
     /// Connections to the endpoint may be kept from now on; those to another address of it go.
-    pub fn admit(&self, endpoint: EndpointId, address: SocketAddr) {
+    fn admit(&self, endpoint: EndpointId, address: SocketAddr) {
         let mut pools = self.0.pools.borrow_mut();
         if pools.get(&endpoint).is_none_or(|pool| pool.address != address) {
             pools.insert(endpoint, Pool { address, idle: Vec::new() });
@@ -166,25 +126,33 @@
     }
 
     /// The endpoint gets no calls any more: its connections go, also those that a call still holds.
-    pub fn forget(&self, endpoint: EndpointId) {
+    fn forget(&self, endpoint: EndpointId) {
         self.0.pools.borrow_mut().remove(&endpoint);
     }
 
     /// Gives back the connections to an endpoint that carry nothing now.
-    pub fn disconnect(&self, endpoint: EndpointId) {
+    fn disconnect(&self, endpoint: EndpointId) {
         if let Some(pool) = self.0.pools.borrow_mut().get_mut(&endpoint) {
             pool.idle.clear();
         }
     }
 
     /// Closes connections that would soon be closed from the other side.
-    pub fn sweep(&self) {
+    fn sweep(&self) {
         let now = Instant::now();
         for pool in self.0.pools.borrow_mut().values_mut() {
             pool.idle
                 .retain(|idle| now - idle.since < self.0.idle_most && !idle.connection.sender.is_closed());
         }
     }
+
+    fn weigh(&self, item: &Item) -> usize {
+        bulk_size(item)
+    }
+
+    fn call_most(&self) -> usize {
+        BODY_MOST
+    }
 }
 
 async fn run(shared: Rc<Shared>, call: Call, mut cancels: mpsc::UnboundedReceiver<usize>) {
@@ -400,306 +368,3 @@
         pool.idle.push(Idle { connection, since: Instant::now() });
     }
 }
-
-/// The request, and the fewest bytes that it takes on the wire.
-fn request_of(address: SocketAddr, items: &[Item], expires: Instant) -> Option<(Request<Full<Bytes>>, u64)> {
-    let (path, body) = match items {
-        [item] => ("/inbox", item.body.clone()),
-        _ => ("/inbox/bulk", bulk_of(items)),
-    };
-    let left = expires.saturating_duration_since(Instant::now()).as_millis().max(1);
-    let size = body.len() as u64;
-    let mut request = Request::post(path)
-        .header(HOST, address.to_string())
-        .header("x-timeout", format!("{left}m"))
-        .header("content-length", size);
-    if let [item] = items {
-        request = request.header("x-request-id", item.id.clone());
-        if let Some(key) = &item.key {
-            request = request.header("idempotency-key", key.clone());
-        }
-    }
-    let request = request.body(Full::new(body)).ok()?;
-    let line = "POST  HTTP/1.1\r\n\r\n".len() + path.len();
-    let headers: usize =
-        request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
-    Some((request, (line + headers) as u64 + size))
-}
-
-/// Bytes that a message takes in the body of a bulk call.
-pub fn bulk_size(item: &Item) -> usize {
-    item.id.len() + item.key.as_ref().map_or(1, HeaderValue::len) + item.body.len() + 16
-}
-
-fn bulk_of(items: &[Item]) -> Bytes {
-    let mut body = Vec::new();
-    for item in items {
-        let key = item.key.as_ref().map_or(&b"-"[..], |key| key.as_bytes());
-        body.extend_from_slice(item.id.as_bytes());
-        body.push(b' ');
-        body.extend_from_slice(key);
-        body.extend_from_slice(format!(" {}\r\n", item.body.len()).as_bytes());
-        body.extend_from_slice(&item.body);
-        body.extend_from_slice(b"\r\n");
-    }
-    body.into()
-}
-
-/// Each message's end; one that the answer doesn't name, or names in no known word, may have run.
-fn ends_of(text: &[u8], items: &[Item], wait: Option<Micros>) -> Vec<(Outcome, bool)> {
-    let lines: HashMap<&[u8], &[u8]> = text
-        .split(|&byte| byte == b'\n')
-        .filter_map(|line| {
-            let at = line.iter().position(|&byte| byte == b' ')?;
-            Some((&line[..at], line[at + 1..].trim_ascii()))
-        })
-        .collect();
-    let end = |item: &Item| match lines.get(item.id.as_bytes()).copied() {
-        Some(b"ok") => (Outcome::Success, true),
-        Some(b"later") => (Outcome::Refused { wait }, false),
-        Some(b"gone") => (Outcome::Unsent { no_slot: false }, true),
-        Some(b"exhausted") => (Outcome::Unsent { no_slot: false }, false),
-        _ => (Outcome::Error, false),
-    };
-    items.iter().map(end).collect()
-}
-
-/// The wait of a `Retry-After` in seconds, with or without decimals; none where it can't be read or is absurd.
-fn wait_of(headers: &HeaderMap) -> Option<Micros> {
-    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
-    (seconds > 0.0 && seconds <= WAIT_MOST_S).then(|| (seconds * 1e3).ceil() as Micros * MILLISECOND)
-}
-
-/// The load report in the order of the settings; none unless it is whole and sound.
-fn report_of(headers: &HeaderMap, fields: &[String]) -> Vec<f64> {
-    let Some(text) = headers.get("x-server-load").and_then(|value| value.to_str().ok()) else {
-        return Vec::new();
-    };
-    let pairs: HashMap<&str, f64> = text
-        .split(',')
-        .filter_map(|pair| pair.trim().split_once('='))
-        .filter_map(|(name, value)| Some((name, value.parse().ok().filter(|v: &f64| v.is_finite())?)))
-        .collect();
-    fields.iter().map(|field| pairs.get(field.as_str()).copied()).collect::<Option<_>>().unwrap_or_default()
-}
-
-/// What the raw bytes of a connection tell.
-#[derive(Default)]
-struct Wire {
-    /// A call whose last byte was not written can't have run.
-    written: Cell<u64>,
-    /// Nothing may stand unread when the next call begins.
-    look: Cell<bool>,
-    answer: Cell<FirstLine>,
-    /// Bytes of 1xx answers ahead of the present call's answer.
-    ahead: Cell<usize>,
-    seen: Notify,
-}
-
-/// How far the first line of the answer that counts has come. 1xx answers ahead of it are passed over.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-enum FirstLine {
-    /// So many bytes of `HTTP/1.x NNN` have come, and its number so far.
-    Status(usize, u16),
-    /// The line of a final answer, up to its end.
-    Rest(u16),
-    /// A 1xx answer; true at the start of a line.
-    Ahead(bool),
-    Whole(u16),
-    /// No call is out, or this is no answer.
-    #[default]
-    Nothing,
-}
-
-impl FirstLine {
-    /// One byte further. 101 becomes 100 for hyper, which would take it for the end of HTTP here; no call asks
-    /// for that.
-    fn pass(self, byte: &mut u8) -> Self {
-        const START: &[u8] = b"HTTP/1.";
-        match (self, *byte) {
-            (FirstLine::Status(0, _), b'\r' | b'\n') => self,
-            (FirstLine::Status(at, _), found) if at < START.len() && START.get(at) == Some(&found) => {
-                FirstLine::Status(at + 1, 0)
-            }
-            (FirstLine::Status(7, _), b'0' | b'1') => FirstLine::Status(8, 0),
-            (FirstLine::Status(8, _), b' ') => FirstLine::Status(9, 0),
-            (FirstLine::Status(at @ 9..=11, code), b'0'..=b'9') => {
-                let code = code * 10 + u16::from(*byte - b'0');
-                if at == 11 && code == 101 {
-                    *byte = b'0';
-                }
-                FirstLine::Status(at + 1, code)
-            }
-            (FirstLine::Status(12, 100..200), b' ' | b'\r' | b'\n') => FirstLine::Ahead(*byte == b'\n'),
-            (FirstLine::Status(12, code), b'\n') | (FirstLine::Rest(code), b'\n') => FirstLine::Whole(code),
-            (FirstLine::Status(12, code), b' ' | b'\r') | (FirstLine::Rest(code), _) => FirstLine::Rest(code),
-            (FirstLine::Ahead(true), b'\n') => FirstLine::Status(0, 0),
-            (FirstLine::Ahead(start), b'\r') => FirstLine::Ahead(start),
-            (FirstLine::Ahead(_), b'\n') => FirstLine::Ahead(true),
-            (FirstLine::Ahead(_), _) => FirstLine::Ahead(false),
-            (FirstLine::Whole(code), _) => FirstLine::Whole(code),
-            (FirstLine::Status(..) | FirstLine::Nothing, _) => FirstLine::Nothing,
-        }
-    }
-}
-
-impl Wire {
-    /// A call is about to be written.
-    fn begin(&self, reused: bool) {
-        self.look.set(reused);
-        self.ahead.set(0);
-        self.answer.set(FirstLine::Status(0, 0));
-    }
-
-    fn says_200(&self) -> bool {
-        self.answer.get() == FirstLine::Whole(200)
-    }
-
-    /// Ends once the first line of an answer has come, or what can be none.
-    async fn first_line(&self) {
-        while !matches!(self.answer.get(), FirstLine::Whole(_) | FirstLine::Nothing) {
-            self.seen.notified().await;
-        }
-    }
-
-    fn pass(&self, bytes: &mut [u8]) -> io::Result<()> {
-        let mut line = self.answer.get();
-        let mut ahead = self.ahead.get();
-        for byte in bytes {
-            if matches!(line, FirstLine::Whole(_) | FirstLine::Nothing) {
-                break;
-            }
-            line = line.pass(byte);
-            ahead += 1;
-        }
-        self.ahead.set(ahead);
-        self.answer.set(line);
-        if matches!(line, FirstLine::Whole(_) | FirstLine::Nothing) {
-            self.seen.notify_one();
-        } else if ahead > BODY_MOST {
-            return Err(io::Error::new(io::ErrorKind::InvalidData, "no answer behind those ahead"));
-        }
-        Ok(())
-    }
-}
-
-/// An endpoint's stream, with an eye on the raw bytes.
-struct Wired {
-    stream: TcpStream,
-    wire: Rc<Wire>,
-    /// Its descriptor; free again when this is dropped.
-    _place: OwnedSemaphorePermit,
-}
-
-impl Wired {
-    /// An error if something came behind the last answer, or the end: it must not be taken for the answer to
-    /// the call that is about to be written.
-    fn look(&self) -> io::Result<()> {
-        if !self.wire.look.take() {
-            return Ok(());
-        }
-        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            Err(error) => Err(error),
-            Ok(_) => Err(io::Error::new(io::ErrorKind::ConnectionAborted, "not idle")),
-        }
-    }
-
-    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &result {
-            self.wire.written.set(self.wire.written.get() + *bytes as u64);
-        }
-        result
-    }
-}
-
-impl AsyncRead for Wired {
-    fn poll_read(
-        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let new = buffer.filled_mut().get_mut(before..).unwrap_or_default();
-        Poll::Ready(self.wire.pass(new))
-    }
-}
-
-impl AsyncWrite for Wired {
-    fn poll_write(
-        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.look()?;
-        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
-        self.count(result)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.look()?;
-        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.count(result)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::{FirstLine, Wire};
-
-    /// The first line after these bytes, however they are cut into reads, and what hyper gets to see of them.
-    fn seen(text: &str) -> (FirstLine, String) {
-        let mut found = Vec::new();
-        for size in [1, 2, 5, 13, text.len().max(1)] {
-            let (wire, mut bytes) = (Wire::default(), text.as_bytes().to_vec());
-            wire.begin(false);
-            bytes.chunks_mut(size).for_each(|chunk| wire.pass(chunk).expect("short enough"));
-            found.push((wire.answer.get(), String::from_utf8(bytes).expect("text")));
-        }
-        let first = found.swap_remove(0);
-        assert!(found.iter().all(|other| *other == first), "{text}: {first:?} {found:?}");
-        first
-    }
-
-    #[test]
-    fn the_first_line_that_counts_is_found_wherever_reads_end() {
-        for (text, expected) in [
-            ("HTTP/1.1 200 OK\r\n", FirstLine::Whole(200)),
-            ("\r\nHTTP/1.0 200\n", FirstLine::Whole(200)),
-            ("HTTP/1.1 200 O", FirstLine::Rest(200)),
-            ("HTTP/1.1 2000 OK\r\n", FirstLine::Nothing),
-            ("HTTP/1.1 20 OK\r\n", FirstLine::Nothing),
-            ("HTTP/2.0 200 OK\r\n", FirstLine::Nothing),
-            ("noise HTTP/1.1 200 OK\r\n", FirstLine::Nothing),
-            ("HTTP/1.1 500 HTTP/1.1 200 OK\r\n", FirstLine::Whole(500)),
-            ("HTTP/1.1 103 Hint\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n", FirstLine::Whole(200)),
-            ("HTTP/1.1 100\r\n\r\nHTTP/1.1 102 x\n\nHTTP/1.1 503 No\r\n", FirstLine::Whole(503)),
-            // a 200 inside the head of an answer ahead is none
-            ("HTTP/1.1 103 Hint\r\nHTTP/1.1 200 OK\r\n", FirstLine::Ahead(true)),
-        ] {
-            assert_eq!(seen(text), (expected, text.to_string()), "{text}");
-        }
-        let (line, shown) = seen("HTTP/1.1 101 Other\r\n\r\nHTTP/1.1 200 OK\r\n");
-        assert_eq!(line, FirstLine::Whole(200));
-        assert!(shown.starts_with("HTTP/1.1 100 Other"), "hyper ends its work at a 101: {shown}");
-    }
-
-    #[test]
-    fn answers_ahead_without_end_are_an_error() {
-        let wire = Wire::default();
-        wire.begin(false);
-        let ends = (0..10_000).any(|_| wire.pass(&mut b"HTTP/1.1 102 Processing\r\n\r\n".to_vec()).is_err());
-        assert!(ends);
-    }
-}
--- a/src/net/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,10 +1,12 @@
 //! Reads `RELAY_CONFIG`. The nested settings are flattened into the reader of the simulator's wire, so that
 //! their names live in one place.
 
-use super::calls::BODY_MOST;
-use super::discovery::{ListUpdate, parse_list};
-use milletturn::wire::{Names, Pairs, read_settings};
-use milletturn::{Settings, SettingsError};
+use crate::budget::Budget;
+use crate::list::parse_list;
+use milletturn_engine::ListUpdate;
+use milletturn_log::log;
+use milletturn_policy::{Settings, SettingsError};
+use milletturn_settings::{Names, Pairs, read_settings};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -16,64 +18,64 @@
 /// Why the sender cannot start.
 #[derive(Debug, Error)]
 pub enum ConfigError {
+    /// A variable that must be set is not.
     #[error("the variable {0} is not set")]
     Variable(&'static str),
+    /// The file can't be read.
     #[error("{path}: {error}", path = path.display())]
-    Read { path: PathBuf, error: std::io::Error },
+    Read {
+        /// Which file.
+        path: PathBuf,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// The file is not JSON of the right form.
     #[error("{path}: {error}", path = path.display())]
-    Json { path: PathBuf, error: serde_json::Error },
+    Json {
+        /// Which file.
+        path: PathBuf,
+        /// Why, with line and column.
+        error: serde_json::Error,
+    },
+    /// A value that is none.
     #[error("{name} is '{found}', not {wanted}")]
-    Value { name: &'static str, found: String, wanted: &'static str },
+    Value {
+        /// Its name.
+        name: &'static str,
+        /// What stands there.
+        found: String,
+        /// What should.
+        wanted: &'static str,
+    },
+    /// Settings that make no sense together.
     #[error(transparent)]
     Settings(#[from] SettingsError),
 }
 
-/// How the limits are shared out. Every descriptor and every byte of a body that is being read comes from here,
-/// so that no part can starve another.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Budget {
-    /// Connections from clients. They hold a third of all descriptors for requests at most.
-    pub clients: usize,
-    /// Connections to endpoints, those of calls, of answers being read to their end, and idle ones.
-    pub endpoints: usize,
-    /// Idle ones among these.
-    pub idle: usize,
-    /// Bytes of clients' bodies that are being read.
-    pub bodies: usize,
-}
-
-impl Budget {
-    /// Standard streams, the poll and its waker, signals, listener, journal (two files while it is compacted),
-    /// configuration, the watch and a notice, each with one that is being replaced.
-    const REST: usize = 20;
-
-    fn new(sockets: usize, memory: u64, slots: usize) -> Self {
-        let room = sockets.saturating_sub(Self::REST);
-        // a tenth stays free: a closed socket counts until its task has run, an accepted one before it has a place
-        let clients = (room * 2 / 5).max(1);
-        let endpoints = (room - room / 10).saturating_sub(clients).max(1);
-        // calls come first; a quarter of the connections may be idle even where slots are many
-        let idle = endpoints.saturating_sub(slots).max(endpoints / 4);
-        let bodies = usize::try_from(memory / 8).unwrap_or(usize::MAX);
-        Budget { clients, endpoints, idle, bodies: bodies.clamp(2 * BODY_MOST, 64 << 20) }
-    }
-}
-
 /// All that the sender is told at its start.
 #[derive(Debug)]
 pub struct Config {
+    /// The sender's name, the same after a restart.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// The agent.
     pub discovery: SocketAddr,
+    /// The folder that outlasts the process.
     pub state: PathBuf,
+    /// For random numbers.
     pub seed: u64,
     /// Bytes that the lasting folder may hold.
     pub disk: u64,
+    /// How descriptors and memory are shared out.
     pub budget: Budget,
     /// The file that all this comes from; a reload reads it again.
     pub path: PathBuf,
+    /// The list as last known, maybe old.
     pub known: Option<ListUpdate>,
+    /// What the decision module is told.
     pub settings: Settings,
+    /// What the rest is told.
     pub names: Names,
 }
 
@@ -111,6 +113,9 @@
 
 /// Reads the file again: the address of discovery in it. `RELAY_DISCOVERY` does not count here, since it still
 /// says what held at the start of the process.
+///
+/// # Errors
+/// When the file can't be read or names no address.
 pub fn reload(path: &Path) -> Result<SocketAddr, ConfigError> {
     let reloaded: Reloaded = read(path)?;
     address("discovery", reloaded.discovery)
@@ -123,6 +128,9 @@
 
 impl Config {
     /// Reads the file that `RELAY_CONFIG` names; the other variables come before what stands in it.
+    ///
+    /// # Errors
+    /// When a variable is missing, the file can't be read or a value makes no sense.
     pub fn from_env() -> Result<Self, ConfigError> {
         let variable = |name| std::env::var(name).map_err(|_| ConfigError::Variable(name));
         let path = PathBuf::from(variable("RELAY_CONFIG")?);
@@ -132,7 +140,7 @@
         let listen = address("RELAY_LISTEN", variable("RELAY_LISTEN").unwrap_or(file.listen))?;
         let told = variable("RELAY_DISCOVERY").unwrap_or_else(|_| file.discovery.clone());
         if told != file.discovery {
-            super::log(format_args!("{name}: RELAY_DISCOVERY is {told}, the file says {}", file.discovery));
+            log(format_args!("{name}: RELAY_DISCOVERY is {told}, the file says {}", file.discovery));
         }
         let discovery = address("RELAY_DISCOVERY", told)?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Value {
@@ -206,25 +214,3 @@
         other => other.to_string(),
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::Budget;
-
-    #[test]
-    fn the_parts_never_exceed_the_descriptors() {
-        // guards against shares that are each sound and together too much: 256 once had to bear 128 clients,
-        // 200 idle connections and the calls
-        for sockets in [64, 256, 384, 1024, 65_536] {
-            for slots in [3, 40, 120, 2000] {
-                let budget = Budget::new(sockets, 32_000_000, slots);
-                assert!(budget.clients + budget.endpoints + Budget::REST < sockets, "{sockets}: {budget:?}");
-                assert!(budget.idle > 0 && budget.idle <= budget.endpoints, "{sockets}: {budget:?}");
-            }
-            // clients may hold a third of the descriptors for requests
-            let clients = Budget::new(sockets, 32_000_000, 40).clients;
-            assert!(sockets < 256 || clients > sockets / 3, "{sockets}: {clients}");
-        }
-        assert_eq!(Budget::new(256, 32_000_000, 40).bodies, 4_000_000);
-    }
-}
--- a/src/net/server.rs
+++ b/crates/platform/src/door.rs
@@ -1,8 +1,5 @@
 //! The clients' side: reads messages that are handed in, and answers as the driver decides.
 
-use super::Seldom;
-use super::calls::BODY_MOST;
-use super::driver::{Answer, Arrival, Input};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -11,7 +8,9 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use milletturn::{Class, Effect, MILLISECOND, Micros};
+use milletturn_engine::{Answer, Arrival, BODY_MOST, Input, Word};
+use milletturn_log::Seldom;
+use milletturn_policy::{Class, Effect, MILLISECOND, Micros};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -39,15 +38,16 @@
 const PLACE_TIME: Duration = Duration::from_millis(100);
 /// Longest head.
 const HEAD_MOST: usize = 16 * 1024;
-/// Longest id or key.
-const WORD_MOST: usize = 256;
 /// A longer time to deliver is cut to this.
 const TIME_MOST: u64 = 7 * 86_400_000_000;
 
 /// What the connections share.
 pub struct Server {
+    /// Classes of message, which are the first parts of paths.
     pub classes: Vec<Class>,
+    /// The engine.
     pub inputs: mpsc::UnboundedSender<Input>,
+    /// True once endpoints are known.
     pub ready: watch::Receiver<bool>,
     /// Set once the process is to end: each answer then closes its connection.
     pub draining: Rc<Cell<bool>>,
@@ -372,7 +372,6 @@
     let destination = envelope.to_str().ok().and_then(read_destination).ok_or(bad("dest can't be read"))?;
     let retried = single(headers, "x-retried", "X-Retried")?;
     let (again, orphan) = (retried.is_some(), retried.is_some_and(|value| value == "again"));
-    let (id, key) = (copied(id)?, key.map(copied).transpose()?);
     if request.body().size_hint().lower() > BODY_MOST as u64 {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
     }
@@ -431,14 +430,9 @@
     Ok(bytes.into())
 }
 
-/// The value in memory of its own, as the body.
-fn copied(value: &HeaderValue) -> Result<HeaderValue, Refusal> {
-    HeaderValue::from_bytes(value.as_bytes()).map_err(|_| bad("an id or key can't be read"))
-}
-
 /// A client that goes before its answer hands its message in anew elsewhere: hyper drops the request then.
 struct Guard<'a> {
-    left: Option<HeaderValue>,
+    left: Option<Word>,
     inputs: &'a mpsc::UnboundedSender<Input>,
 }
 
@@ -460,15 +454,11 @@
     if values.next().is_some() { Err(bad(shown)) } else { Ok(value) }
 }
 
-/// An id or key goes into the lines of bulk calls, so it is visible text without spaces.
-fn word(value: Option<&HeaderValue>) -> Result<Option<&HeaderValue>, Refusal> {
-    let Some(value) = value else { return Ok(None) };
-    let visible = value.as_bytes().iter().all(u8::is_ascii_graphic);
-    if visible && (1..=WORD_MOST).contains(&value.len()) {
-        Ok(Some(value))
-    } else {
-        Err(bad("an id or key can't be read"))
-    }
+/// An id or key, copied: a slice would hold the connection's whole read buffer.
+fn word(value: Option<&HeaderValue>) -> Result<Option<Word>, Refusal> {
+    let read =
+        |value: &HeaderValue| Word::new(value.as_bytes()).map_err(|_| bad("an id or key can't be read"));
+    value.map(read).transpose()
 }
 
 /// A number and a unit: `m` milliseconds or `u` microseconds.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,13 @@
+//! The platform's HTTP/1.1, as its protocol and deployment pages have it: the door for clients, the calls to
+//! endpoints, the agent that tells the list and takes notices, and the configuration.
+
+pub mod agent;
+mod budget;
+mod call_text;
+pub mod calls;
+pub mod config;
+pub mod door;
+mod list;
+mod wire;
+
+pub use budget::Budget;
--- /dev/null
+++ b/crates/platform/src/list.rs
@@ -0,0 +1,59 @@
+//! The list of endpoints in discovery's form.
+
+use milletturn_engine::{ListUpdate, Listed};
+use milletturn_policy::Status;
+use serde::Deserialize;
+use serde_json::Value;
+
+#[derive(Deserialize)]
+struct Line {
+    rev: u64,
+    all: bool,
+    targets: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: String,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    pod_group: u64,
+    state: String,
+    #[serde(default)]
+    capacity_hint: f64,
+}
+
+/// Reads a list; none if it has not the form of one. Entries that can't be read are logged and left out.
+pub fn parse_list(value: &Value) -> Option<ListUpdate> {
+    let line = Line::deserialize(value).ok()?;
+    let read = |value: &Value| {
+        let target = Target::deserialize(value).map_err(|error| error.to_string())?;
+        let status = match target.state.as_str() {
+            "up" => Status::Serving,
+            "draining" => Status::Draining,
+            "removed" => Status::Gone,
+            other => return Err(format!("unknown state '{other}'")),
+        };
+        let address = target.endpoint.parse().map_err(|_| format!("bad address '{}'", target.endpoint))?;
+        Ok(Listed {
+            uid: target.uid,
+            address,
+            zone: target.az,
+            kind: target.model,
+            destination: target.pod_group,
+            status,
+            weight: target.capacity_hint,
+        })
+    };
+    let targets = line.targets.iter().filter_map(|value| match read(value) {
+        Ok(listed) => Some(listed),
+        Err(error) => {
+            milletturn_log::log(format_args!("discovery: entry skipped: {error}"));
+            None
+        }
+    });
+    Some(ListUpdate { version: line.rev, full: line.all, targets: targets.collect() })
+}
--- /dev/null
+++ b/crates/platform/src/wire.rs
@@ -0,0 +1,238 @@
+//! What the raw bytes on a connection to an endpoint tell, which hyper does not: how much of a call was written,
+//! the first line of an answer whose head is rejected, and whether something came that nobody asked for.
+
+use milletturn_engine::BODY_MOST;
+use socket2::SockRef;
+use std::cell::Cell;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, OwnedSemaphorePermit};
+
+/// What the raw bytes of a connection tell.
+#[derive(Debug, Default)]
+pub struct Wire {
+    /// A call whose last byte was not written can't have run.
+    pub written: Cell<u64>,
+    /// Nothing may stand unread when the next call begins.
+    look: Cell<bool>,
+    answer: Cell<FirstLine>,
+    /// Bytes of 1xx answers ahead of the present call's answer.
+    ahead: Cell<usize>,
+    seen: Notify,
+}
+
+/// How far the first line of the answer that counts has come. 1xx answers ahead of it are passed over.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum FirstLine {
+    /// So many bytes of `HTTP/1.x NNN` have come, and its number so far.
+    Status(usize, u16),
+    /// The line of a final answer, up to its end.
+    Rest(u16),
+    /// A 1xx answer; true at the start of a line.
+    Ahead(bool),
+    Whole(u16),
+    /// No call is out, or this is no answer.
+    #[default]
+    Nothing,
+}
+
+impl FirstLine {
+    /// One byte further. 101 becomes 100 for hyper, which would take it for the end of HTTP here; no call asks
+    /// for that.
+    fn pass(self, byte: &mut u8) -> Self {
+        const START: &[u8] = b"HTTP/1.";
+        match (self, *byte) {
+            (FirstLine::Status(0, _), b'\r' | b'\n') => self,
+            (FirstLine::Status(at, _), found) if at < START.len() && START.get(at) == Some(&found) => {
+                FirstLine::Status(at + 1, 0)
+            }
+            (FirstLine::Status(7, _), b'0' | b'1') => FirstLine::Status(8, 0),
+            (FirstLine::Status(8, _), b' ') => FirstLine::Status(9, 0),
+            (FirstLine::Status(at @ 9..=11, code), b'0'..=b'9') => {
+                let code = code * 10 + u16::from(*byte - b'0');
+                if at == 11 && code == 101 {
+                    *byte = b'0';
+                }
+                FirstLine::Status(at + 1, code)
+            }
+            (FirstLine::Status(12, 100..200), b' ' | b'\r' | b'\n') => FirstLine::Ahead(*byte == b'\n'),
+            (FirstLine::Status(12, code), b'\n') | (FirstLine::Rest(code), b'\n') => FirstLine::Whole(code),
+            (FirstLine::Status(12, code), b' ' | b'\r') | (FirstLine::Rest(code), _) => FirstLine::Rest(code),
+            (FirstLine::Ahead(true), b'\n') => FirstLine::Status(0, 0),
+            (FirstLine::Ahead(start), b'\r') => FirstLine::Ahead(start),
+            (FirstLine::Ahead(_), b'\n') => FirstLine::Ahead(true),
+            (FirstLine::Ahead(_), _) => FirstLine::Ahead(false),
+            (FirstLine::Whole(code), _) => FirstLine::Whole(code),
+            (FirstLine::Status(..) | FirstLine::Nothing, _) => FirstLine::Nothing,
+        }
+    }
+}
+
+impl Wire {
+    /// A call is about to be written.
+    pub fn begin(&self, reused: bool) {
+        self.look.set(reused);
+        self.ahead.set(0);
+        self.answer.set(FirstLine::Status(0, 0));
+    }
+
+    pub fn says_200(&self) -> bool {
+        self.answer.get() == FirstLine::Whole(200)
+    }
+
+    /// Ends once the first line of an answer has come, or what can be none.
+    pub async fn first_line(&self) {
+        while !matches!(self.answer.get(), FirstLine::Whole(_) | FirstLine::Nothing) {
+            self.seen.notified().await;
+        }
+    }
+
+    fn pass(&self, bytes: &mut [u8]) -> io::Result<()> {
+        let mut line = self.answer.get();
+        let mut ahead = self.ahead.get();
+        for byte in bytes {
+            if matches!(line, FirstLine::Whole(_) | FirstLine::Nothing) {
+                break;
+            }
+            line = line.pass(byte);
+            ahead += 1;
+        }
+        self.ahead.set(ahead);
+        self.answer.set(line);
+        if matches!(line, FirstLine::Whole(_) | FirstLine::Nothing) {
+            self.seen.notify_one();
+        } else if ahead > BODY_MOST {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "no answer behind those ahead"));
+        }
+        Ok(())
+    }
+}
+
+/// An endpoint's stream, with an eye on the raw bytes.
+#[derive(Debug)]
+pub struct Wired {
+    /// The socket.
+    pub stream: TcpStream,
+    /// What its bytes tell.
+    pub wire: Rc<Wire>,
+    /// Its descriptor; free again when this is dropped.
+    pub _place: OwnedSemaphorePermit,
+}
+
+impl Wired {
+    /// An error if something came behind the last answer, or the end: it must not be taken for the answer to
+    /// the call that is about to be written.
+    fn look(&self) -> io::Result<()> {
+        if !self.wire.look.take() {
+            return Ok(());
+        }
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error),
+            Ok(_) => Err(io::Error::new(io::ErrorKind::ConnectionAborted, "not idle")),
+        }
+    }
+
+    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &result {
+            self.wire.written.set(self.wire.written.get() + *bytes as u64);
+        }
+        result
+    }
+}
+
+impl AsyncRead for Wired {
+    fn poll_read(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let new = buffer.filled_mut().get_mut(before..).unwrap_or_default();
+        Poll::Ready(self.wire.pass(new))
+    }
+}
+
+impl AsyncWrite for Wired {
+    fn poll_write(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.look()?;
+        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.count(result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.look()?;
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.count(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::{FirstLine, Wire};
+
+    /// The first line after these bytes, however they are cut into reads, and what hyper gets to see of them.
+    fn seen(text: &str) -> (FirstLine, String) {
+        let mut found = Vec::new();
+        for size in [1, 2, 5, 13, text.len().max(1)] {
+            let (wire, mut bytes) = (Wire::default(), text.as_bytes().to_vec());
+            wire.begin(false);
+            bytes.chunks_mut(size).for_each(|chunk| wire.pass(chunk).expect("short enough"));
+            found.push((wire.answer.get(), String::from_utf8(bytes).expect("text")));
+        }
+        let first = found.swap_remove(0);
+        assert!(found.iter().all(|other| *other == first), "{text}: {first:?} {found:?}");
+        first
+    }
+
+    #[test]
+    fn the_first_line_that_counts_is_found_wherever_reads_end() {
+        for (text, expected) in [
+            ("HTTP/1.1 200 OK\r\n", FirstLine::Whole(200)),
+            ("\r\nHTTP/1.0 200\n", FirstLine::Whole(200)),
+            ("HTTP/1.1 200 O", FirstLine::Rest(200)),
+            ("HTTP/1.1 2000 OK\r\n", FirstLine::Nothing),
+            ("HTTP/1.1 20 OK\r\n", FirstLine::Nothing),
+            ("HTTP/2.0 200 OK\r\n", FirstLine::Nothing),
+            ("noise HTTP/1.1 200 OK\r\n", FirstLine::Nothing),
+            ("HTTP/1.1 500 HTTP/1.1 200 OK\r\n", FirstLine::Whole(500)),
+            ("HTTP/1.1 103 Hint\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n", FirstLine::Whole(200)),
+            ("HTTP/1.1 100\r\n\r\nHTTP/1.1 102 x\n\nHTTP/1.1 503 No\r\n", FirstLine::Whole(503)),
+            // a 200 inside the head of an answer ahead is none
+            ("HTTP/1.1 103 Hint\r\nHTTP/1.1 200 OK\r\n", FirstLine::Ahead(true)),
+        ] {
+            assert_eq!(seen(text), (expected, text.to_string()), "{text}");
+        }
+        let (line, shown) = seen("HTTP/1.1 101 Other\r\n\r\nHTTP/1.1 200 OK\r\n");
+        assert_eq!(line, FirstLine::Whole(200));
+        assert!(shown.starts_with("HTTP/1.1 100 Other"), "hyper ends its work at a 101: {shown}");
+    }
+
+    #[test]
+    fn answers_ahead_without_end_are_an_error() {
+        let wire = Wire::default();
+        wire.begin(false);
+        let ends = (0..10_000).any(|_| wire.pass(&mut b"HTTP/1.1 102 Processing\r\n\r\n".to_vec()).is_err());
+        assert!(ends);
+    }
+}
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 //! reads no clock: the program that hosts it does both. The same events always give the same actions.
 //!
 //! ```
-//! use milletturn::{Action, Class, Effect, Entry, Event, EndpointId, Listing, MessageId, NewMessage,
+//! use milletturn_policy::{Action, Class, Effect, Entry, Event, EndpointId, Listing, MessageId, NewMessage,
 //!     Sender, Settings};
 //!
 //! let mut settings = Settings::new(8, 100);
@@ -18,17 +18,12 @@
 //! ];
 //! sender.handle(1_000_000, &events, &mut actions);
 //! assert!(matches!(actions[0], Action::Send { message: MessageId(5), endpoint: EndpointId(1), .. }));
-//! # Ok::<(), milletturn::SettingsError>(())
+//! # Ok::<(), milletturn_policy::SettingsError>(())
 //! ```
 
-pub mod decide;
-pub mod interface;
+mod decide;
+mod interface;
 mod state;
-pub mod wire;
 
 pub use decide::Sender;
 pub use interface::*;
-
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-struct ReadmeExample;
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A hand-driven host: scripted events in, actions out, alarms rung when due.
 #![allow(dead_code)]
 
-use milletturn::*;
+use milletturn_policy::*;
 
 pub const T0: Micros = 100 * SECOND;
 
--- a/tests/guards.rs
+++ b/crates/policy/tests/guards.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use milletturn::*;
+use milletturn_policy::*;
 
 fn two_destinations() -> Vec<Entry> {
     vec![entry(1, 7), entry(2, 8)]
--- a/tests/property.rs
+++ b/crates/policy/tests/property.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use milletturn::*;
+use milletturn_policy::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use milletturn::*;
+use milletturn_policy::*;
 
 fn pool(count: u32) -> Vec<Entry> {
     (1..=count).map(|endpoint| entry(endpoint, 7)).collect()
--- a/tests/scale.rs
+++ b/crates/policy/tests/scale.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use milletturn::*;
+use milletturn_policy::*;
 
 /// Senders of one group with the same settings, each with its own seed, and the same 60 messages over all.
 struct Fleet {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,32 +1,45 @@
 //! The real sender: starts up, wires the parts together, reloads on SIGHUP, ends on SIGTERM.
 
-mod net;
+mod logger;
 
-use milletturn::Sender;
-use net::calls::Calls;
-use net::config::{Config, reload};
-use net::driver::{Driver, Input};
-use net::journal::Journal;
-use net::server::{Server, serve};
-use net::{discovery, journal};
+use clap::Parser;
+use logger::Logger;
+use milletturn_engine::{Clock, Engine, Input, Ledger, Ports};
+use milletturn_ledger::{Journal, Recovery};
+use milletturn_log::log;
+use milletturn_platform::agent;
+use milletturn_platform::calls::Calls;
+use milletturn_platform::config::{Config, reload};
+use milletturn_platform::door::{Server, serve};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
+/// Delivers webhooks: takes messages from clients over HTTP, calls their destinations' endpoints with staggered
+/// copies until the first success, and tells the platform what can't be delivered.
+///
+/// With no argument it runs as the platform's sender, configured by RELAY_CONFIG (a JSON file), RELAY_STATE (the
+/// folder that outlasts its processes) and, before what stands in the file, RELAY_NAME, RELAY_LISTEN and
+/// RELAY_DISCOVERY.
+#[derive(Debug, Parser)]
+#[command(name = "milletturn", version)]
+struct Arguments {}
+
 /// From SIGTERM to the end of idle client connections, and to the end of the process. SIGKILL comes no
 /// sooner than 3.7 s after SIGTERM.
 const CLOSE_IDLE: Duration = Duration::from_millis(2500);
 const END: Duration = Duration::from_millis(3300);
 
 fn main() -> ExitCode {
+    let Arguments {} = Arguments::parse();
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -57,7 +70,6 @@
     let idle = Duration::from_micros(u64::try_from(config.settings.connection_idle)?);
     let dial = Duration::from_micros(u64::try_from(config.names.dial_timeout)?);
     let calls = Calls::new(idle, dial, config.names.report_fields.clone(), &config.budget, inputs.clone());
-    let sender = Sender::new(config.settings.clone(), config.seed)?;
     let version =
         config.known.as_ref().filter(|known| !known.targets.is_empty()).map_or(0, |known| known.version);
     let server = Server {
@@ -69,23 +81,35 @@
         bodies: Semaphore::new(config.budget.bodies),
         closing,
     };
-    let driver =
-        Driver::new(sender, &config.settings, config.names, config.known, journal, calls, notices, ready);
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
+    let engine = Engine::new(Ports {
+        settings: config.settings,
+        seed: config.seed,
+        zones: config.names.zones,
+        kinds: config.names.kinds,
+        clock: Clock::new(i64::try_from(unix)?),
+        known: config.known,
+        ledger: Box::new(journal),
+        transport: Box::new(calls),
+        notices,
+        observer: Box::new(Logger::default()),
+        ready,
+    })?;
     let listener = TcpListener::bind(config.listen).await?;
-    net::log(format_args!("{}: listening on {}", config.name, listener.local_addr()?));
+    log(format_args!("{}: listening on {}", config.name, listener.local_addr()?));
     let (agent, agents) = watch::channel(config.discovery);
-    tokio::task::spawn_local(discovery::watch(agents.clone(), version, inputs.clone()));
-    tokio::task::spawn_local(discovery::post_notices(agents, queue, inputs.clone()));
+    tokio::task::spawn_local(agent::watch(agents.clone(), version, inputs.clone()));
+    tokio::task::spawn_local(agent::post_notices(agents, queue, inputs.clone()));
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
-    let mut driver = tokio::task::spawn_local(driver.run(received));
+    let mut engine = tokio::task::spawn_local(engine.run(received));
     loop {
         tokio::select! {
-            ended = &mut driver => return Ok(ended?),
+            ended = &mut engine => return Ok(ended?),
             Some(()) = hangup.recv() => reload_discovery(&config.name, &config.path, &agent),
             _ = terminate.recv() => break,
         }
     }
-    net::log(format_args!("{}: SIGTERM, draining", config.name));
+    log(format_args!("{}: SIGTERM, draining", config.name));
     draining.set(true);
     let ends = Instant::now() + END;
     let _ = inputs.send(Input::Stopping(ends));
@@ -102,7 +126,7 @@
             Some(()) = hangup.recv() => reload_discovery(&config.name, &config.path, &agent),
         }
     }
-    net::log(format_args!("{}: ends", config.name));
+    log(format_args!("{}: ends", config.name));
     Ok(())
 }
 
@@ -112,21 +136,21 @@
     match reload(path) {
         Ok(address) => {
             let before = agent.send_replace(address);
-            net::log(format_args!("{name}: SIGHUP, discovery at {address}, before at {before}"));
+            log(format_args!("{name}: SIGHUP, discovery at {address}, before at {before}"));
         }
-        Err(error) => net::log(format_args!("{name}: SIGHUP, nothing changed: {error}")),
+        Err(error) => log(format_args!("{name}: SIGHUP, nothing changed: {error}")),
     }
 }
 
-fn log_recovery(name: &str, journal: &Journal, recovery: &journal::Recovery) {
-    let journal::Recovery { records, torn, damaged } = recovery;
+fn log_recovery(name: &str, journal: &Journal, recovery: &Recovery) {
+    let Recovery { records, torn, damaged } = recovery;
     if *records + *torn + *damaged > 0 {
         let owed = journal.owed().len();
-        net::log(format_args!(
+        log(format_args!(
             "{name}: journal has {records} records, {owed} messages owed, {torn} bytes torn off"
         ));
     }
     if *damaged > 0 {
-        net::log(format_args!("{name}: journal damaged, {damaged} bytes skipped; all it holds may have run"));
+        log(format_args!("{name}: journal damaged, {damaged} bytes skipped; all it holds may have run"));
     }
 }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -50,7 +50,7 @@
     // nothing at all, half a head, half a body
     for part in [0, 30, text.len() - 2] {
         let began = Instant::now();
-        let mut client = Client::new(&node);
+        let mut client = Client::new(node.address);
         client.write(&text[..part]);
         wait_until("it is closed", || client.is_closed());
         assert!(began.elapsed() < Duration::from_secs(3), "{part} bytes: {:?}", began.elapsed());
@@ -64,7 +64,7 @@
     let endpoint = Endpoint::new(|_, _| OK);
     let node = Node::narrow(&one(&endpoint), 64).ready();
     let text = message("webhook", "half", 7, 20_000, b"12345");
-    let mut silent: Vec<Client> = (0..40).map(|_| Client::new(&node)).collect();
+    let mut silent: Vec<Client> = (0..40).map(|_| Client::new(node.address)).collect();
     // half a request counts as nothing said
     silent.iter_mut().skip(20).for_each(|client| client.write(&text[..text.len() - 2]));
     let began = Instant::now();
@@ -94,7 +94,7 @@
         with("Content-Length: -5\r\n".to_string()),
         with("Content-Length: 99999999999999999999999\r\n".to_string()),
     ] {
-        let mut client = Client::new(&node);
+        let mut client = Client::new(node.address);
         let answer = client.send(text.as_bytes());
         assert_eq!(answer.map(|(status, _)| status), Some(400), "{text}");
         wait_until("it is closed", || client.is_closed());
@@ -114,7 +114,7 @@
     let text = String::from_utf8(message("webhook", "m1", 7, 20_000, b"")).expect("text");
     let mut bytes = text.replace("Content-Length: 0", "Content-Length: 60000000").into_bytes();
     bytes.resize(bytes.len() + 200_000, b'x');
-    let mut client = Client::new(&node);
+    let mut client = Client::new(node.address);
     assert_eq!(client.send(&bytes).map(|(status, _)| status), Some(413));
     wait_until("it is closed", || client.is_closed());
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -390,7 +390,7 @@
     let endpoint = Endpoint::new(|_, _| OK);
     let agent = one(&endpoint);
     let mut node = Node::new(&agent).ready();
-    let mut client = Client::new(&node);
+    let mut client = Client::new(node.address);
     assert_eq!(client.send(&message("webhook", "m1", 7, 20_000, b"x")).expect("answered").0, 202);
     let began = Instant::now();
     node.terminate();
