Keep undelivered messages in a store, show, settle and resend them

A failed message ended as one line to the platform and its body was forgotten.

The engine has a port for an archive: what ends undelivered stays in the ledger until the archive holds it, and an order to send it again is taken back into the ledger by one entry, which alone decides where the message is. crates/undelivered is that archive: an SQLite file with a checksum a row, on a thread of its own with bounded queues; a pure verdict on what may be sent again (window of the key from the first attempt that may have run; never by rule for an unsafe class); rules with pace and the health of destinations; commands over a Unix socket of mode 0600, or on the file when no sender runs. Fresh messages come before resends in the decision module, which is unchanged otherwise. Off unless the sender is given its settings.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -441,7 +441,17 @@
     fields.optional("a cost")?.map(|text| parse_number(text, "a cost")).transpose()?;
     let class = position(&instance.names.classes, fields.text("a class")?);
     let (again, orphan) = (bits & 2 != 0, bits & 16 != 0);
-    Ok(Event::Accepted(NewMessage { id, class, destination, time_left, key, tenant, again, orphan }))
+    Ok(Event::Accepted(NewMessage {
+        id,
+        class,
+        destination,
+        time_left,
+        key,
+        tenant,
+        again,
+        orphan,
+        later: false,
+    }))
 }
 
 struct Seconds(Micros);
--- /dev/null
+++ b/crates/engine/src/endpoints.rs
@@ -0,0 +1,60 @@
+//! Which endpoints are listed, by the names that sources use and the numbers that the module uses.
+
+use crate::source::Listed;
+use milletturn_policy::EndpointId;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Where an endpoint is and what its kind allows.
+pub(crate) struct Route {
+    pub uid: Arc<str>,
+    pub address: SocketAddr,
+    /// Messages that one call may carry.
+    pub bundle_max: usize,
+}
+
+/// Listed endpoints only: those that are gone leave nothing here, and come back under a new number. Its size is
+/// that of the list.
+#[derive(Default)]
+pub(crate) struct Endpoints {
+    routes: BTreeMap<EndpointId, Route>,
+    by_uid: HashMap<Arc<str>, EndpointId>,
+    last: u32,
+}
+
+impl Endpoints {
+    pub fn route(&self, endpoint: EndpointId) -> Option<&Route> {
+        self.routes.get(&endpoint)
+    }
+
+    pub fn by_uid(&self, uid: &str) -> Option<EndpointId> {
+        self.by_uid.get(uid).copied()
+    }
+
+    /// Takes an endpoint in, or its changes.
+    pub fn know(&mut self, listed: &Listed, bundle_max: usize) -> EndpointId {
+        let uid: Arc<str> = listed.uid.as_str().into();
+        let endpoint = *self.by_uid.entry(uid.clone()).or_insert_with(|| {
+            self.last += 1;
+            EndpointId(self.last)
+        });
+        self.routes.insert(endpoint, Route { uid, address: listed.address, bundle_max });
+        endpoint
+    }
+
+    /// Its number, if it was known.
+    pub fn forget(&mut self, uid: &str) -> Option<EndpointId> {
+        let endpoint = self.by_uid.remove(uid)?;
+        self.routes.remove(&endpoint);
+        Some(endpoint)
+    }
+
+    /// Forgets all that a whole list does not name.
+    pub fn forget_all_but(&mut self, listed: &[Listed]) -> Vec<EndpointId> {
+        let names: HashSet<&str> = listed.iter().map(|listed| listed.uid.as_str()).collect();
+        let gone: Vec<Arc<str>> =
+            self.by_uid.keys().filter(|uid| !names.contains(uid.as_ref())).cloned().collect();
+        gone.iter().filter_map(|uid| self.forget(uid)).collect()
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,18 +1,21 @@
 //! The turns, and the books of messages, calls and endpoints that they need.
 
+use crate::archive::{Archive, Reason, Resend};
 use crate::clock::Clock;
+use crate::closing::Closing;
 use crate::door::{Answer, Arrival, Notice};
-use crate::ledger::{Ending, Ledger, LedgerError, Taken};
+use crate::endpoints::Endpoints;
+use crate::ledger::{End, Ending, Ledger, LedgerError, Taken};
+use crate::message::{Attempt, Message};
 use crate::observer::{Fact, Observer};
-use crate::source::{ListUpdate, Listed};
+use crate::source::ListUpdate;
 use crate::transport::{Call, Ended, Item, Transport};
 use crate::word::Word;
 use milletturn_policy::{
-    Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
+    Action, Effect, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
     PastAttempt, Sender, Settings, SettingsError, Status,
 };
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
@@ -39,6 +42,10 @@
     Listed(ListUpdate),
     /// Notices that have been taken, by number of message.
     Noticed(Vec<u64>),
+    /// Messages that the archive holds now, by number.
+    Kept(Vec<u64>),
+    /// An archived message is to be sent again.
+    Resend(Resend),
 }
 
 /// What the engine is put together from.
@@ -57,6 +64,10 @@
     pub known: Option<ListUpdate>,
     /// What outlasts the process.
     pub ledger: Box<dyn Ledger>,
+    /// What keeps the undelivered; none: their bodies are forgotten with their notices.
+    pub archive: Option<Box<dyn Archive>>,
+    /// Greater than any number that the archive holds.
+    pub first_number: u64,
     /// What carries calls.
     pub transport: Box<dyn Transport>,
     /// Gets the ends of what is not delivered.
@@ -67,27 +78,6 @@
     pub ready: watch::Sender<bool>,
 }
 
-struct Attempt {
-    endpoint: EndpointId,
-    sent: Micros,
-    call: u64,
-    item: usize,
-    out: bool,
-}
-
-struct Message {
-    item: Item,
-    class: usize,
-    destination: u64,
-    /// When it was handed in.
-    born: Micros,
-    open: bool,
-    /// Clients that were told, or are to be told, that it is taken on.
-    clients: usize,
-    /// Attempts of an earlier life count too, as calls that are over.
-    attempts: Vec<Attempt>,
-}
-
 struct CallOut {
     cancels: mpsc::UnboundedSender<usize>,
     /// The message and attempt of each position.
@@ -103,36 +93,34 @@
     size: usize,
 }
 
-/// Where an endpoint is and what its kind allows.
-struct Route {
-    uid: String,
-    address: SocketAddr,
-    bundle_max: usize,
-}
-
 /// Owner of the module and the messages.
 pub struct Engine {
     sender: Sender,
-    clock: Clock,
+    pub(crate) clock: Clock,
     zones: Vec<String>,
     kinds: Vec<String>,
     bundle_max: Vec<usize>,
-    max_held: usize,
-    class_names: Vec<String>,
-    ledger: Box<dyn Ledger>,
+    pub(crate) max_held: usize,
+    pub(crate) max_attempts: usize,
+    pub(crate) class_deadlines: Vec<Micros>,
+    /// Windows of the keyed classes; zero where a repeat is never allowed, none where it always is.
+    pub(crate) windows: Vec<Option<Micros>>,
+    pub(crate) class_names: Vec<String>,
+    pub(crate) ledger: Box<dyn Ledger>,
     transport: Box<dyn Transport>,
+    pub(crate) archive: Option<Box<dyn Archive>>,
     observer: Box<dyn Observer>,
     notices: mpsc::UnboundedSender<Notice>,
     ready: watch::Sender<bool>,
-    /// Listed endpoints only: those that are gone leave nothing here, and come back under a new number.
-    routes: BTreeMap<EndpointId, Route>,
-    next_endpoint: u32,
-    by_uid: HashMap<String, EndpointId>,
-    messages: BTreeMap<MessageId, Message>,
+    pub(crate) endpoints: Endpoints,
+    pub(crate) messages: BTreeMap<MessageId, Message>,
     by_id: HashMap<Word, MessageId>,
+    /// Messages that have ended and are still owed something, where there is an archive: all are in the ledger,
+    /// whose room bounds them.
+    pub(crate) closing: BTreeMap<u64, Closing>,
     /// Messages without a final answer.
-    open: usize,
-    next_message: u64,
+    pub(crate) open: usize,
+    pub(crate) next_message: u64,
     out: BTreeMap<u64, CallOut>,
     next_call: u64,
     delivered: VecDeque<Word>,
@@ -140,7 +128,7 @@
     arrived: BTreeMap<MessageId, (Arrival, Micros)>,
     /// Clients that handed in once more what came in this turn: a promise to them must wait for the journal.
     doubled: Vec<(MessageId, Word, oneshot::Sender<Answer>)>,
-    events: Vec<Event>,
+    pub(crate) events: Vec<Event>,
     alarm: Option<Micros>,
 }
 
@@ -151,11 +139,29 @@
     /// When the settings make no sense.
     pub fn new(ports: Ports) -> Result<Self, SettingsError> {
         let Ports {
-            settings, zones, kinds, clock, known, ledger, transport, notices, observer, ready, ..
+            settings,
+            zones,
+            kinds,
+            clock,
+            known,
+            ledger,
+            archive,
+            transport,
+            notices,
+            observer,
+            ready,
+            ..
         } = ports;
         let bundle_max = settings.kinds.iter().map(|kind| kind.bundle_max).collect();
         let class_names = settings.classes.iter().map(|class| class.name.clone()).collect();
-        let max_held = settings.max_held;
+        let class_deadlines = settings.classes.iter().map(|class| class.deadline).collect();
+        let windows = settings.classes.iter().map(|class| match class.effect {
+            Effect::Repeatable => None,
+            Effect::Keyed { window, .. } => Some(window),
+            Effect::Unsafe => Some(0),
+        });
+        let windows = windows.collect();
+        let (max_held, max_attempts) = (settings.max_held, settings.max_attempts);
         let mut engine = Engine {
             sender: Sender::new(settings, ports.seed)?,
             clock,
@@ -163,19 +169,22 @@
             kinds,
             bundle_max,
             max_held,
+            max_attempts,
+            class_deadlines,
+            windows,
             class_names,
             ledger,
+            archive,
+            closing: BTreeMap::new(),
             transport,
             observer,
             notices,
             ready,
-            routes: BTreeMap::new(),
-            next_endpoint: 0,
-            by_uid: HashMap::new(),
+            endpoints: Endpoints::default(),
             messages: BTreeMap::new(),
             by_id: HashMap::new(),
             open: 0,
-            next_message: 0,
+            next_message: ports.first_number,
             out: BTreeMap::new(),
             next_call: 0,
             delivered: VecDeque::new(),
@@ -205,6 +214,7 @@
                 () = sleep_until(alarm.unwrap_or_else(Instant::now)), if alarm.is_some() => {}
                 _ = sweep.tick() => {
                     self.transport.sweep();
+                    self.offer_again();
                     let written = self.ledger.retry();
                     self.check(written);
                     continue;
@@ -233,38 +243,38 @@
             self.next_message = self.next_message.max(number + 1);
             let key = owed.taken.key.as_deref().map(|key| Word::new(key.as_bytes())).transpose();
             let (Ok(id), Ok(key)) = (Word::new(owed.taken.id.as_bytes()), key) else { continue };
-            if let Some(ending) = owed.ending {
-                self.notify(number, id, ending);
-                continue;
-            }
-            let message = MessageId(number);
+            let class = position(&self.class_names, &owed.taken.class);
+            let (destination, born) = (owed.taken.destination, owed.taken.taken_at);
             let past: Vec<PastAttempt> = owed
                 .attempts
                 .iter()
                 .map(|sent| PastAttempt {
-                    endpoint: self.by_uid.get(&sent.uid).copied().unwrap_or(EndpointId(u32::MAX)),
-                    sent: sent.sent_at,
+                    endpoint: self.endpoints.by_uid(&sent.uid).unwrap_or(EndpointId(u32::MAX)),
+                    // a clock that has been set back tells nothing of a key's window
+                    sent: if sent.sent_at > now { 0 } else { sent.sent_at },
                     may_have_run: !sent.never_ran,
                 })
                 .collect();
-            let attempts = past
-                .iter()
-                .map(|past| Attempt {
-                    endpoint: past.endpoint,
-                    sent: past.sent,
-                    call: u64::MAX,
-                    item: 0,
-                    out: false,
-                })
-                .collect();
-            let class = position(&self.class_names, &owed.taken.class);
-            let (destination, born) = (owed.taken.destination, owed.taken.taken_at);
-            let new = NewMessage::new(message, class, owed.taken.destination, owed.taken.deadline - now);
-            self.events.push(Event::Resumed { message: new, attempts: past });
+            let with_names = past.iter().zip(&owed.attempts);
+            let attempts = with_names
+                .map(|(past, sent)| Attempt::past(past.endpoint, &sent.uid, past.sent, past.may_have_run));
             let item = Item { id: id.clone(), key, body: owed.taken.body.into() };
-            let held = Message { item, class, destination, born, open: true, clients: 1, attempts };
+            let mut held = Message::new(item, class, destination, born, owed.taken.deadline);
+            held.attempts.extend(attempts);
+            (held.resend, held.past) = (owed.resend, owed.past);
+            if let Some(end) = owed.end {
+                (held.open, held.end) = (false, Some(end));
+                self.owe_end(number, owed.taken.class, held, end);
+                continue;
+            }
+            let message = MessageId(number);
+            let new = NewMessage::new(message, class, destination, owed.taken.deadline - now);
+            let new = NewMessage { later: owed.resend, ..new };
+            self.events.push(Event::Resumed { message: new, attempts: past });
             self.messages.insert(message, held);
-            self.by_id.insert(id, message);
+            if !owed.resend {
+                self.by_id.insert(id, message);
+            }
             self.open += 1;
         }
     }
@@ -284,12 +294,9 @@
             Input::Stopping(at) => self.events.push(Event::Stopping { ends: self.clock.at(at) }),
             Input::Ended(ended) => self.ended(ended),
             Input::Listed(update) => self.list(update, false),
-            Input::Noticed(numbers) => {
-                for number in numbers {
-                    let written = self.ledger.over(number);
-                    self.check(written);
-                }
-            }
+            Input::Noticed(numbers) => numbers.into_iter().for_each(|number| self.noticed(number)),
+            Input::Kept(numbers) => numbers.into_iter().for_each(|number| self.kept(number)),
+            Input::Resend(order) => self.resend(order),
         }
     }
 
@@ -317,8 +324,7 @@
             self.events.push(Event::Accepted(new));
             let item = Item { id: arrival.id.clone(), key: arrival.key.clone(), body: arrival.body.clone() };
             let (class, destination) = (arrival.class, arrival.destination);
-            let attempts = Vec::new();
-            let held = Message { item, class, destination, born: began, open: true, clients: 1, attempts };
+            let held = Message::new(item, class, destination, began, began + arrival.time);
             self.messages.insert(message, held);
             self.by_id.insert(arrival.id.clone(), message);
             self.open += 1;
@@ -336,8 +342,8 @@
         let now = self.clock.now();
         let Some(held) = self.messages.get_mut(&message) else { return };
         let Some(tried) = held.attempts.get_mut(attempt).filter(|tried| tried.out) else { return };
-        tried.out = false;
         let (endpoint, latency) = (tried.endpoint, now - tried.sent);
+        tried.end(ended.outcome, latency);
         let (destination, outcome) = (held.destination, ended.outcome);
         self.observer.observe(&Fact::AttemptEnded { destination, outcome, latency });
         if ended.outcome.never_ran() && held.open {
@@ -380,7 +386,19 @@
 
     /// Nothing more is owed for the message.
     fn end(&mut self, message: MessageId) {
-        if self.close(message) {
+        let Some(held) = self.messages.get_mut(&message).filter(|held| held.open) else { return };
+        if held.resend {
+            let delivered = held.attempts.iter().any(|tried| tried.outcome == Some(Outcome::Success));
+            let (ending, reason) = match delivered {
+                true => (Ending::Delivered, Reason::Delivered),
+                false => (Ending::Failed, Reason::TurnedAway),
+            };
+            let end = End { ending, reason, at: self.clock.now() };
+            held.end = Some(end);
+            let written = self.ledger.end(message.0, end);
+            self.check(written);
+            self.close(message);
+        } else if self.close(message) {
             let written = self.ledger.over(message.0);
             self.check(written);
         }
@@ -399,27 +417,35 @@
     }
 
     fn forget_if_done(&mut self, message: MessageId) {
-        let done = |held: &Message| !held.open && held.attempts.iter().all(|attempt| !attempt.out);
-        if self.messages.get(&message).is_some_and(done) {
-            self.messages.remove(&message);
+        if self.messages.get(&message).is_some_and(Message::is_done)
+            && let Some(held) = self.messages.remove(&message)
+            && held.end.is_some()
+        {
+            let class = self.class_names.get(held.class).cloned().unwrap_or_default();
+            self.archive_ended(message.0, class, held);
         }
     }
 
     fn list(&mut self, update: ListUpdate, old: bool) {
         if update.full {
-            let listed: HashSet<&str> = update.targets.iter().map(|listed| listed.uid.as_str()).collect();
-            let gone: Vec<String> =
-                self.by_uid.keys().filter(|uid| !listed.contains(uid.as_str())).cloned().collect();
-            gone.iter().for_each(|uid| _ = self.forget_endpoint(uid));
+            let gone = self.endpoints.forget_all_but(&update.targets);
+            gone.into_iter().for_each(|endpoint| self.transport.forget(endpoint));
         }
         let mut entries = Vec::with_capacity(update.targets.len());
         for listed in update.targets {
             let kind = position(&self.kinds, &listed.kind);
             let known = match listed.status {
-                Status::Gone => self.forget_endpoint(&listed.uid),
-                _ => Some(self.know_endpoint(&listed, kind)),
+                Status::Gone => self.endpoints.forget(&listed.uid),
+                _ => {
+                    let bundle_max = self.bundle_max.get(kind).copied().unwrap_or(1);
+                    Some(self.endpoints.know(&listed, bundle_max))
+                }
             };
             let Some(endpoint) = known else { continue };
+            match listed.status {
+                Status::Serving => self.transport.admit(endpoint, listed.address),
+                Status::Draining | Status::Gone => self.transport.forget(endpoint),
+            }
             entries.push(Entry {
                 endpoint,
                 destination: listed.destination,
@@ -440,30 +466,6 @@
         self.events.push(Event::Listed { listing, entries });
     }
 
-    fn know_endpoint(&mut self, listed: &Listed, kind: usize) -> EndpointId {
-        let endpoint = *self.by_uid.entry(listed.uid.clone()).or_insert_with(|| {
-            self.next_endpoint += 1;
-            EndpointId(self.next_endpoint)
-        });
-        let (uid, address) = (listed.uid.clone(), listed.address);
-        let bundle_max = self.bundle_max.get(kind).copied().unwrap_or(1);
-        self.routes.insert(endpoint, Route { uid, address, bundle_max });
-        if listed.status == Status::Serving {
-            self.transport.admit(endpoint, address);
-        } else {
-            self.transport.forget(endpoint);
-        }
-        endpoint
-    }
-
-    /// Its number, if it was known.
-    fn forget_endpoint(&mut self, uid: &str) -> Option<EndpointId> {
-        let endpoint = self.by_uid.remove(uid)?;
-        self.routes.remove(&endpoint);
-        self.transport.forget(endpoint);
-        Some(endpoint)
-    }
-
     fn turn(&mut self) {
         let now = self.clock.now();
         if self.alarm.take_if(|at| *at <= now).is_some() {
@@ -553,13 +555,14 @@
     ) {
         let Some(held) = self.messages.get_mut(&message) else { return };
         let attempt = held.attempts.len();
-        held.attempts.push(Attempt { endpoint, sent: now, call: u64::MAX, item: 0, out: true });
+        let route = self.endpoints.route(endpoint);
+        let (uid, most) = route.map(|route| (route.uid.clone(), route.bundle_max)).unwrap_or_default();
+        held.attempts.push(Attempt::start(endpoint, uid.clone(), now));
         let size = self.transport.weigh(&held.item);
         let open = held.open;
-        let Some((uid, most)) = self.routes.get(&endpoint).map(|route| (route.uid.clone(), route.bundle_max))
-        else {
+        if most == 0 {
             return self.unsent(message, attempt, endpoint);
-        };
+        }
         // one that is not open was dropped in this very turn
         let written = open.then(|| self.ledger.sent(message.0, &uid, now));
         if !written.is_some_and(|written| self.check(written)) {
@@ -584,7 +587,7 @@
     fn unsent(&mut self, message: MessageId, attempt: usize, endpoint: EndpointId) {
         let Some(held) = self.messages.get_mut(&message) else { return };
         if let Some(tried) = held.attempts.get_mut(attempt) {
-            tried.out = false;
+            tried.end(Outcome::Unsent { no_slot: false }, 0);
         }
         let closed = !held.open;
         let outcome = Outcome::Unsent { no_slot: false };
@@ -596,7 +599,7 @@
     fn start(&mut self, bundle: Bundle) {
         let number = self.next_call;
         self.next_call += 1;
-        let address = self.routes.get(&bundle.endpoint).map(|route| route.address);
+        let address = self.endpoints.route(bundle.endpoint).map(|route| route.address);
         let Some(address) = address else {
             bundle
                 .sends
@@ -635,29 +638,34 @@
 
     /// The module has ended the message undelivered: the platform is told.
     fn give_up(&mut self, message: MessageId, ending: Ending) {
-        let Some(held) = self.messages.get(&message).filter(|held| held.open) else { return };
-        let id = held.item.id.clone();
-        let (class, destination, born) = (held.class, held.destination, held.born);
-        let written = self.ledger.ending(message.0, ending);
+        let (now, max_attempts) = (self.clock.now(), self.max_attempts);
+        let Some(held) = self.messages.get_mut(&message).filter(|held| held.open) else { return };
+        let reason = held.why(ending, now, max_attempts);
+        let end = End { ending, reason, at: now };
+        held.end = Some(end);
+        let (id, resend) = (held.item.id.clone(), held.resend);
+        let (class, destination, age) = (held.class, held.destination, now - held.born);
+        let written = self.ledger.end(message.0, end);
         self.check(written);
-        self.close(message);
-        let age = self.clock.now() - born;
         self.observer.observe(&Fact::GivenUp { class, destination, ending, age });
-        self.notify(message.0, id, ending);
+        if !resend {
+            self.notify(message.0, id, ending);
+        }
+        self.close(message);
     }
 
-    fn notify(&self, number: u64, id: Word, ending: Ending) {
+    pub(crate) fn notify(&self, number: u64, id: Word, ending: Ending) {
         // the poster lives as long as the process
         let _ = self.notices.send(Notice { number, id, ending });
     }
 
     /// True if the entry was written.
-    fn check(&mut self, written: Result<(), LedgerError>) -> bool {
+    pub(crate) fn check(&mut self, written: Result<(), LedgerError>) -> bool {
         written.inspect_err(|error| self.observer.observe(&Fact::LedgerFault(error))).is_ok()
     }
 }
 
 /// Position of a name; `usize::MAX` for one that is not there.
-fn position(names: &[String], name: &str) -> usize {
+pub(crate) fn position(names: &[String], name: &str) -> usize {
     names.iter().position(|known| known == name).unwrap_or(usize::MAX)
 }
--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -1,5 +1,6 @@
 //! The ledger: what outlasts the process.
 
+use crate::Reason;
 use milletturn_policy::Micros;
 use std::collections::BTreeMap;
 use std::error::Error;
@@ -16,7 +17,7 @@
     Write(#[source] Box<dyn Error + Send + Sync>),
 }
 
-/// How a message that was not delivered ends.
+/// How a message ends, where that outlasts its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
     /// Given up; nothing is promised of a repeat.
@@ -26,6 +27,19 @@
         /// Advice to the client, milliseconds.
         after_ms: Option<u64>,
     },
+    /// Delivered; only a resend's end outlasts it so, until the archive has it.
+    Delivered,
+}
+
+/// The end of a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct End {
+    /// How it ended.
+    pub ending: Ending,
+    /// Why.
+    pub reason: Reason,
+    /// When, Unix time in microseconds.
+    pub at: Micros,
 }
 
 /// A message as it was handed in.
@@ -65,8 +79,12 @@
     pub taken: Taken,
     /// Its sends, in order.
     pub attempts: Vec<Sent>,
-    /// It has ended, but its notice has not been answered.
-    pub ending: Option<Ending>,
+    /// It has ended, but its notice has not been taken, or the archive does not hold it yet.
+    pub end: Option<End>,
+    /// It came back from the archive to be sent again.
+    pub resend: bool,
+    /// So many of the first attempts are from before that.
+    pub past: usize,
 }
 
 /// Writes down what the sender owes. An entry counts as written when it outlasts a SIGKILL at any later instant.
@@ -79,6 +97,11 @@
     /// # Errors
     /// When the entry is not written; nothing has changed then. The same holds for all the others.
     fn take(&mut self, number: u64, taken: Taken) -> Result<(), LedgerError>;
+    /// Takes a message back from the archive by one entry, with the attempt that the rules must count from.
+    ///
+    /// # Errors
+    /// As [`Ledger::take`].
+    fn take_back(&mut self, number: u64, taken: Taken, risk: Option<Sent>) -> Result<(), LedgerError>;
     /// Writes a send down; its call may begin once this has succeeded.
     ///
     /// # Errors
@@ -89,11 +112,11 @@
     /// # Errors
     /// As [`Ledger::take`].
     fn never_ran(&mut self, number: u64, attempt: usize) -> Result<(), LedgerError>;
-    /// Writes down that a notice is owed.
+    /// Writes down how a message ended; its notice, or its place in the archive, is still owed.
     ///
     /// # Errors
     /// As [`Ledger::take`].
-    fn ending(&mut self, number: u64, ending: Ending) -> Result<(), LedgerError>;
+    fn end(&mut self, number: u64, end: End) -> Result<(), LedgerError>;
     /// Writes down that nothing more is owed.
     ///
     /// # Errors
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,24 +9,30 @@
 //! | transport | makes calls to endpoints ([`Transport`], [`Call`], [`Ended`]) | [`transport`] |
 //! | source | tells which endpoints there are ([`ListUpdate`]) | [`source`] |
 //! | ledger | what outlasts the process ([`Ledger`]) | [`ledger`] |
+//! | archive | keeps what ended undelivered, and orders it sent again ([`Archive`], [`Resend`]) | [`archive`] |
 //! | observer | hears what happened ([`Observer`], [`Fact`]) | [`observer`] |
 //!
 //! All that comes in is an [`Input`] on one channel. Under tokio's paused clock, with stand-ins for the ports,
 //! the whole runs in virtual time and the same way each time.
 
+pub mod archive;
 mod clock;
+mod closing;
 pub mod door;
+mod endpoints;
 mod engine;
 pub mod ledger;
+mod message;
 pub mod observer;
 pub mod source;
 pub mod transport;
 mod word;
 
+pub use archive::{Archive, Reason, Resend, ResendAnswer, Risk, Tried};
 pub use clock::Clock;
 pub use door::{Answer, Arrival, BODY_MOST, Notice};
 pub use engine::{Engine, Input, Ports};
-pub use ledger::{Ending, Ledger, LedgerError, Owed, Sent, Taken};
+pub use ledger::{End, Ending, Ledger, LedgerError, Owed, Sent, Taken};
 pub use observer::{Fact, Observer};
 pub use source::{ListUpdate, Listed};
 pub use transport::{Call, Ended, Item, Transport};
--- /dev/null
+++ b/crates/engine/src/message.rs
@@ -0,0 +1,110 @@
+//! The engine's record of a message.
+
+use crate::archive::Reason;
+use crate::ledger::{End, Ending};
+use crate::transport::Item;
+use milletturn_policy::{EndpointId, MILLISECOND, Micros, Outcome};
+use std::sync::Arc;
+
+/// One attempt of a message.
+pub(crate) struct Attempt {
+    pub endpoint: EndpointId,
+    /// The endpoint's name.
+    pub uid: Arc<str>,
+    pub sent: Micros,
+    pub call: u64,
+    pub item: usize,
+    pub out: bool,
+    /// None while it is out, and for one of an earlier life.
+    pub outcome: Option<Outcome>,
+    pub latency: Option<Micros>,
+    /// Nothing proves that it never ran.
+    pub may_have_run: bool,
+}
+
+impl Attempt {
+    /// An attempt that starts now.
+    pub fn start(endpoint: EndpointId, uid: Arc<str>, sent: Micros) -> Self {
+        let (outcome, latency) = (None, None);
+        Attempt {
+            endpoint,
+            uid,
+            sent,
+            call: u64::MAX,
+            item: 0,
+            out: true,
+            outcome,
+            latency,
+            may_have_run: true,
+        }
+    }
+
+    /// An attempt that was over before this life, or before the message was sent again.
+    pub fn past(endpoint: EndpointId, uid: &str, sent: Micros, may_have_run: bool) -> Self {
+        Attempt { out: false, may_have_run, ..Attempt::start(endpoint, uid.into(), sent) }
+    }
+
+    pub fn end(&mut self, outcome: Outcome, latency: Micros) {
+        (self.out, self.may_have_run) = (false, !outcome.never_ran());
+        (self.outcome, self.latency) = (Some(outcome), Some(latency));
+    }
+}
+
+/// The module ends a message so long before its time is up at the earliest.
+const CLOSE: Micros = 50 * MILLISECOND;
+
+/// A message until its end and the end of its attempts.
+pub(crate) struct Message {
+    pub item: Item,
+    pub class: usize,
+    pub destination: u64,
+    /// When it was handed in, or taken to be sent again.
+    pub born: Micros,
+    pub deadline: Micros,
+    pub open: bool,
+    /// Clients that were told, or are to be told, that it is taken on.
+    pub clients: usize,
+    /// Attempts of an earlier life count too, as calls that are over.
+    pub attempts: Vec<Attempt>,
+    /// It comes from the archive; so many of the first attempts are from before.
+    pub resend: bool,
+    pub past: usize,
+    /// How it ended, where the ledger holds that.
+    pub end: Option<End>,
+}
+
+impl Message {
+    pub fn new(item: Item, class: usize, destination: u64, born: Micros, deadline: Micros) -> Self {
+        Message {
+            item,
+            class,
+            destination,
+            born,
+            deadline,
+            open: true,
+            clients: 1,
+            attempts: Vec::new(),
+            resend: false,
+            past: 0,
+            end: None,
+        }
+    }
+
+    /// Ended, and so have its attempts.
+    pub fn is_done(&self) -> bool {
+        !self.open && self.attempts.iter().all(|attempt| !attempt.out)
+    }
+
+    /// Why it ended, from what the engine sees.
+    pub fn why(&self, ending: Ending, now: Micros, max_attempts: usize) -> Reason {
+        if now + CLOSE >= self.deadline {
+            return Reason::TimeUp;
+        }
+        match ending {
+            Ending::Delivered => Reason::Delivered,
+            Ending::Returned { .. } => Reason::TurnedAway,
+            Ending::Failed if self.attempts.len() >= max_attempts => Reason::AttemptsUsed,
+            Ending::Failed => Reason::NoRepeat,
+        }
+    }
+}
--- a/crates/ledger/src/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -5,7 +5,7 @@
 //! beyond what lets old and new stand side by side under the limit, what is still owed is written to a new
 //! file that then takes the old one's name.
 
-use milletturn_engine::{Ending, Ledger, LedgerError, Owed, Sent, Taken};
+use milletturn_engine::{End, Ending, Ledger, LedgerError, Owed, Reason, Sent, Taken};
 use milletturn_policy::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -54,8 +54,36 @@
 enum EndingForm {
     Failed,
     Returned { after_ms: Option<u64> },
+    Delivered,
 }
 
+/// Why a message ended, as the file has it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(remote = "Reason")]
+enum ReasonForm {
+    Unknown,
+    TimeUp,
+    NoRepeat,
+    AttemptsUsed,
+    TurnedAway,
+    Delivered,
+}
+
+/// The end of a message, as the file has it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(remote = "End")]
+struct EndForm {
+    #[serde(with = "EndingForm")]
+    ending: Ending,
+    #[serde(with = "ReasonForm")]
+    reason: Reason,
+    at: i64,
+}
+
+/// An attempt that came back with its message.
+#[derive(Debug, Serialize, Deserialize)]
+struct Past(#[serde(with = "SentForm")] Sent);
+
 /// What the journal still holds of a message.
 #[derive(Debug)]
 struct Kept {
@@ -71,11 +99,16 @@
     Outcome { message: u64, attempt: u32, never_ran: bool },
     Ending(u64, #[serde(with = "EndingForm")] Ending),
     Over(u64),
+    // from here on: since the archive; what stands above is read as before
+    TakenBack(u64, #[serde(with = "TakenForm")] Taken, Option<Past>),
+    End(u64, #[serde(with = "EndForm")] End),
 }
 
 /// What was found at the start.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Recovery {
+    /// There was no file.
+    pub fresh: bool,
     /// Sound records.
     pub records: usize,
     /// Bytes dropped at the end: a record that a kill cut short.
@@ -115,7 +148,9 @@
             Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(unwritten(error)),
             _ => {}
         }
-        let bytes = match fs::read(&path) {
+        let found = fs::read(&path);
+        let fresh = found.is_err();
+        let bytes = match found {
             Err(error) if error.kind() == io::ErrorKind::NotFound => Vec::new(),
             other => other.map_err(unwritten)?,
         };
@@ -131,12 +166,12 @@
             unwritten: Vec::new(),
             broken: false,
         };
-        let recovery = journal.read(&bytes);
+        let recovery = Recovery { fresh, ..journal.read(&bytes) };
         if recovery.damaged > 0 {
             // a lost record may have told of a send
             for Kept { owed, .. } in journal.owed.values_mut() {
                 let presumed = Sent { uid: String::new(), sent_at: owed.taken.taken_at, never_ran: false };
-                owed.attempts.insert(0, presumed);
+                owed.attempts.insert(owed.past, presumed);
             }
         }
         if recovery.torn > 0 {
@@ -182,11 +217,13 @@
     fn apply(&mut self, entry: Entry, length: u64) {
         match entry {
             Entry::Taken(number, taken) => {
-                let owed = Owed { taken, attempts: Vec::new(), ending: None };
-                self.live += length;
-                if let Some(old) = self.owed.insert(number, Kept { owed, size: length }) {
-                    self.live -= old.size;
-                }
+                let owed = Owed { taken, attempts: Vec::new(), end: None, resend: false, past: 0 };
+                self.insert(number, owed, length);
+            }
+            Entry::TakenBack(number, taken, past) => {
+                let attempts: Vec<Sent> = past.into_iter().map(|Past(sent)| sent).collect();
+                let past = attempts.len();
+                self.insert(number, Owed { taken, attempts, end: None, resend: true, past }, length);
             }
             Entry::Over(number) => {
                 if let Some(old) = self.owed.remove(&number) {
@@ -199,7 +236,17 @@
                     sent.never_ran = never_ran;
                 }
             }),
-            Entry::Ending(number, ending) => self.grow(number, length, |owed| owed.ending = Some(ending)),
+            Entry::Ending(number, ending) => self.grow(number, length, |owed| {
+                owed.end = Some(End { ending, reason: Reason::Unknown, at: owed.taken.deadline });
+            }),
+            Entry::End(number, end) => self.grow(number, length, |owed| owed.end = Some(end)),
+        }
+    }
+
+    fn insert(&mut self, number: u64, owed: Owed, size: u64) {
+        self.live += size;
+        if let Some(old) = self.owed.insert(number, Kept { owed, size }) {
+            self.live -= old.size;
         }
     }
 
@@ -273,6 +320,10 @@
         self.append(Entry::Taken(number, taken), self.reserve)
     }
 
+    fn take_back(&mut self, number: u64, taken: Taken, risk: Option<Sent>) -> Result<(), LedgerError> {
+        self.append(Entry::TakenBack(number, taken, risk.map(Past)), self.reserve)
+    }
+
     fn sent(&mut self, number: u64, uid: &str, sent_at: Micros) -> Result<(), LedgerError> {
         self.append(Entry::Sent(number, Sent { uid: uid.to_string(), sent_at, never_ran: false }), 0)
     }
@@ -281,8 +332,8 @@
         self.append(Entry::Outcome { message: number, attempt: attempt as u32, never_ran: true }, 0)
     }
 
-    fn ending(&mut self, number: u64, ending: Ending) -> Result<(), LedgerError> {
-        self.append(Entry::Ending(number, ending), 0)
+    fn end(&mut self, number: u64, end: End) -> Result<(), LedgerError> {
+        self.append(Entry::End(number, end), 0)
     }
 
     fn over(&mut self, number: u64) -> Result<(), LedgerError> {
@@ -303,12 +354,16 @@
 }
 
 fn encode_owed(number: u64, owed: &Owed) -> Result<Vec<u8>, LedgerError> {
-    let mut bytes = encode(&Entry::Taken(number, owed.taken.clone()))?;
-    for sent in &owed.attempts {
+    let (taken, past) = (owed.taken.clone(), owed.attempts.first().filter(|_| owed.past > 0).cloned());
+    let mut bytes = encode(&match owed.resend {
+        true => Entry::TakenBack(number, taken, past.map(Past)),
+        false => Entry::Taken(number, taken),
+    })?;
+    for sent in owed.attempts.iter().skip(owed.past) {
         bytes.extend(encode(&Entry::Sent(number, sent.clone()))?);
     }
-    if let Some(ending) = owed.ending {
-        bytes.extend(encode(&Entry::Ending(number, ending))?);
+    if let Some(end) = owed.end {
+        bytes.extend(encode(&Entry::End(number, end))?);
     }
     Ok(bytes)
 }
--- a/crates/platform/src/agent.rs
+++ b/crates/platform/src/agent.rs
@@ -213,6 +213,8 @@
 fn line_of(notice: &Notice) -> String {
     let mut object = serde_json::json!({ "id": notice.id.as_str() });
     match notice.ending {
+        // nothing is owed for what was delivered
+        Ending::Delivered => return String::new(),
         Ending::Failed => object["state"] = "failed".into(),
         Ending::Returned { after_ms } => {
             object["state"] = "returned".into();
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -67,6 +67,10 @@
     pub seed: u64,
     /// Bytes that the lasting folder may hold.
     pub disk: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Bytes of memory that it may use.
+    pub memory: u64,
     /// How descriptors and memory are shared out.
     pub budget: Budget,
     /// The file that all this comes from; a reload reads it again.
@@ -127,6 +131,11 @@
 }
 
 impl Config {
+    /// The budget of descriptors and memory where so many descriptors more are used by other parts.
+    pub fn budget_beside(&self, descriptors: usize) -> Budget {
+        Budget::new(self.sockets.saturating_sub(descriptors), self.memory, self.settings.call_slots)
+    }
+
     /// Reads the file that `RELAY_CONFIG` names; the other variables come before what stands in it.
     ///
     /// # Errors
@@ -162,6 +171,8 @@
             state,
             seed,
             disk,
+            sockets: file.limits.sockets,
+            memory,
             budget: Budget::new(file.limits.sockets, memory, settings.call_slots),
             path,
             known: parse_list(&file.known),
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -277,6 +277,7 @@
         }
         let mut held = Held { key, born, deadline, worth, open: true, ..Held::default() };
         (held.class, held.destination, held.retry_rest) = (new.class, new.destination, RETRY_FIRST);
+        held.later = new.later;
         self.messages.insert(new.id, held);
     }
 
@@ -606,12 +607,12 @@
             if self.now + MARGIN >= message.deadline || message.unknown || (!out && self.is_spent(message)) {
                 ends.push(id);
             } else if excess > 0 && !out && self.may_refuse(message) && self.is_stuck(message) {
-                stuck.push((message.worth, message.born, id));
+                stuck.push((!message.later, message.worth, message.born, id));
             }
         }
-        stuck.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        stuck.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         excess = excess.min(stuck.len());
-        ends.extend(stuck[..excess].iter().map(|&(_, _, id)| id));
+        ends.extend(stuck[..excess].iter().map(|&(_, _, _, id)| id));
         for id in ends {
             let Some(message) = self.messages.get(&id) else { continue };
             actions.push(if self.may_refuse(message) {
@@ -645,7 +646,7 @@
     }
 
     fn send_due(&mut self, actions: &mut Vec<Action>) {
-        let mut due: Vec<(f64, MessageId)> = Vec::new();
+        let mut due: Vec<(bool, f64, MessageId)> = Vec::new();
         for (&id, message) in &self.messages {
             let out = message.is_out();
             let line = message.key.and_then(|key| self.keys.get(&key));
@@ -654,12 +655,12 @@
             if message.open && turn && at > self.now {
                 self.due = self.due.min(at);
             } else if message.open && turn {
-                due.push((self.urgency(message), id));
+                due.push((message.later, self.urgency(message), id));
             }
         }
-        due.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        due.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
         let mut opened: BTreeMap<EndpointId, u64> = BTreeMap::new();
-        for (_, id) in due {
+        for (_, _, id) in due {
             let Some(copy) = self.messages.get(&id).map(Held::is_out) else { continue };
             let full = copy && self.copies_out >= share_of(self.settings.call_slots, COPY_SHARE);
             // a copy skipped at the ceiling comes up again next turn: its offset is not doubled
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -10,7 +10,7 @@
 /// One millisecond.
 pub const MILLISECOND: Micros = 1_000;
 
-/// A message, numbered by the host; never used again after its end.
+/// A message, numbered by the host; used again after its end only if the same message is sent again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MessageId(pub u64);
 
@@ -376,12 +376,24 @@
     pub again: bool,
     /// It comes from a sender that died.
     pub orphan: bool,
+    /// It is sent again long after its first end: all others come first.
+    pub later: bool,
 }
 
 impl NewMessage {
     /// A message without key or tenant, handed in for the first time.
     pub fn new(id: MessageId, class: usize, destination: DestinationId, time_left: Micros) -> Self {
-        NewMessage { id, class, destination, time_left, key: None, tenant: None, again: false, orphan: false }
+        NewMessage {
+            id,
+            class,
+            destination,
+            time_left,
+            key: None,
+            tenant: None,
+            again: false,
+            orphan: false,
+            later: false,
+        }
     }
 }
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -62,6 +62,8 @@
     pub worth: f64,
     /// No final answer yet.
     pub open: bool,
+    /// All others come first.
+    pub later: bool,
     /// For a destination that was not known when it came.
     pub unknown: bool,
     pub attempts: Vec<Attempt>,
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -19,6 +19,7 @@
     disk_mb: f64,
     idle_s: f64,
     sockets: usize,
+    store: Option<String>,
     pub process: Child,
     pub address: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
@@ -35,7 +36,28 @@
         let name = format!("node-{}-{number}", std::process::id());
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(folder.join("state")).expect("a folder");
-        Node::start(folder, discovery, disk_mb, idle_s, 1024)
+        Node::start(folder, discovery, disk_mb, idle_s, 1024, None)
+    }
+
+    /// One that keeps the undelivered as these settings say.
+    pub fn with_store(agent: &Agent, settings: &str) -> Self {
+        let node = Node::new(agent);
+        let folder = node.folder.clone();
+        drop(node);
+        Node::start(folder, agent.address, 30.0, 5.0, 1024, Some(settings.to_string()))
+    }
+
+    /// Runs a command about what is undelivered; its exit code and the lines that it printed.
+    pub fn undelivered(&self, words: &[&str]) -> (i32, Vec<serde_json::Value>) {
+        let output = Command::new(env!("CARGO_BIN_EXE_milletturn"))
+            .args(["undelivered", "--format", "json", "--folder"])
+            .arg(self.folder.join("state"))
+            .args(words)
+            .output()
+            .expect("the command runs");
+        let text = String::from_utf8(output.stdout).expect("text");
+        let lines = text.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
+        (output.status.code().expect("it ended by itself"), lines)
     }
 
     /// One that may hold so few descriptors.
@@ -43,10 +65,13 @@
         let node = Node::new(agent);
         let (folder, discovery) = (node.folder.clone(), node.discovery);
         drop(node);
-        Node::start(folder, discovery, 3.0, 5.0, sockets)
+        Node::start(folder, discovery, 3.0, 5.0, sockets, None)
     }
 
-    fn start(folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize) -> Self {
+    fn start(
+        folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize,
+        store: Option<String>,
+    ) -> Self {
         let config = format!(
             r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets},"disk_mb":{disk_mb}}},
@@ -62,7 +87,13 @@
               "safety":{{"stopSendingWithin":1.0,"cold":11.0,"startCapacity":0.18,"fallMultiple":2.0,"fall":3.0}}}}}}"#
         );
         std::fs::write(folder.join("config.json"), config).expect("written");
-        let mut process = command(&folder).spawn().expect("the sender starts");
+        let mut command = command(&folder);
+        if let Some(settings) = &store {
+            let file = folder.join("undelivered.toml");
+            std::fs::write(&file, settings).expect("written");
+            command.env("MILLETTURN_UNDELIVERED", file);
+        }
+        let mut process = command.spawn().expect("the sender starts");
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         let (here, errors) = (log.clone(), process.stderr.take().expect("piped"));
         let reading = Arc::new(AtomicBool::new(true));
@@ -82,7 +113,7 @@
             address.is_some()
         });
         let address = address.expect("found");
-        Node { folder, discovery, disk_mb, idle_s, sockets, process, address, log, reading }
+        Node { folder, discovery, disk_mb, idle_s, sockets, store, process, address, log, reading }
     }
 
     /// Waits until it is ready.
@@ -133,7 +164,14 @@
     /// Kills it if it runs, and starts it again with the same folder.
     pub fn restart(mut self) -> Self {
         self.kill();
-        Node::start(self.folder.clone(), self.discovery, self.disk_mb, self.idle_s, self.sockets)
+        Node::start(
+            self.folder.clone(),
+            self.discovery,
+            self.disk_mb,
+            self.idle_s,
+            self.sockets,
+            self.store.clone(),
+        )
     }
 
     pub fn journal(&self) -> PathBuf {
--- /dev/null
+++ b/tests/undelivered.rs
@@ -0,0 +1,125 @@
+//! What could not be delivered, over a real sender and its commands.
+
+mod node;
+
+use node::*;
+use serde_json::Value;
+use std::os::unix::fs::PermissionsExt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+fn one(endpoint: &Endpoint) -> Agent {
+    Agent::new(vec![list(&[("s-1", endpoint.address, "one", 7, "up")])])
+}
+
+/// An endpoint that answers 500 until it is mended.
+fn broken() -> (Endpoint, Arc<AtomicBool>) {
+    let mended = Arc::new(AtomicBool::new(false));
+    let seen = mended.clone();
+    let answer = move |_: &Request, _| match seen.load(Ordering::SeqCst) {
+        true => OK,
+        false => Reply::Answer("500 Oops", String::new()),
+    };
+    (Endpoint::new(answer), mended)
+}
+
+/// The only message in the store, once there is one.
+fn only(node: &Node) -> Value {
+    let mut found = None;
+    wait_until("a message is kept", || {
+        found = node.undelivered(&["list"]).1.into_iter().next();
+        found.is_some()
+    });
+    found.expect("found")
+}
+
+fn state(node: &Node, number: &str) -> String {
+    let (_, lines) = node.undelivered(&["show", number]);
+    lines[0]["state"].as_str().expect("a state").to_string()
+}
+
+#[test]
+fn a_failed_message_is_kept_explained_stated_and_sent_again_once() {
+    let (endpoint, mended) = broken();
+    let agent = one(&endpoint);
+    let node = Node::with_store(&agent, "[store]\nmax_mb = 2").ready();
+    assert_eq!(node.undelivered(&["list"]).0, 3, "nothing is there yet");
+    assert_eq!(node.hand_in("order", "m1", 7, 20_000, b"licence 5"), 202);
+    let kept = only(&node);
+    let number = kept["number"].to_string();
+    assert_eq!((kept["id"].as_str(), kept["reason"].as_str()), (Some("m1"), Some("no-repeat")));
+    wait_until("the platform is told", || agent.notices().len() == 1);
+    let (_, records) = node.undelivered(&["show", "--bodies", &number]);
+    let attempt = &records[0]["rounds"][0]["attempts"][0];
+    assert_eq!((attempt["endpoint"].as_str(), attempt["outcome"].as_str()), (Some("s-1"), Some("error")));
+    assert_eq!(attempt["may_have_run"], true);
+    assert_eq!(records[0]["body_base64"], "bGljZW5jZSA1");
+    // it may have run, and its class must never run twice
+    let (code, lines) = node.undelivered(&["resend", &number]);
+    assert_eq!(code, 4);
+    assert!(lines[0]["done"]["declined"].as_str().is_some_and(|why| why.contains("never run twice")));
+    assert_eq!(node.undelivered(&["settle", "--as", "did-not-run", &number]).0, 2, "without a reason");
+    assert_eq!(node.undelivered(&["settle", "--as", "did-not-run", "--why", "asked them", &number]).0, 0);
+    assert_eq!(node.undelivered(&["resend", "--dry-run", &number]).0, 0);
+    assert_eq!(endpoint.times("m1"), 1, "a dry run sends nothing");
+    mended.store(true, Ordering::SeqCst);
+    assert_eq!(node.undelivered(&["resend", &number]).0, 0);
+    wait_until("it is settled", || state(&node, &number) == "delivered");
+    assert_eq!(endpoint.times("m1"), 2);
+    assert_eq!(node.undelivered(&["resend", &number]).0, 4, "it was delivered");
+    assert_eq!(agent.notices().len(), 1, "one final answer, and no second one for the resend");
+    // one line of history, also in the next life and with no sender at all
+    let node = node.restart().ready();
+    let mut node = node;
+    node.kill();
+    let (_, records) = node.undelivered(&["show", &number]);
+    assert_eq!(records[0]["rounds"].as_array().map(Vec::len), Some(2));
+    assert_eq!(node.undelivered(&["resend", &number]).0, 5, "no sender runs");
+    assert_eq!(node.undelivered(&["stats"]).1[0]["by_state"], serde_json::json!([0, 0, 0, 1, 0]));
+}
+
+#[test]
+fn only_the_owner_may_command() {
+    let (endpoint, _) = broken();
+    let node = Node::with_store(&one(&endpoint), "[store]\nmax_mb = 2").ready();
+    let mode = std::fs::metadata(node.folder.join("state/undelivered.sock")).expect("a socket").permissions();
+    assert_eq!(mode.mode() & 0o777, 0o600);
+}
+
+#[test]
+fn a_rule_sends_again_once_the_destination_is_well() {
+    let (endpoint, mended) = broken();
+    let rule = "[store]\nmax_mb = 2\n[[rule]]\nname = 'orders'\nwell_for_s = 0.2\nper_second = 50.0";
+    let node = Node::with_store(&one(&endpoint), rule).ready();
+    assert_eq!(node.hand_in("order", "fails", 7, 20_000, b"x"), 202);
+    let kept = only(&node);
+    let number = kept["number"].to_string();
+    std::thread::sleep(std::time::Duration::from_millis(600)); // several beats of the rules
+    assert_eq!(endpoint.times("fails"), 1, "no rule sends what may have run");
+    mended.store(true, Ordering::SeqCst);
+    assert_eq!(node.undelivered(&["settle", "--as", "did-not-run", "--why", "asked", &number]).0, 0);
+    wait_until("the rule sends it", || state(&node, &number) == "delivered");
+    assert_eq!(endpoint.times("fails"), 2);
+    let (_, records) = node.undelivered(&["show", &number]);
+    assert!(records[0]["notes"].to_string().contains("by rule"));
+}
+
+#[test]
+fn a_damaged_store_is_set_aside_and_the_sender_starts() {
+    let (endpoint, _) = broken();
+    let node = Node::with_store(&one(&endpoint), "[store]\nmax_mb = 2").ready();
+    assert_eq!(node.hand_in("order", "m1", 7, 20_000, b"a body to damage"), 202);
+    only(&node);
+    let mut node = node;
+    node.kill();
+    let file = node.folder.join("state/undelivered.db");
+    let mut bytes = std::fs::read(&file).expect("the store");
+    let at = bytes.windows(16).position(|part| part == b"a body to damage").expect("the body");
+    bytes[at] ^= 1;
+    std::fs::write(&file, bytes).expect("written");
+    let node = node.restart().ready();
+    wait_until("it is set aside", || node.folder.join("state/undelivered.damaged-1").exists());
+    assert!(node.logged("checksum") && node.logged("nothing is sent from it"));
+    assert_eq!(node.hand_in("order", "m2", 7, 20_000, b"x"), 202);
+    assert_eq!(only(&node)["id"], "m2");
+}
