Cut the sender off at every step of a resend, in virtual time and from a seed

Checked between any two processes and at the end: each promised message is found, and in one place; none takes effect twice; each has its answer.

The first form of the plan could not fail: its deadline was shorter than the window, so nothing was ever given up for good; that is mended.

That showed a gap: what the module gives up while a repeat is harmless goes back to the client, so rules had next to nothing to send. clients_retry = false now says that clients never hand in again what was returned, and rules may send it.

--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -2,7 +2,7 @@
 
 use crate::source::Listed;
 use milletturn_policy::EndpointId;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -19,7 +19,7 @@
 #[derive(Default)]
 pub(crate) struct Endpoints {
     routes: BTreeMap<EndpointId, Route>,
-    by_uid: HashMap<Arc<str>, EndpointId>,
+    by_uid: BTreeMap<Arc<str>, EndpointId>,
     last: u32,
 }
 
--- /dev/null
+++ b/crates/stand-ins/src/effects.rs
@@ -0,0 +1,43 @@
+//! A client system that records what takes effect, and drops repeats of a key inside its window.
+
+use std::collections::BTreeMap;
+
+/// Records effects. Times are microseconds on any clock that does not go back.
+pub struct Effects {
+    /// For so long a repeat of a message is dropped, counted from the run that took effect; zero: never.
+    window_of: Box<dyn Fn(&str) -> i64>,
+    last: BTreeMap<String, i64>,
+    counts: BTreeMap<String, u32>,
+}
+
+impl Effects {
+    /// A client system with such windows, by the message's name.
+    pub fn new(window_of: impl Fn(&str) -> i64 + 'static) -> Self {
+        Effects { window_of: Box::new(window_of), last: BTreeMap::new(), counts: BTreeMap::new() }
+    }
+
+    /// A message runs; true if it takes effect, false if it is dropped as a repeat.
+    pub fn run(&mut self, name: &str, now: i64) -> bool {
+        if self.last.get(name).is_some_and(|&at| now - at < (self.window_of)(name)) {
+            return false;
+        }
+        self.last.insert(name.to_string(), now);
+        *self.counts.entry(name.to_string()).or_default() += 1;
+        true
+    }
+
+    /// How often a message took effect.
+    pub fn count(&self, name: &str) -> u32 {
+        self.counts.get(name).copied().unwrap_or(0)
+    }
+
+    /// Those that took effect more than once.
+    pub fn doubled(&self) -> Vec<&str> {
+        self.counts.iter().filter(|(_, count)| **count > 1).map(|(name, _)| name.as_str()).collect()
+    }
+
+    /// How many messages took effect.
+    pub fn distinct(&self) -> usize {
+        self.counts.len()
+    }
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,6 +1,16 @@
 //! For tests only: a scripted agent, scripted endpoints and plain clients on loopback sockets, each on a thread
 //! of its own and with a port that the system gives.
 
+mod effects;
+mod link;
+mod power;
+mod virtual_transport;
+
+pub use effects::Effects;
+pub use link::{Line, link};
+pub use power::Power;
+pub use virtual_transport::{Fate, Fates, Outside, VirtualTransport};
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/undelivered/src/clerk.rs
+++ b/crates/undelivered/src/clerk.rs
@@ -91,6 +91,7 @@
     on_agenda: usize,
     /// The destination that was served last: the next tick begins behind it.
     served: u64,
+    clients_retry: bool,
     full: bool,
 }
 
@@ -98,7 +99,16 @@
     /// A clerk of an open store.
     pub fn new(vault: Vault, config: &Config, effects: BTreeMap<String, Effect>) -> Self {
         let book = Book::new(config.rules.clone());
-        Clerk { vault, effects, book, agenda: BTreeMap::new(), on_agenda: 0, served: 0, full: false }
+        Clerk {
+            vault,
+            effects,
+            book,
+            agenda: BTreeMap::new(),
+            on_agenda: 0,
+            served: 0,
+            clients_retry: config.clients_retry,
+            full: false,
+        }
     }
 
     /// The bounds that a configuration gives.
@@ -191,6 +201,7 @@
             ending,
             first_risk: summary.first_risk,
             stated: summary.stated,
+            clients_retry: self.clients_retry,
             has_body: summary.body_bytes.is_some(),
         }
     }
--- a/crates/undelivered/src/config.rs
+++ b/crates/undelivered/src/config.rs
@@ -58,6 +58,8 @@
     pub age_most: Micros,
     /// Messages that were returned to their clients are kept too.
     pub keep_returned: bool,
+    /// Clients may hand in again what was returned to them; then only a statement lets it be sent again from here.
+    pub clients_retry: bool,
     /// Rules in the order in which they are asked.
     pub rules: Vec<Rule>,
 }
@@ -70,6 +72,7 @@
             count_most: 100_000,
             age_most: 30 * 86_400 * SECOND,
             keep_returned: false,
+            clients_retry: true,
             rules: Vec::new(),
         }
     }
@@ -92,6 +95,7 @@
     max_messages: Option<u64>,
     max_age_days: Option<f64>,
     keep_returned: Option<bool>,
+    clients_retry: Option<bool>,
 }
 
 #[derive(Deserialize)]
@@ -181,6 +185,7 @@
             config.count_most = count;
         }
         config.keep_returned = file.store.keep_returned.unwrap_or(false);
+        config.clients_retry = file.store.clients_retry.unwrap_or(true);
         for rule in file.rule {
             let of = |field: &str| format!("rule {:?}: {field}", rule.name);
             let reason = |word: &String| {
--- a/crates/undelivered/src/verdict.rs
+++ b/crates/undelivered/src/verdict.rs
@@ -25,6 +25,8 @@
     pub first_risk: Option<Micros>,
     /// An operator has stated that what may have run did not, or that its client does not hand it in again.
     pub stated: bool,
+    /// Clients may hand in again what was returned to them.
+    pub clients_retry: bool,
     /// Its body is still there.
     pub has_body: bool,
 }
@@ -116,7 +118,7 @@
     if effect == Effect::Repeatable {
         return Verdict::Free(Why::Repeatable);
     }
-    if matches!(case.ending, Ending::Returned { .. }) && !case.stated {
+    if matches!(case.ending, Ending::Returned { .. }) && case.clients_retry && !case.stated {
         return Verdict::Never(WhyNot::Returned);
     }
     let Some(first) = case.first_risk else {
@@ -146,6 +148,7 @@
         ending: Ending::Failed,
         first_risk: None,
         stated: false,
+        clients_retry: true,
         has_body: true,
     };
 
@@ -167,6 +170,12 @@
             (Case { keyed: false, ..ran(KEYED, 5) }, 6, Verdict::Never(WhyNot::NoKey)),
             (Case { ending: returned, ..BASE }, 0, Verdict::Never(WhyNot::Returned)),
             (Case { ending: returned, stated: true, ..BASE }, 0, Verdict::Free(Why::Stated)),
+            (Case { ending: returned, clients_retry: false, ..BASE }, 0, Verdict::Free(Why::NeverRan)),
+            (
+                Case { ending: returned, clients_retry: false, ..ran(KEYED, 100 * SECOND) },
+                until,
+                Verdict::Never(WhyNot::WindowOver),
+            ),
             (Case { ending: Ending::Delivered, ..BASE }, 0, Verdict::Never(WhyNot::Delivered)),
             (Case { effect: None, ..BASE }, 0, Verdict::Never(WhyNot::UnknownClass)),
             (Case { has_body: false, ..BASE }, 0, Verdict::Never(WhyNot::NoBody)),
--- /dev/null
+++ b/crates/undelivered/tests/world/mod.rs
@@ -0,0 +1,626 @@
+//! The engine, the journal's real file and the store's real file, whole, in virtual time and from a seed; around
+//! them client systems that record effects, operators, and a switch that cuts the process off between any two
+//! steps that can be seen from outside.
+#![allow(dead_code)]
+
+use milletturn_engine::archive::Ended as Archived;
+use milletturn_engine::*;
+use milletturn_ledger::Journal;
+use milletturn_policy::{
+    Class, DestinationId, Effect, EndpointId, Kind, MILLISECOND, Micros, Outcome, SECOND, Settings, Status,
+};
+use milletturn_stand_ins::{Effects, Fate, Outside, Power, VirtualTransport};
+use milletturn_undelivered::clerk::{Clerk, Order, Settle};
+use milletturn_undelivered::config::Config;
+use milletturn_undelivered::record::{Filter, State};
+use milletturn_undelivered::rules::Rule;
+use milletturn_undelivered::vault::Vault;
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
+
+/// The world's clock at its beginning, Unix microseconds.
+const BEGINNING: Micros = 1_700_000_000 * SECOND;
+pub const WINDOW: Micros = 12 * SECOND;
+/// Beyond the window: what may have run is given up when that ends.
+const DEADLINE: Micros = 20 * SECOND;
+/// The simulation's beat.
+const BEAT: Duration = Duration::from_millis(10);
+/// No simulated process lives longer: what is not over by then hangs.
+const LIFE_MOST: Micros = 3_000 * SECOND;
+
+/// What is played.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub seed: u64,
+    pub messages: usize,
+    pub destinations: u64,
+    /// Time between arrivals.
+    pub pace: Micros,
+    /// From this time on all calls succeed.
+    pub mended_at: Micros,
+    /// Orders by hand on every so manieth beat, none if zero.
+    pub orders_each: u64,
+    /// Messages that the store may hold.
+    pub store_most: u64,
+    /// Clients may hand in again what was returned to them; in this world they never do.
+    pub clients_retry: bool,
+}
+
+impl Plan {
+    pub fn small(seed: u64) -> Self {
+        Plan {
+            seed,
+            messages: 5,
+            destinations: 2,
+            pace: 300 * MILLISECOND,
+            mended_at: 18 * SECOND,
+            orders_each: 40,
+            store_most: 1000,
+            clients_retry: seed % 2 == 1,
+        }
+    }
+}
+
+/// All that outlasts a simulated process.
+pub struct World {
+    pub plan: Plan,
+    folder: PathBuf,
+    outside: Outside,
+    /// Messages that clients still hand in, with the times: those not answered before a kill come again.
+    arrivals: RefCell<VecDeque<(Micros, String, DestinationId)>>,
+    /// Ids that were answered with 202.
+    pub promised: RefCell<BTreeSet<String>>,
+    /// Ids that got another answer, which ends them.
+    pub turned_away: RefCell<BTreeSet<String>>,
+    /// Notices that the platform has taken, by id.
+    pub notices: RefCell<BTreeMap<String, u32>>,
+    /// What a test wants to be told of: every step that can be seen.
+    pub trace: RefCell<Vec<String>>,
+    random: RefCell<Pcg32>,
+}
+
+/// A message's class stands in its name: k keyed, u unsafe, r repeatable.
+fn class_of(name: &str) -> usize {
+    match name.as_bytes().first() {
+        Some(b'k') => 0,
+        Some(b'u') => 1,
+        _ => 2,
+    }
+}
+
+fn settings() -> Settings {
+    let mut settings = Settings::new(40, 400);
+    settings.max_attempts = 6;
+    let keyed = Effect::Keyed { window: WINDOW, zone_only: false };
+    settings.classes.push(Class::new("keyed", keyed, 4 * SECOND, DEADLINE));
+    settings.classes.push(Class::new("unsafe", Effect::Unsafe, 4 * SECOND, DEADLINE));
+    settings.classes.push(Class::new("repeatable", Effect::Repeatable, 4 * SECOND, DEADLINE));
+    settings.kinds.push(Kind { name: "one".into(), separate_routes: false, bundle_max: 1 });
+    settings
+}
+
+fn store(plan: &Plan) -> Config {
+    let rule = Rule {
+        name: "all".into(),
+        classes: Vec::new(),
+        destinations: Vec::new(),
+        reasons: Vec::new(),
+        well_for: SECOND,
+        most_resends: 5,
+        not_older_than: 10_000 * SECOND,
+        per_second: 50.0,
+    };
+    Config {
+        count_most: plan.store_most,
+        rules: vec![rule],
+        bytes_most: 32 << 20,
+        clients_retry: plan.clients_retry,
+        ..Config::default()
+    }
+}
+
+/// The journal behind the switch; it also knows what it holds.
+struct Watched {
+    journal: Journal,
+    power: Power,
+    held: Rc<RefCell<BTreeSet<u64>>>,
+}
+
+impl Watched {
+    fn step(
+        &mut self, write: impl FnOnce(&mut Journal) -> Result<(), LedgerError>,
+    ) -> Result<(), LedgerError> {
+        if self.power.step() { write(&mut self.journal) } else { Ok(()) }
+    }
+}
+
+impl Ledger for Watched {
+    fn owed(&self) -> BTreeMap<u64, Owed> {
+        self.journal.owed()
+    }
+
+    fn take(&mut self, number: u64, taken: Taken) -> Result<(), LedgerError> {
+        self.held.borrow_mut().insert(number);
+        self.step(|journal| journal.take(number, taken))
+    }
+
+    fn take_back(&mut self, number: u64, taken: Taken, risk: Option<Sent>) -> Result<(), LedgerError> {
+        self.held.borrow_mut().insert(number);
+        self.step(|journal| journal.take_back(number, taken, risk))
+    }
+
+    fn sent(&mut self, number: u64, uid: &str, sent_at: Micros) -> Result<(), LedgerError> {
+        self.step(|journal| journal.sent(number, uid, sent_at))
+    }
+
+    fn never_ran(&mut self, number: u64, attempt: usize) -> Result<(), LedgerError> {
+        self.step(|journal| journal.never_ran(number, attempt))
+    }
+
+    fn end(&mut self, number: u64, end: End) -> Result<(), LedgerError> {
+        self.step(|journal| journal.end(number, end))
+    }
+
+    fn over(&mut self, number: u64) -> Result<(), LedgerError> {
+        self.held.borrow_mut().remove(&number);
+        self.step(|journal| journal.over(number))
+    }
+
+    fn retry(&mut self) -> Result<(), LedgerError> {
+        if self.power.is_off() { Ok(()) } else { self.journal.retry() }
+    }
+}
+
+/// What waits for the clerk.
+#[derive(Clone, Default)]
+struct Shelf(Rc<RefCell<VecDeque<Archived>>>);
+
+impl Archive for Shelf {
+    fn wants(&self, ending: Ending) -> bool {
+        ending != Ending::Delivered
+    }
+
+    fn keep(&mut self, ended: Box<Archived>) -> Result<(), Box<Archived>> {
+        // so short that it is often full
+        if self.0.borrow().len() >= 3 {
+            return Err(ended);
+        }
+        self.0.borrow_mut().push_back(*ended);
+        Ok(())
+    }
+}
+
+/// Tells the clerk how destinations fare.
+struct Listener(Rc<RefCell<Vec<(u64, bool)>>>);
+
+impl Observer for Listener {
+    fn observe(&mut self, fact: &Fact<'_>) {
+        if let Fact::AttemptEnded { destination, outcome, .. } = fact
+            && *outcome != Outcome::Cancelled
+        {
+            self.0.borrow_mut().push((*destination, *outcome == Outcome::Success));
+        }
+    }
+}
+
+/// How a simulated process ended.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Finish {
+    Killed,
+    /// Nothing is owed any more, and nobody has anything left to do.
+    Done,
+}
+
+impl World {
+    /// Runs a whole plan: processes one after the other, each for so many steps, the last without a bound.
+    /// Checks the invariants between them. Gives the steps that the last one took.
+    pub fn play(plan: Plan, lives: &[u64]) -> u64 {
+        let folder = tempfile::tempdir().expect("a folder");
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let world = World::new(plan, folder.path().to_path_buf());
+            for &steps in lives {
+                if world.live(&Power::new(steps)).await == Finish::Done {
+                    world.check_end();
+                    return steps;
+                }
+                world.check_between();
+                sleep(Duration::from_millis(200)).await;
+            }
+            let power = Power::new(u64::MAX);
+            assert_eq!(world.live(&power).await, Finish::Done);
+            world.check_end();
+            power.taken()
+        })
+    }
+
+    /// As [`World::play`] with no kill, and the trace of what could be seen.
+    pub fn trace(plan: Plan) -> Vec<String> {
+        let folder = tempfile::tempdir().expect("a folder");
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let world = World::new(plan, folder.path().to_path_buf());
+            assert_eq!(world.live(&Power::new(u64::MAX)).await, Finish::Done);
+            let calls = world.outside.calls.borrow();
+            let sends = calls.iter().map(|(at, name)| format!("{at} {name}"));
+            sends.chain(world.trace.borrow().iter().cloned()).collect()
+        })
+    }
+
+    fn new(plan: Plan, folder: PathBuf) -> Self {
+        let begun = Instant::now();
+        let random = Rc::new(RefCell::new(Pcg32::seed_from_u64(plan.seed ^ 0x5eed)));
+        let mended_at = plan.mended_at;
+        let script = move |_: &Item, _: EndpointId| {
+            let mut random = random.borrow_mut();
+            let travel = Duration::from_millis(u64::from(random.next_u32() % 25));
+            let tells = |millis, outcome| Some((Duration::from_millis(millis) + travel, outcome));
+            let ran = Some(travel);
+            let mended = i64::try_from(begun.elapsed().as_micros()).expect("short") >= mended_at;
+            let roll = random.next_u32() % 100;
+            let (runs_after, tells) = match if mended { 0 } else { roll } {
+                0..20 => (ran, tells(50, Outcome::Success)),
+                20..32 => (ran, tells(40, Outcome::Error)),
+                32..52 => (None, tells(40, Outcome::Error)),
+                52..62 => (None, tells(15, Outcome::Refused { wait: None })),
+                62..67 => (None, tells(15, Outcome::Refused { wait: Some(400 * MILLISECOND) })),
+                67..77 => (None, tells(1, Outcome::NoConnection)),
+                77..84 => (ran, tells(100, Outcome::Reset)),
+                84..90 => (None, tells(100, Outcome::Reset)),
+                90..95 => (ran, None),
+                _ => (None, None),
+            };
+            Fate { runs_after, tells }
+        };
+        let window = |name: &str| if class_of(name) == 0 { WINDOW } else { 0 };
+        let outside = Outside {
+            begun,
+            effects: Rc::new(RefCell::new(Effects::new(window))),
+            script: Rc::new(RefCell::new(script)),
+            calls: Rc::default(),
+        };
+        let arrivals = (0..plan.messages).map(|index| {
+            let class = ["k", "u", "k", "r", "k"][index % 5];
+            let at = index as Micros * plan.pace;
+            (at, format!("{class}{index}"), index as u64 % plan.destinations)
+        });
+        World {
+            folder,
+            outside,
+            arrivals: RefCell::new(arrivals.collect()),
+            promised: RefCell::default(),
+            turned_away: RefCell::default(),
+            notices: RefCell::default(),
+            trace: RefCell::default(),
+            random: RefCell::new(Pcg32::seed_from_u64(plan.seed)),
+            plan,
+        }
+    }
+
+    fn unix(&self) -> Micros {
+        BEGINNING + self.outside.now()
+    }
+
+    fn open_clerk(&self) -> Clerk {
+        let config = store(&self.plan);
+        let vault = Vault::open(&self.folder.join(&config.file), Clerk::bounds(&config)).expect("the store");
+        let classes = settings().classes;
+        let effects = classes.into_iter().map(|class| (class.name, class.effect)).collect();
+        Clerk::new(vault, &config, effects)
+    }
+
+    /// One simulated process.
+    async fn live(&self, power: &Power) -> Finish {
+        let (journal, recovery) = Journal::open(&self.folder, 64 << 20, 4000).expect("the journal");
+        let owed = journal.owed();
+        let out = owed.iter().filter(|(_, owed)| owed.resend).map(|(&number, _)| number).collect();
+        let held = Rc::new(RefCell::new(owed.keys().copied().collect::<BTreeSet<u64>>()));
+        let config = store(&self.plan);
+        let vault = Vault::open(&self.folder.join(&config.file), Clerk::bounds(&config)).expect("the store");
+        let first_number = vault.last_number().expect("read") + 1;
+        let mut clerk = self.open_clerk();
+        drop(vault);
+        clerk.begin(&out, recovery.damaged == 0 && !recovery.fresh, self.unix()).expect("sound");
+        let (inputs, received) = mpsc::unbounded_channel();
+        let (notices, mut told) = mpsc::unbounded_channel::<Notice>();
+        let (ready, _seen) = watch::channel(false);
+        let (shelf, heard) = (Shelf::default(), Rc::new(RefCell::new(Vec::new())));
+        let targets = (0..self.plan.destinations * 2).map(|number| Listed {
+            uid: format!("s-{number}"),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            zone: String::new(),
+            kind: "one".into(),
+            destination: number / 2,
+            status: Status::Serving,
+            weight: 1.0,
+        });
+        let engine = Engine::new(Ports {
+            settings: settings(),
+            seed: self.plan.seed,
+            zones: Vec::new(),
+            kinds: vec!["one".into()],
+            clock: Clock::new(self.unix()),
+            known: Some(ListUpdate { version: 1, full: true, targets: targets.collect() }),
+            ledger: Box::new(Watched { journal, power: power.clone(), held: held.clone() }),
+            archive: Some(Box::new(shelf.clone())),
+            first_number,
+            transport: Box::new(VirtualTransport::new(self.outside.clone(), power.clone(), inputs.clone())),
+            notices,
+            observer: Box::new(Listener(heard.clone())),
+            ready,
+        })
+        .expect("settings");
+        let engine = tokio::task::spawn_local(engine.run(received));
+        let open_replies: Rc<Cell<usize>> = Rc::default();
+        let answers: Rc<RefCell<Vec<(String, DestinationId, Option<Answer>)>>> = Rc::default();
+        let begun = self.outside.now();
+        let mut beat = 0u64;
+        let end = loop {
+            sleep(BEAT).await;
+            beat += 1;
+            assert!(self.outside.now() - begun < LIFE_MOST, "it never ends: {:?}", held.borrow());
+            // answers that clients have read, and connections that broke
+            for (name, destination, answer) in answers.borrow_mut().drain(..) {
+                match answer {
+                    Some(Answer::Taken | Answer::Delivered) => _ = self.promised.borrow_mut().insert(name),
+                    Some(_) => _ = self.turned_away.borrow_mut().insert(name),
+                    None if self.is_known(&name) => _ = self.promised.borrow_mut().insert(name),
+                    None => self.arrivals.borrow_mut().push_front((0, name, destination)),
+                }
+            }
+            if power.is_off() {
+                break Finish::Killed;
+            }
+            self.arrive(&inputs, power, &open_replies, &answers);
+            let mut settled = Vec::new();
+            while let Ok(notice) = told.try_recv() {
+                if power.step() {
+                    *self.notices.borrow_mut().entry(notice.id.to_string()).or_default() += 1;
+                    settled.push(notice.number);
+                }
+            }
+            if !settled.is_empty() && power.step() {
+                let _ = inputs.send(Input::Noticed(settled));
+            }
+            for (destination, good) in heard.borrow_mut().drain(..) {
+                clerk.heard(destination, good, self.unix());
+            }
+            if beat.is_multiple_of(3) {
+                self.keep(&shelf, &mut clerk, &inputs, power);
+            }
+            if beat.is_multiple_of(25) && power.step() {
+                for order in clerk.tick(self.unix()).expect("the store") {
+                    self.hand_over(order, &mut clerk, &inputs, power).await;
+                }
+            }
+            if self.plan.orders_each > 0 && beat.is_multiple_of(self.plan.orders_each) {
+                self.order_some(&mut clerk, &inputs, power).await;
+            }
+            let quiet = self.arrivals.borrow().is_empty()
+                && open_replies.get() == 0
+                && answers.borrow().is_empty()
+                && held.borrow().is_empty()
+                && shelf.0.borrow().is_empty();
+            let mended = self.outside.now() > self.plan.mended_at + 8 * SECOND;
+            if quiet && mended && self.operators_are_done(&mut clerk, power) && !power.is_off() {
+                break Finish::Done;
+            }
+        };
+        engine.abort();
+        let _ = engine.await;
+        // what clients had not been answered comes again
+        sleep(BEAT).await;
+        for (name, destination, answer) in answers.borrow_mut().drain(..) {
+            assert_ne!(answer, Some(Answer::Taken), "answered behind its end");
+            // one that was taken is not handed in again: the sender owes its end, though nobody was told
+            if self.is_known(&name) {
+                self.promised.borrow_mut().insert(name);
+            } else {
+                self.arrivals.borrow_mut().push_front((0, name, destination));
+            }
+        }
+        end
+    }
+
+    /// The process that has just ended had taken it on.
+    fn is_known(&self, name: &str) -> bool {
+        let (journal, _) = Journal::open(&self.folder, 64 << 20, 4000).expect("the journal");
+        let (found, _) = self.open_clerk().list(&Filter::default(), 0, usize::MAX).expect("the store");
+        self.outside.effects.borrow().count(name) > 0
+            || journal.owed().values().any(|owed| owed.taken.id == name)
+            || found.iter().any(|summary| summary.id == name)
+    }
+
+    fn arrive(
+        &self, inputs: &mpsc::UnboundedSender<Input>, power: &Power, open: &Rc<Cell<usize>>,
+        answers: &Rc<RefCell<Vec<(String, DestinationId, Option<Answer>)>>>,
+    ) {
+        loop {
+            let due = self.arrivals.borrow().front().is_some_and(|(at, ..)| *at <= self.outside.now());
+            let Some((_, name, destination)) = due.then(|| self.arrivals.borrow_mut().pop_front()).flatten()
+            else {
+                return;
+            };
+            let (reply, answer) = oneshot::channel();
+            let arrival = Arrival {
+                id: Word::new(name.as_bytes()).expect("a word"),
+                key: Some(Word::new(name.as_bytes()).expect("a word")),
+                class: class_of(&name),
+                destination,
+                time: DEADLINE,
+                began: Instant::now(),
+                again: false,
+                orphan: false,
+                body: format!("body of {name}").into(),
+                reply,
+            };
+            let _ = inputs.send(Input::Arrived(arrival));
+            open.set(open.get() + 1);
+            let (power, open, answers) = (power.clone(), open.clone(), answers.clone());
+            tokio::task::spawn_local(async move {
+                // an answer that the kill cuts off was not read
+                let answer = answer.await.ok().filter(|_| power.step());
+                open.set(open.get() - 1);
+                answers.borrow_mut().push((name, destination, answer));
+            });
+        }
+    }
+
+    /// The clerk keeps what waits: a kill before it, or between it and its word to the engine.
+    fn keep(&self, shelf: &Shelf, clerk: &mut Clerk, inputs: &mpsc::UnboundedSender<Input>, power: &Power) {
+        let batch: Vec<Archived> = shelf.0.borrow().iter().cloned().collect();
+        if batch.is_empty() || !power.step() {
+            return;
+        }
+        let (numbers, _) = clerk.keep(&batch, self.unix()).expect("the store");
+        shelf.0.borrow_mut().retain(|ended| !numbers.contains(&ended.number));
+        if !power.step() {
+            return;
+        }
+        self.trace.borrow_mut().push(format!("kept {numbers:?}"));
+        let _ = inputs.send(Input::Kept(numbers));
+    }
+
+    async fn hand_over(
+        &self, order: Order, clerk: &mut Clerk, inputs: &mpsc::UnboundedSender<Input>, power: &Power,
+    ) {
+        if !power.step() {
+            return;
+        }
+        let (reply, answer) = oneshot::channel();
+        let Order { number, id, key, class, destination, body, risk } = order;
+        let _ = inputs.send(Input::Resend(Resend { number, id, key, class, destination, body, risk, reply }));
+        let answer = answer.await.expect("the engine answers");
+        self.trace.borrow_mut().push(format!("ordered {number}: {answer:?}"));
+        if power.step() {
+            clerk.answered(number, answer, self.unix()).expect("the store");
+        }
+    }
+
+    /// An operator orders something, sometimes twice, whatever it is.
+    async fn order_some(&self, clerk: &mut Clerk, inputs: &mpsc::UnboundedSender<Input>, power: &Power) {
+        let (found, _) = clerk.list(&Filter::default(), 0, 1000).expect("the store");
+        if found.is_empty() {
+            return;
+        }
+        let pick = self.random.borrow_mut().next_u32() as usize % found.len();
+        let number = found[pick].number;
+        for _ in 0..2 {
+            if !power.step() {
+                return;
+            }
+            if let Ok(order) = clerk.order(number, "operator", "asked for", self.unix()).expect("the store") {
+                self.hand_over(order, clerk, inputs, power).await;
+            }
+        }
+    }
+
+    /// Operators look at what no rule may send, ask the destination, and say what they heard. True once nothing is
+    /// left to be done.
+    fn operators_are_done(&self, clerk: &mut Clerk, power: &Power) -> bool {
+        let (found, more) = clerk.list(&Filter::default(), 0, usize::MAX).expect("the store");
+        assert!(more.is_none() || found.len() >= 2000);
+        let mut left = false;
+        for summary in found.iter().filter(|summary| !summary.state.is_settled()) {
+            left = true;
+            let ran = self.outside.effects.borrow().count(&summary.id) > 0;
+            let how = match clerk.verdict(summary, self.unix()) {
+                // the rules see to it, unless it has been sent again too often
+                Ok(_) if summary.resends < 5 => continue,
+                Ok(_) => Settle::Done,
+                Err(_) if summary.state != State::Kept => continue,
+                Err(_) if ran => Settle::Done,
+                Err(_) => Settle::DidNotRun,
+            };
+            if power.step() {
+                let settled = clerk.settle(summary.number, how, "operator", "asked them", self.unix());
+                assert_eq!(settled.expect("the store"), Ok(()));
+            }
+        }
+        !left
+    }
+
+    /// Between two processes: each message that was promised is found, and in one place.
+    fn check_between(&self) {
+        let (journal, _) = Journal::open(&self.folder, 64 << 20, 4000).expect("the journal");
+        let clerk = self.open_clerk();
+        let owed = journal.owed();
+        let mut places: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for (number, owed) in &owed {
+            let place = format!("ledger {number} resend {} ended {}", owed.resend, owed.end.is_some());
+            places.entry(owed.taken.id.clone()).or_default().push(place);
+        }
+        let mut after = Some(0);
+        while let Some(from) = after {
+            let (found, next) = clerk.list(&Filter::default(), from, 1000).expect("the store");
+            for summary in found {
+                let holder = owed.get(&summary.number);
+                // the ledger's open entry decides; the store's row must know that it was ordered
+                if holder.is_some_and(|owed| owed.end.is_none()) {
+                    let known = matches!(summary.state, State::Ordered | State::Out);
+                    assert!(known, "{summary:?} is in two places: {holder:?}");
+                }
+                assert!(holder.is_none_or(|owed| owed.taken.id == summary.id), "a number for two messages");
+                places.entry(summary.id.clone()).or_default().push(format!("store {:?}", summary.state));
+            }
+            after = next;
+        }
+        for name in self.promised.borrow().iter() {
+            let delivered = self.outside.effects.borrow().count(name) > 0;
+            let told = self.notices.borrow().contains_key(name);
+            assert!(places.contains_key(name) || delivered && !told, "{name} is nowhere");
+            let rows = places.get(name).into_iter().flatten().filter(|place| place.starts_with("store"));
+            assert!(rows.count() <= 1, "{name}: {:?}", places.get(name));
+        }
+        self.check_effects();
+    }
+
+    fn check_effects(&self) {
+        let effects = self.outside.effects.borrow();
+        let doubled: Vec<&str> = effects.doubled().into_iter().filter(|name| class_of(name) != 2).collect();
+        assert!(doubled.is_empty(), "took effect twice: {doubled:?}, seed {}", self.plan.seed);
+    }
+
+    fn check_end(&self) {
+        self.check_effects();
+        let (journal, _) = Journal::open(&self.folder, 64 << 20, 4000).expect("the journal");
+        assert!(journal.owed().is_empty());
+        let clerk = self.open_clerk();
+        let mut states = BTreeMap::new();
+        let mut after = Some(0);
+        while let Some(from) = after {
+            let (found, next) = clerk.list(&Filter::default(), from, 1000).expect("the store");
+            states.extend(found.into_iter().map(|summary| (summary.id, summary.state)));
+            after = next;
+        }
+        let effects = self.outside.effects.borrow();
+        for name in self.promised.borrow().iter() {
+            let ran = effects.count(name) > 0;
+            let told = self.notices.borrow().contains_key(name);
+            match states.get(name) {
+                None => assert!(ran && !told, "{name}: not in the store, ran {ran}, told {told}"),
+                Some(State::Delivered) => assert!(ran && told, "{name}: ran {ran}, told {told}"),
+                Some(State::Settled) => assert!(told, "{name}"),
+                Some(other) => panic!("{name} is still {other:?}"),
+            }
+        }
+        let answered = self.promised.borrow().len() + self.turned_away.borrow().len();
+        assert_eq!(answered, self.plan.messages, "each message has its answer");
+    }
+}
