Run beside an application: sidecar, checked configuration, final answers, demo

The only configuration was the platform's JSON, and without the platform there were no endpoints and nobody to take notices, so a newcomer could not run the product.

milletturn sidecar runs the same engine from a TOML file: endpoints in it or in a watched file, final answers (delivered ones too) as a stream with cursors, kept in a file until acknowledged and written before the ledger forgets the message; the state folder is locked. config new, check, explain, show, schema and reference come from one table of settings; a start runs the same checks and refuses with the same words. demo needs nothing set up. What the platform's sender and the sidecar share is in src/assemble.rs; the platform's path only gained one flag, off there.

The long run of kills looked at the first 2,000 rows of the store only; it now looks at all.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -106,6 +106,13 @@
 
 /// Checks a file that has been read without a finding of its own in the settings that it compares.
 pub fn check(document: &mut Document) {
+    let (http, outcomes) = (document.text_of(&["listen", "http"]), document.text_of(&["listen", "outcomes"]));
+    if let (Some(http), Some(outcomes)) = (http, outcomes)
+        && crate::neighbours::same_port(&http, &outcomes)
+    {
+        let span = document.span(&["listen", "outcomes"]);
+        document.add(Code::SamePort, span, "messages are handed in at this port".into(), None);
+    }
     classes(document);
     destinations(document);
     load(document);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod finding;
 pub mod neighbours;
 pub mod render;
+pub mod schema;
+pub mod template;
 pub mod units;
 
 use document::Document;
--- a/crates/config/src/neighbours.rs
+++ b/crates/config/src/neighbours.rs
@@ -8,6 +8,19 @@
 use std::net::{IpAddr, ToSocketAddrs};
 use std::path::{Component, Path, PathBuf};
 
+/// The settings that claim a port.
+pub const LISTENERS: [&str; 2] = ["http", "outcomes"];
+
+/// True if two listeners can't both be had.
+pub fn same_port(left: &str, right: &str) -> bool {
+    match (host_and_port(left), host_and_port(right)) {
+        (Some((left_host, left_port)), Some((right_host, right_port))) => {
+            left_port == right_port && overlap(left_host, right_host)
+        }
+        _ => false,
+    }
+}
+
 /// Checks files as neighbours. Findings go to the later file of each pair.
 pub fn check(documents: &mut [Document]) {
     for later in 1..documents.len() {
@@ -71,25 +84,32 @@
 
 fn pair(before: &Document, after: &Document) -> Vec<Finding> {
     let mut findings = Vec::new();
+    for (mine, theirs) in LISTENERS.iter().flat_map(|mine| LISTENERS.iter().map(move |theirs| (mine, theirs)))
+    {
+        let (path, other) = (["listen", mine], ["listen", theirs]);
+        let (Some(right), Some(left)) = (after.text_of(&path), before.text_of(&other)) else { continue };
+        if same_port(&left, &right) {
+            let here =
+                if left == right { "the same port".to_string() } else { format!("the same port as {left}") };
+            let places = vec![
+                after.place(after.span(&path), here),
+                before.place(before.span(&other), "claimed first here"),
+            ];
+            findings.push(Finding { code: Code::SamePort, places, help: None });
+        }
+    }
     let mut add = |code, path: &[&str], here: String, there: String| {
         let places = vec![after.place(after.span(path), here), before.place(before.span(path), there)];
         findings.push(Finding { code, places, help: None });
     };
-    let listen = |document: &Document| document.text_of(&["listen", "http"]);
-    if let (Some(left), Some(right)) = (listen(before), listen(after))
-        && let (Some((left_host, left_port)), Some((right_host, right_port))) =
-            (host_and_port(&left), host_and_port(&right))
-        && left_port == right_port
-        && overlap(left_host, right_host)
-    {
-        let here =
-            if left == right { "the same port".to_string() } else { format!("the same port as {left}") };
-        add(Code::SamePort, &["listen", "http"], here, "claimed first here".into());
-    }
     if let (Some(left), Some(right)) = (before.path_of(&["state"]), after.path_of(&["state"]))
         && real(&left) == real(&right)
     {
-        let here = format!("the same folder, {}", real(&right).display());
+        let written = |document: &Document| document.text_of(&["state"]).unwrap_or_default();
+        let here = match written(before) == written(after) {
+            true => "the same folder".to_string(),
+            false => format!("the same folder as {}", written(before)),
+        };
         add(Code::SameState, &["state"], here, "claimed first here".into());
     }
     let name = |document: &Document| document.text_of(&["name"]);
--- /dev/null
+++ b/crates/config/src/template.rs
@@ -0,0 +1,43 @@
+//! A commented file for a new application.
+
+use crate::fields::FIELDS;
+
+/// The file. Settings that keep their default stand as comments, each with what it means.
+pub fn new(name: &str, port: u16, effect: &str, endpoint: &str) -> String {
+    let mut text = format!(
+        "# The sidecar of {name}. `milletturn config check FILE` says what is wrong with it,\n\
+         # `milletturn config show FILE` what is in force.\n"
+    );
+    let mut group = String::new();
+    for field in FIELDS {
+        let mut parts: Vec<&str> = field.path.split('.').collect();
+        let last = parts.pop().unwrap_or("");
+        let table = match parts[..] {
+            ["class", _] => "class.notice".to_string(),
+            ["destination", _] => "destination.first".to_string(),
+            _ => parts.join("."),
+        };
+        if table != group {
+            text.push_str(&format!("\n[{table}]\n"));
+            group = table;
+        }
+        let value = match field.path {
+            "name" => format!("{name:?}"),
+            "state" => format!("\"{name}.state\""),
+            "listen.http" => format!("\"127.0.0.1:{port}\""),
+            "listen.outcomes" => format!("\"127.0.0.1:{}\"", port.saturating_add(100)),
+            "class.*.effect" => format!("{effect:?}"),
+            "class.*.window" if effect == "keyed" => "\"20s\"".to_string(),
+            "destination.*.id" => "1".to_string(),
+            "destination.*.endpoints" => format!("[{endpoint:?}]"),
+            "retry.copies" if effect == "unsafe" => "false".to_string(),
+            _ => {
+                let default = if field.default.is_empty() { "..." } else { field.default };
+                text.push_str(&format!("# {}\n# {last} = {default}\n", field.doc));
+                continue;
+            }
+        };
+        text.push_str(&format!("# {}\n{last} = {value}\n", field.doc));
+    }
+    text
+}
--- a/crates/engine/src/closing.rs
+++ b/crates/engine/src/closing.rs
@@ -28,7 +28,7 @@
 impl Engine {
     /// A message of an earlier life that had ended: its notice is owed again, and its place in the archive.
     pub(crate) fn owe_end(&mut self, number: u64, class: String, held: Message, end: End) {
-        if !held.resend && end.ending != Ending::Delivered {
+        if !held.resend && (end.ending != Ending::Delivered || self.tell_delivered) {
             self.notify(number, held.item.id.clone(), end.ending);
         }
         self.archive_ended(number, class, held);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -46,6 +46,8 @@
     Kept(Vec<u64>),
     /// An archived message is to be sent again.
     Resend(Resend),
+    /// Whether a message with this id is held and has no final answer yet.
+    Find(Word, oneshot::Sender<bool>),
 }
 
 /// What the engine is put together from.
@@ -70,6 +72,8 @@
     pub first_number: u64,
     /// What carries calls.
     pub transport: Box<dyn Transport>,
+    /// Delivered messages get a notice too.
+    pub tell_delivered: bool,
     /// Gets the ends of what is not delivered.
     pub notices: mpsc::UnboundedSender<Notice>,
     /// Hears what happens.
@@ -109,6 +113,7 @@
     pub(crate) ledger: Box<dyn Ledger>,
     transport: Box<dyn Transport>,
     pub(crate) archive: Option<Box<dyn Archive>>,
+    pub(crate) tell_delivered: bool,
     observer: Box<dyn Observer>,
     notices: mpsc::UnboundedSender<Notice>,
     ready: watch::Sender<bool>,
@@ -175,6 +180,7 @@
             class_names,
             ledger,
             archive,
+            tell_delivered: ports.tell_delivered,
             closing: BTreeMap::new(),
             transport,
             observer,
@@ -297,6 +303,10 @@
             Input::Noticed(numbers) => numbers.into_iter().for_each(|number| self.noticed(number)),
             Input::Kept(numbers) => numbers.into_iter().for_each(|number| self.kept(number)),
             Input::Resend(order) => self.resend(order),
+            Input::Find(id, reply) => {
+                // one who does not wait for the answer needs none
+                let _ = reply.send(self.by_id.contains_key(&id));
+            }
         }
     }
 
@@ -387,16 +397,21 @@
     /// Nothing more is owed for the message.
     fn end(&mut self, message: MessageId) {
         let Some(held) = self.messages.get_mut(&message).filter(|held| held.open) else { return };
-        if held.resend {
-            let delivered = held.attempts.iter().any(|tried| tried.outcome == Some(Outcome::Success));
+        let delivered = held.attempts.iter().any(|tried| tried.outcome == Some(Outcome::Success));
+        let resend = held.resend;
+        if resend || self.tell_delivered && delivered {
             let (ending, reason) = match delivered {
                 true => (Ending::Delivered, Reason::Delivered),
                 false => (Ending::Failed, Reason::TurnedAway),
             };
             let end = End { ending, reason, at: self.clock.now() };
             held.end = Some(end);
+            let id = held.item.id.clone();
             let written = self.ledger.end(message.0, end);
             self.check(written);
+            if !resend {
+                self.notify(message.0, id, ending);
+            }
             self.close(message);
         } else if self.close(message) {
             let written = self.ledger.over(message.0);
--- a/crates/engine/tests/resends.rs
+++ b/crates/engine/tests/resends.rs
@@ -93,6 +93,7 @@
             archive: Some(Box::new(shelf.clone())),
             first_number: 1,
             transport: Box::new(VirtualTransport::new(outside.clone(), power, inputs.clone())),
+            tell_delivered: false,
             notices: notice,
             observer: Box::new(Deaf),
             ready: watch::channel(false).0,
--- /dev/null
+++ b/crates/sidecar/src/endpoints.rs
@@ -0,0 +1,153 @@
+//! The source of endpoints: those of the configuration, and a file that is watched.
+
+use crate::plan::resolve;
+use milletturn_engine::{Input, ListUpdate, Listed};
+use milletturn_log::log;
+use milletturn_policy::Status;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fs::Metadata;
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+/// How often the file is looked at: a change counts as told within 1 s.
+const LOOK: Duration = Duration::from_millis(250);
+/// A larger file is not read: 100,000 endpoints take some 6 MB.
+const FILE_MOST: u64 = 64 << 20;
+
+/// Why a file of endpoints can't be used.
+#[derive(Debug, Error)]
+pub enum EndpointsError {
+    /// It can't be read.
+    #[error("{path}: {error}", path = path.display())]
+    Read {
+        /// Which file.
+        path: PathBuf,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// It is larger than any list.
+    #[error("{path}: it is larger than 64 MiB", path = path.display())]
+    Large {
+        /// Which file.
+        path: PathBuf,
+    },
+    /// It has not the form of a list.
+    #[error("{path}: {error}", path = path.display())]
+    Form {
+        /// Which file.
+        path: PathBuf,
+        /// Why, with line and column.
+        error: Box<toml::de::Error>,
+    },
+    /// Something in it makes no sense.
+    #[error("{path}: destination {name}: {why}", path = path.display())]
+    Destination {
+        /// Which file.
+        path: PathBuf,
+        /// The table.
+        name: String,
+        /// Why.
+        why: String,
+    },
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    #[serde(default)]
+    destination: BTreeMap<String, Destination>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Destination {
+    endpoints: Vec<String>,
+    #[serde(default)]
+    draining: Vec<String>,
+    #[serde(default)]
+    limit: f64,
+}
+
+/// Reads a file of endpoints: tables `[destination.NUMBER]` with `endpoints`, and optionally `draining` and `limit`.
+///
+/// # Errors
+/// When it can't be read or has not that form; nothing of it counts then.
+pub fn read(path: &Path) -> Result<Vec<Listed>, EndpointsError> {
+    let failed = |error| EndpointsError::Read { path: path.to_path_buf(), error };
+    if std::fs::metadata(path).map_err(failed)?.len() > FILE_MOST {
+        return Err(EndpointsError::Large { path: path.to_path_buf() });
+    }
+    let text = std::fs::read_to_string(path).map_err(failed)?;
+    let file: File = toml::from_str(&text)
+        .map_err(|error| EndpointsError::Form { path: path.to_path_buf(), error: Box::new(error) })?;
+    let mut listed = Vec::new();
+    for (name, destination) in file.destination {
+        let wrong =
+            |why: String| EndpointsError::Destination { path: path.to_path_buf(), name: name.clone(), why };
+        let number: u64 = name.parse().map_err(|_| wrong("its name is its number".to_string()))?;
+        if !destination.limit.is_finite() || destination.limit < 0.0 {
+            return Err(wrong(format!("limit is {}", destination.limit)));
+        }
+        let serving = destination.endpoints.iter().map(|address| (address, Status::Serving));
+        let draining = destination.draining.iter().map(|address| (address, Status::Draining));
+        for (address, status) in serving.chain(draining) {
+            listed.push(Listed {
+                uid: format!("{number}/{address}"),
+                address: resolve(address).map_err(|error| wrong(error.to_string()))?,
+                zone: String::new(),
+                kind: "1".to_string(),
+                destination: number,
+                status,
+                weight: destination.limit,
+            });
+        }
+    }
+    Ok(listed)
+}
+
+/// What tells one state of a file from another without reading it.
+fn mark(found: &Metadata) -> (u64, i64, i64, u64) {
+    (found.len(), found.mtime(), found.mtime_nsec(), found.ino())
+}
+
+/// Looks at the file for ever, and tells the engine each list that can be read. A broken file changes nothing and is
+/// logged once. One that changes while it is read is read again.
+pub async fn watch(path: PathBuf, fixed: Vec<Listed>, inputs: mpsc::UnboundedSender<Input>) {
+    let (mut seen, mut version, mut told) = (None, 1, String::new());
+    loop {
+        sleep(LOOK).await;
+        let before = std::fs::metadata(&path).ok().as_ref().map(mark);
+        if before == seen {
+            continue;
+        }
+        let list = read(&path);
+        if std::fs::metadata(&path).ok().as_ref().map(mark) != before {
+            continue;
+        }
+        seen = before;
+        match list {
+            Ok(listed) => {
+                version += 1;
+                told.clear();
+                log(format_args!("endpoints: {} from {}", listed.len(), path.display()));
+                let targets = fixed.iter().cloned().chain(listed).collect();
+                let update = ListUpdate { version, full: true, targets };
+                if inputs.send(Input::Listed(update)).is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                let error = error.to_string();
+                if error != told {
+                    log(format_args!("endpoints: nothing changed: {error}"));
+                    told = error;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,12 @@
+//! The sender beside an application, with no platform.
+//!
+//! - [`plan`]: from a checked file to what the engine and its ports are told.
+//! - [`environment`]: checks that need the machine, and the lock on the state folder.
+//! - [`endpoints`]: the source: those of the configuration, and a file that is watched.
+//! - [`outcomes`] and [`reader`]: final answers, kept until the application has acknowledged them.
+
+pub mod endpoints;
+pub mod environment;
+pub mod outcomes;
+pub mod plan;
+pub mod reader;
--- /dev/null
+++ b/crates/sidecar/src/plan.rs
@@ -0,0 +1,174 @@
+//! From a checked file to what the engine and its ports are told.
+
+use milletturn_config::document::{Document, host_and_port};
+use milletturn_engine::Listed;
+use milletturn_platform::Budget;
+use milletturn_policy::{Class, Effect, Fade, Kind, Micros, Safety, Settings, Status};
+use milletturn_undelivered::config::Config as StoreConfig;
+use std::net::{SocketAddr, ToSocketAddrs};
+use std::path::PathBuf;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Descriptors of the outcomes, their readers, the endpoints' file, and the store with its commands.
+const OTHER_DESCRIPTORS: usize = 20;
+/// The store, the pages that a transaction copies, and one file set aside; the outcomes with their rewritten file.
+const STORE_SIZES: u64 = 3;
+const OUTCOMES_SIZES: u64 = 2;
+
+/// What a sidecar runs with.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The application's name.
+    pub name: String,
+    /// The folder that outlasts the process.
+    pub state: PathBuf,
+    /// Where messages are handed in.
+    pub listen: SocketAddr,
+    /// Where outcomes are read.
+    pub outcomes: SocketAddr,
+    /// What the decision module is told.
+    pub settings: Settings,
+    /// Kinds of destination, by the messages that a call may carry.
+    pub kinds: Vec<String>,
+    /// How descriptors and memory are shared out.
+    pub budget: Budget,
+    /// Bytes for the journal.
+    pub journal_room: u64,
+    /// Bytes for the store of undelivered messages with what it sets aside.
+    pub store_room: u64,
+    /// Bytes for outcomes that wait for their reader.
+    pub outcomes_most: u64,
+    /// Endpoints close idle connections after this.
+    pub idle: Duration,
+    /// A connection that is not up by then has failed.
+    pub dial: Duration,
+    /// The store of undelivered messages.
+    pub store: Option<StoreConfig>,
+    /// Endpoints that the file itself names.
+    pub endpoints: Vec<Listed>,
+    /// A file of more endpoints, which is watched.
+    pub endpoints_file: Option<PathBuf>,
+}
+
+/// Why a file that is sound can't be run.
+#[derive(Debug, Error)]
+pub enum PlanError {
+    /// A name that no resolver knows, or that has no address.
+    #[error("{name} can't be resolved: {why}")]
+    Address {
+        /// The host and port.
+        name: String,
+        /// Why.
+        why: String,
+    },
+}
+
+/// The first address of a host and port, by the system's resolver where it is a name.
+///
+/// # Errors
+/// When there is none.
+pub fn resolve(name: &str) -> Result<SocketAddr, PlanError> {
+    let wrong = |why: String| PlanError::Address { name: name.to_string(), why };
+    let (host, port) = host_and_port(name).ok_or_else(|| wrong("it is no host and port".to_string()))?;
+    let mut found = (host, port).to_socket_addrs().map_err(|error| wrong(error.to_string()))?;
+    found.next().ok_or_else(|| wrong("it has no address".to_string()))
+}
+
+fn span(micros: Micros) -> Duration {
+    Duration::from_micros(micros.unsigned_abs())
+}
+
+impl Plan {
+    /// Of a document without findings.
+    ///
+    /// # Errors
+    /// When a name can't be resolved.
+    pub fn of(document: &Document) -> Result<Self, PlanError> {
+        let text = |path: &[&str]| document.text_of(path).unwrap_or_default();
+        let count = |path: &[&str]| usize::try_from(document.count(path)).unwrap_or(usize::MAX);
+        let (calls, held) = (count(&["limits", "calls"]), count(&["limits", "held"]));
+        let mut settings = Settings::new(calls, held);
+        settings.max_attempts = count(&["retry", "attempts"]);
+        settings.second_copies = document.flag(&["retry", "copies"]);
+        settings.max_client_wait = document.time(&["retry", "client_wait"]) * 2;
+        settings.connection_idle = document.time(&["connections", "idle"]);
+        settings.weight_trust = 1.0;
+        settings.fade = Fade::Halving;
+        settings.safety = Safety {
+            drain_grace: document.time(&["safety", "drain"]),
+            cold_time: document.time(&["safety", "cold"]),
+            start_capacity: document.number_of(&["safety", "cold_start"]),
+            fall_multiple: document.number_of(&["safety", "fall_multiple"]),
+            fall_span: document.time(&["safety", "fall_time"]),
+            ..settings.safety.clone()
+        };
+        for name in document.names("class") {
+            let at = |field: &'static str| ["class", name.as_str(), field];
+            let effect = match text(&at("effect")).as_str() {
+                "repeatable" => Effect::Repeatable,
+                "keyed" => Effect::Keyed { window: document.time(&at("window")), zone_only: false },
+                _ => Effect::Unsafe,
+            };
+            settings.classes.push(Class {
+                worth: document.number_of(&at("worth")),
+                late_share: document.number_of(&at("late_worth")),
+                ..Class::new(&name, effect, document.time(&at("aim")), document.time(&at("deadline")))
+            });
+        }
+        let mut endpoints = Vec::new();
+        let mut kinds = vec!["1".to_string()];
+        for name in document.names("destination") {
+            let at = |field: &'static str| ["destination", name.as_str(), field];
+            let kind = document.count(&at("batch")).to_string();
+            if !kinds.contains(&kind) {
+                kinds.push(kind.clone());
+            }
+            let limit = document.given(&at("limit")).map(|_| document.number_of(&at("limit")));
+            let weight = limit.map_or(0.0, |limit| limit * document.number_of(&at("share")));
+            for (address, _) in document.list(&at("endpoints")) {
+                endpoints.push(Listed {
+                    uid: format!("{name}/{address}"),
+                    address: resolve(address)?,
+                    zone: String::new(),
+                    kind: kind.clone(),
+                    destination: document.count(&at("id")),
+                    status: Status::Serving,
+                    weight,
+                });
+            }
+        }
+        for kind in &kinds {
+            let bundle_max = kind.parse().unwrap_or(1);
+            settings.kinds.push(Kind { name: kind.clone(), separate_routes: false, bundle_max });
+        }
+        let (disk, memory) = (document.size(&["limits", "disk"]), document.size(&["limits", "memory"]));
+        let outcomes_most = document.size(&["outcomes", "size"]);
+        let keep = document.flag(&["undelivered", "keep"]);
+        let store = keep.then(|| StoreConfig {
+            bytes_most: document.size(&["undelivered", "size"]),
+            count_most: document.count(&["undelivered", "messages"]),
+            age_most: document.time(&["undelivered", "age"]),
+            ..StoreConfig::default()
+        });
+        let store_room = store.as_ref().map_or(0, |store| STORE_SIZES * store.bytes_most);
+        let sockets = count(&["limits", "sockets"]).saturating_sub(OTHER_DESCRIPTORS);
+        Ok(Plan {
+            name: text(&["name"]),
+            state: document.path_of(&["state"]).unwrap_or_default(),
+            listen: resolve(&text(&["listen", "http"]))?,
+            outcomes: resolve(&text(&["listen", "outcomes"]))?,
+            budget: Budget::new(sockets, memory, calls),
+            journal_room: disk.saturating_sub(store_room).saturating_sub(OUTCOMES_SIZES * outcomes_most),
+            store_room,
+            outcomes_most,
+            idle: span(settings.connection_idle),
+            dial: span(document.time(&["connections", "dial"])),
+            settings,
+            kinds,
+            store,
+            endpoints,
+            endpoints_file: document.path_of(&["endpoints", "file"]),
+        })
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/variants.rs
@@ -0,0 +1,102 @@
+//! From each good example every setting removed, emptied, negated, doubled and set absurd: each variant is rejected
+//! with a reason, or there is a plan by which it can start.
+
+use milletturn_config::check_documents;
+use milletturn_config::document::Document;
+use milletturn_policy::Sender;
+use milletturn_sidecar::plan::Plan;
+use std::path::{Path, PathBuf};
+
+fn examples() -> Vec<(PathBuf, String)> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/sidecar");
+    let names = ["billing.toml", "ordering.toml", "catalogue.toml"];
+    names.map(|name| (folder.join(name), std::fs::read_to_string(folder.join(name)).expect("read"))).to_vec()
+}
+
+/// Variants of the value of one line.
+fn variants(name: &str, value: &str) -> Vec<String> {
+    let bare = value.trim_matches('"');
+    let digits = bare.find(|c: char| !c.is_ascii_digit() && c != '.').unwrap_or(bare.len());
+    let (number, unit) = bare.split_at(digits);
+    let mut all =
+        vec![String::new(), format!("{name} = \"\""), format!("{name} = []"), format!("{name} = true")];
+    all.push(format!("{name} = {value}\n{name} = {value}"));
+    all.push(format!("{name} = \"{}\"", "x".repeat(10_000)));
+    all.push(format!("{name} = -{number}"));
+    if let Ok(number) = number.parse::<f64>() {
+        for changed in [-number, number * 2.0, number / 1e9, number * 1e9, 0.0, f64::MAX] {
+            let text = if number.fract() == 0.0 && !bare.contains('.') {
+                format!("{changed:.0}")
+            } else {
+                changed.to_string()
+            };
+            all.push(if value.starts_with('"') {
+                format!("{name} = \"{text}{unit}\"")
+            } else {
+                format!("{name} = {text}")
+            });
+        }
+    }
+    all
+}
+
+#[test]
+fn each_variant_is_rejected_or_can_start() {
+    let (mut rejected, mut sound) = (0, 0);
+    for (path, text) in examples() {
+        let lines: Vec<&str> = text.lines().collect();
+        for (index, line) in lines.iter().enumerate() {
+            let Some((name, value)) = line.split_once(" = ").filter(|_| !line.starts_with('#')) else {
+                continue;
+            };
+            for variant in variants(name, value) {
+                let mut changed: Vec<&str> = lines.clone();
+                changed[index] = &variant;
+                let documents = check_documents(vec![Document::parse(&path, changed.join("\n"))]);
+                let document = &documents[0];
+                if document.findings.is_empty() {
+                    sound += 1;
+                    let plan = Plan::of(document).unwrap_or_else(|error| panic!("{variant}: {error}"));
+                    Sender::new(plan.settings, 1).unwrap_or_else(|error| panic!("{variant}: {error}"));
+                } else {
+                    rejected += 1;
+                    assert!(document.findings.iter().all(|finding| !finding.places.is_empty()));
+                }
+            }
+        }
+    }
+    assert!(rejected > 300 && sound > 50, "{rejected} rejected, {sound} sound");
+}
+
+#[test]
+fn noise_in_a_file_is_no_panic() {
+    let (path, text) = &examples()[0];
+    // a seed of its own: a multiplier and an increment from Knuth's MMIX generator
+    let mut state = 7u64;
+    let mut next = move || {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) as usize
+    };
+    for _ in 0..3_000 {
+        let mut bytes = text.clone().into_bytes();
+        for _ in 0..1 + next() % 4 {
+            let at = next() % bytes.len();
+            match next() % 3 {
+                0 => bytes[at] = (next() % 128) as u8,
+                1 => _ = bytes.remove(at),
+                _ => bytes.truncate(at.max(1)),
+            }
+        }
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let documents = check_documents(vec![Document::parse(path, text)]);
+        for finding in milletturn_config::findings(&documents) {
+            assert!(
+                !milletturn_config::render::draw(finding, milletturn_config::text_of(&documents), false)
+                    .is_empty()
+            );
+        }
+        if documents[0].findings.is_empty() {
+            let _ = Plan::of(&documents[0]);
+        }
+    }
+}
--- a/crates/undelivered/tests/world/mod.rs
+++ b/crates/undelivered/tests/world/mod.rs
@@ -364,6 +364,7 @@
             archive: Some(Box::new(shelf.clone())),
             first_number,
             transport: Box::new(VirtualTransport::new(self.outside.clone(), power.clone(), inputs.clone())),
+            tell_delivered: false,
             notices,
             observer: Box::new(Listener(heard.clone())),
             ready,
@@ -421,7 +422,12 @@
                 && held.borrow().is_empty()
                 && shelf.0.borrow().is_empty();
             let mended = self.outside.now() > self.plan.mended_at + 8 * SECOND;
-            if quiet && mended && self.operators_are_done(&mut clerk, power) && !power.is_off() {
+            if quiet
+                && mended
+                && beat.is_multiple_of(20)
+                && self.operators_are_done(&mut clerk, power)
+                && !power.is_off()
+            {
                 break Finish::Done;
             }
         };
@@ -444,10 +450,20 @@
     /// The process that has just ended had taken it on.
     fn is_known(&self, name: &str) -> bool {
         let (journal, _) = Journal::open(&self.folder, 64 << 20, 4000).expect("the journal");
-        let (found, _) = self.open_clerk().list(&Filter::default(), 0, usize::MAX).expect("the store");
-        self.outside.effects.borrow().count(name) > 0
+        if self.outside.effects.borrow().count(name) > 0
             || journal.owed().values().any(|owed| owed.taken.id == name)
-            || found.iter().any(|summary| summary.id == name)
+        {
+            return true;
+        }
+        let (clerk, mut after) = (self.open_clerk(), Some(0));
+        while let Some(from) = after {
+            let (page, next) = clerk.list(&Filter::default(), from, 1000).expect("the store");
+            if page.iter().any(|summary| summary.id == name) {
+                return true;
+            }
+            after = next;
+        }
+        false
     }
 
     fn arrive(
@@ -518,7 +534,8 @@
 
     /// An operator orders something, sometimes twice, whatever it is.
     async fn order_some(&self, clerk: &mut Clerk, inputs: &mpsc::UnboundedSender<Input>, power: &Power) {
-        let (found, _) = clerk.list(&Filter::default(), 0, 1000).expect("the store");
+        let (found, _) =
+            clerk.list(&Filter { state: Some(State::Kept), ..Filter::default() }, 0, 50).expect("the store");
         if found.is_empty() {
             return;
         }
@@ -537,8 +554,12 @@
     /// Operators look at what no rule may send, ask the destination, and say what they heard. True once nothing is
     /// left to be done.
     fn operators_are_done(&self, clerk: &mut Clerk, power: &Power) -> bool {
-        let (found, more) = clerk.list(&Filter::default(), 0, usize::MAX).expect("the store");
-        assert!(more.is_none() || found.len() >= 2000);
+        let (mut found, mut after) = (Vec::new(), Some(0));
+        while let Some(from) = after {
+            let (page, next) = clerk.list(&Filter::default(), from, 1000).expect("the store");
+            found.extend(page);
+            after = next;
+        }
         let mut left = false;
         for summary in found.iter().filter(|summary| !summary.state.is_settled()) {
             left = true;
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,198 @@
+//! `milletturn config`: writes, checks, shows and explains configurations.
+
+use clap::{Args, Subcommand, ValueEnum};
+use milletturn_config::check::budgets;
+use milletturn_config::codes::Code;
+use milletturn_config::document::{Document, Value};
+use milletturn_config::fields::{FIELDS, Field, Kind};
+use milletturn_config::units::{size_text, time_text};
+use milletturn_config::{check_files, findings, render, schema, template, text_of};
+use milletturn_sidecar::environment;
+use std::io::{IsTerminal, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Write, check, show and explain configurations of sidecars.
+///
+/// Exit codes: 0 sound; 1 something was found wrong; 2 the command's words are off.
+#[derive(Debug, Args)]
+pub struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Format {
+    /// For people.
+    Text,
+    /// One JSON object a line, for CI.
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Check one file, or several that run on one machine, for all that is wrong with them.
+    Check {
+        /// The files.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Also what needs the machine: folders, locks, ports, the file of endpoints.
+        #[arg(long)]
+        here: bool,
+        /// For people or for programs.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// What a code means, and what to do; without one, all codes.
+    Explain {
+        /// Such as MT031.
+        code: Option<String>,
+    },
+    /// All values in force, with where each comes from, and the budgets worked out.
+    Show {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Print a commented file for an application.
+    New {
+        /// The application's name.
+        #[arg(long)]
+        name: String,
+        /// Where messages are handed in; outcomes are read 100 ports above.
+        #[arg(long, default_value_t = 7001)]
+        port: u16,
+        /// What a repeat of its messages does: repeatable, keyed or unsafe.
+        #[arg(long, default_value = "keyed", value_parser = ["repeatable", "keyed", "unsafe"])]
+        effect: String,
+        /// The first endpoint of its first destination.
+        #[arg(long, default_value = "127.0.0.1:9001")]
+        endpoint: String,
+    },
+    /// JSON Schema of the files, for editors.
+    Schema,
+    /// The reference page of all settings and codes, as Markdown.
+    Reference,
+}
+
+/// Prints what was found wrong on standard error; how much that is.
+pub fn report(documents: &[Document], json: bool) -> usize {
+    let found = findings(documents);
+    let color = std::io::stderr().is_terminal();
+    for finding in &found {
+        let text = match json {
+            true => serde_json::to_string(&finding.plain(text_of(documents))).unwrap_or_default() + "\n",
+            false => render::draw(finding, text_of(documents), color),
+        };
+        // a reader that has gone away has seen enough
+        let _ = if json { write!(std::io::stdout(), "{text}") } else { write!(std::io::stderr(), "{text}") };
+    }
+    found.len()
+}
+
+/// Runs a command.
+pub fn run(arguments: &Arguments) -> ExitCode {
+    match &arguments.command {
+        Command::Check { files, here, format } => {
+            let mut documents = check_files(files);
+            if *here {
+                for document in documents.iter_mut().filter(|document| document.findings.is_empty()) {
+                    let _ = environment::check(document, false);
+                }
+            }
+            let found = report(&documents, *format == Format::Json);
+            if *format == Format::Text {
+                let _ = match found {
+                    0 => writeln!(std::io::stdout(), "{} sound", files.len()),
+                    _ => writeln!(
+                        std::io::stderr(),
+                        "{found} found wrong; `milletturn config explain CODE` says more"
+                    ),
+                };
+            }
+            ExitCode::from(u8::from(found > 0))
+        }
+        Command::Explain { code: None } => {
+            for code in Code::ALL {
+                let _ = writeln!(std::io::stdout(), "{}  {}", code.text(), code.title());
+            }
+            ExitCode::SUCCESS
+        }
+        Command::Explain { code: Some(wanted) } => {
+            let found = Code::ALL.iter().find(|code| code.text().eq_ignore_ascii_case(wanted));
+            let Some(code) = found else {
+                eprintln!("milletturn: there is no code {wanted}; `milletturn config explain` lists them");
+                return ExitCode::from(2);
+            };
+            let _ = writeln!(std::io::stdout(), "{}: {}\n\n{}", code.text(), code.title(), code.explain());
+            ExitCode::SUCCESS
+        }
+        Command::Show { file } => {
+            let documents = check_files(std::slice::from_ref(file));
+            let found = report(&documents, false);
+            documents.iter().for_each(show);
+            ExitCode::from(u8::from(found > 0))
+        }
+        Command::New { name, port, effect, endpoint } => {
+            let text = template::new(name, *port, effect, endpoint);
+            let documents = milletturn_config::check_documents(vec![Document::parse(
+                &PathBuf::from("new.toml"),
+                text.clone(),
+            )]);
+            if report(&documents, false) > 0 {
+                return ExitCode::from(2);
+            }
+            let _ = write!(std::io::stdout(), "{text}");
+            ExitCode::SUCCESS
+        }
+        Command::Schema => {
+            let _ = writeln!(std::io::stdout(), "{}", schema::json());
+            ExitCode::SUCCESS
+        }
+        Command::Reference => {
+            let _ = write!(std::io::stdout(), "{}", schema::reference());
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn show(document: &Document) {
+    let mut out = std::io::stdout();
+    let mut line = |field: &Field, path: &[&str]| {
+        let Some(value) = document.value(path) else { return };
+        let from = match document.given(path) {
+            Some(found) => {
+                let (line, _) = milletturn_config::finding::position(&document.text, found.span.start);
+                format!("{}:{line}", document.path.display())
+            }
+            None => "default".to_string(),
+        };
+        let _ = writeln!(out, "{:<36} {:<28} # {from}", path.join("."), text(&value, field.kind));
+    };
+    for field in FIELDS {
+        let parts: Vec<&str> = field.path.split('.').collect();
+        match parts[..] {
+            [group, "*", name] => {
+                for table in document.names(group) {
+                    line(field, &[group, &table, name]);
+                }
+            }
+            _ => line(field, &parts),
+        }
+    }
+    for budget in budgets(document) {
+        let _ = writeln!(out, "# {}: {}", budget.what, budget.words());
+    }
+}
+
+fn text(value: &Value, kind: Kind) -> String {
+    match value {
+        Value::Text(text) => format!("{text:?}"),
+        Value::List(list) => format!("{:?}", list.iter().map(|(text, _)| text).collect::<Vec<_>>()),
+        Value::Time(micros) => format!("\"{}\"", time_text(*micros)),
+        Value::Size(bytes) => format!("\"{}\"", size_text(*bytes)),
+        Value::Count(count) => count.to_string(),
+        Value::Number(number) if matches!(kind, Kind::Number(..)) => format!("{number:?}"),
+        Value::Number(number) => number.to_string(),
+        Value::Flag(flag) => flag.to_string(),
+    }
+}
--- /dev/null
+++ b/src/demo.rs
@@ -0,0 +1,110 @@
+//! `milletturn demo`: a sidecar and an endpoint for it, in one process, with nothing to set up.
+
+use crate::assemble::{Signals, block_on};
+use crate::sidecar::start;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use milletturn_config::document::Document;
+use milletturn_config::{check_documents, template};
+use std::convert::Infallible;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// A call on this machine takes milliseconds.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Runs until SIGTERM or, with `once`, until one message has had its final answer.
+///
+/// # Errors
+/// Why it could not start, or the message had no answer.
+pub fn run(once: bool) -> Result<(), Box<dyn Error>> {
+    block_on(run_here(once))
+}
+
+async fn run_here(once: bool) -> Result<(), Box<dyn Error>> {
+    let signals = Signals::new()?;
+    let folder = tempfile::tempdir()?;
+    let endpoint = TcpListener::bind("127.0.0.1:0").await?;
+    let address = endpoint.local_addr()?;
+    tokio::task::spawn_local(serve_endpoint(endpoint));
+    let (http, outcomes) = (free_port()?, free_port()?);
+    let text = template::new("demo", http.port(), "keyed", &address.to_string())
+        .replace(&format!("127.0.0.1:{}", http.port() + 100), &outcomes.to_string());
+    let documents = check_documents(vec![Document::parse(&folder.path().join("demo.toml"), text)]);
+    let Some(document) = documents.first().filter(|document| document.findings.is_empty()) else {
+        return Err("the embedded configuration is broken".into());
+    };
+    let (name, running) = start(document).await?;
+    if once {
+        let answer = hand_in(http).await?;
+        println!("handed in: {answer}");
+        println!("final answer: {}", first_outcome(outcomes).await?);
+        return Ok(());
+    }
+    println!(
+        "The sidecar takes messages at {http}; its endpoint at {address} prints what it gets. In another terminal:\n\n\
+         curl -i http://{http}/notice -H 'X-Request-ID: 1' -H 'X-Priority-Class: notice' -H 'X-Timeout: 4000m' \\\n\
+         \x20    -H 'Idempotency-Key: k1' -H 'Envelope: dest=1' -d 'hello'\n\
+         curl -N 'http://{outcomes}/v1/outcomes?from=0'\n"
+    );
+    running.until_told(signals, || println!("{name}: SIGHUP")).await
+}
+
+/// A port that was free just now.
+fn free_port() -> std::io::Result<SocketAddr> {
+    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+async fn serve_endpoint(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| async move {
+                let id = request.headers().get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or("-");
+                println!("endpoint: got {id}");
+                Ok::<_, Infallible>(Response::new(Full::<Bytes>::default()))
+            });
+            // how a sender leaves is its own affair
+            let _ = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn ask(
+    address: SocketAddr, request: hyper::http::request::Builder, body: &'static str,
+) -> Result<Response<Incoming>, Box<dyn Error>> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    tokio::task::spawn_local(connection);
+    let request = request.header("host", address.to_string()).body(Full::<Bytes>::from(body))?;
+    Ok(timeout(PATIENCE, sender.send_request(request)).await??)
+}
+
+async fn hand_in(address: SocketAddr) -> Result<hyper::StatusCode, Box<dyn Error>> {
+    let request = Request::post("/notice")
+        .header("x-request-id", "demo-1")
+        .header("x-priority-class", "notice")
+        .header("x-timeout", "4000m")
+        .header("idempotency-key", "demo-key-1")
+        .header("envelope", "dest=1");
+    Ok(ask(address, request, "hello").await?.status())
+}
+
+async fn first_outcome(address: SocketAddr) -> Result<String, Box<dyn Error>> {
+    let mut body = ask(address, Request::get("/v1/outcomes?from=0"), "").await?.into_body();
+    loop {
+        let frame = timeout(PATIENCE, body.frame()).await?.ok_or("the stream of outcomes ended")??;
+        let text = frame.into_data().unwrap_or_default();
+        let text = String::from_utf8_lossy(&text).trim().to_string();
+        if !text.is_empty() {
+            return Ok(text);
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,11 @@
 //! The command line.
 
+mod assemble;
+mod config;
+mod demo;
 mod logger;
 mod run;
+mod sidecar;
 mod timekeeper;
 mod undelivered;
 
@@ -30,18 +34,39 @@
 enum Command {
     /// Look at what could not be delivered, settle it, or send it again.
     Undelivered(undelivered::Arguments),
+    /// Run beside an application, with no platform.
+    Sidecar {
+        /// Its configuration (TOML); `milletturn config new` writes one.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Try it: a sidecar with an endpoint of its own, on this machine's loopback address.
+    Demo {
+        /// Deliver one message, print its final answer, and end.
+        #[arg(long)]
+        once: bool,
+    },
+    /// Write, check, show and explain configurations of sidecars.
+    Config(config::Arguments),
 }
 
 fn main() -> ExitCode {
     let Arguments { undelivered, command } = Arguments::parse();
     match command {
         Some(Command::Undelivered(arguments)) => undelivered::run(&arguments, undelivered.as_deref()),
-        None => match run::run(undelivered.as_deref()) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                eprintln!("milletturn: {error}");
-                ExitCode::FAILURE
-            }
-        },
+        Some(Command::Config(arguments)) => config::run(&arguments),
+        Some(Command::Demo { once }) => ended(demo::run(once)),
+        Some(Command::Sidecar { config }) => ended(sidecar::run(&config)),
+        None => ended(run::run(undelivered.as_deref())),
+    }
+}
+
+fn ended(result: Result<(), Box<dyn std::error::Error>>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("milletturn: {error}");
+            ExitCode::FAILURE
+        }
     }
 }
--- /dev/null
+++ b/src/sidecar.rs
@@ -0,0 +1,98 @@
+//! `milletturn sidecar`: the sender beside an application, with no platform; and `milletturn demo`.
+
+use crate::assemble::{Parts, Running, Signals, assemble, block_on};
+use crate::config::report;
+use milletturn_config::check_documents;
+use milletturn_config::document::Document;
+use milletturn_engine::ListUpdate;
+use milletturn_log::log;
+use milletturn_sidecar::endpoints;
+use milletturn_sidecar::environment;
+use milletturn_sidecar::outcomes::Outcomes;
+use milletturn_sidecar::plan::Plan;
+use milletturn_sidecar::reader::Shared;
+use std::error::Error;
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+
+/// Runs until SIGTERM. A configuration with findings is told as `config check` tells it, and nothing starts.
+///
+/// # Errors
+/// Why it could not start.
+pub fn run(path: &Path) -> Result<(), Box<dyn Error>> {
+    block_on(run_here(path))
+}
+
+async fn run_here(path: &Path) -> Result<(), Box<dyn Error>> {
+    let signals = Signals::new()?;
+    let mut documents = check_documents(vec![Document::read(path)]);
+    let sound = documents.first_mut().filter(|document| document.findings.is_empty());
+    // held until the process ends
+    let _lock = sound.and_then(|document| environment::check(document, true));
+    let found = report(&documents, false);
+    let [document] = &documents[..] else { return Ok(()) };
+    if found > 0 {
+        return Err(format!("{}: {found} findings; nothing has been started", path.display()).into());
+    }
+    let (name, running) = start(document).await?;
+    let path = path.to_path_buf();
+    running.until_told(signals, || reload(&name, &path)).await
+}
+
+/// Starts a sidecar from a document without findings.
+pub async fn start(document: &Document) -> Result<(String, Running), Box<dyn Error>> {
+    let plan = Plan::of(document)?;
+    let mut targets = plan.endpoints.clone();
+    if let Some(file) = &plan.endpoints_file {
+        targets.extend(endpoints::read(file)?);
+    }
+    std::fs::create_dir_all(&plan.state)?;
+    let outcomes = Outcomes::open(&plan.state, plan.outcomes_most)?;
+    let seed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+    let name = plan.name.clone();
+    let mut running = assemble(Parts {
+        name: plan.name,
+        state: plan.state,
+        listen: plan.listen,
+        settings: plan.settings,
+        seed,
+        zones: Vec::new(),
+        kinds: plan.kinds,
+        report_fields: Vec::new(),
+        budget: plan.budget,
+        journal_room: plan.journal_room,
+        store: plan.store.map(|store| (store, plan.store_room)),
+        idle: plan.idle,
+        dial: plan.dial,
+        known: Some(ListUpdate { version: 1, full: true, targets }),
+        tell_delivered: true,
+        first_number: outcomes.first_number(),
+    })
+    .await?;
+    let shared = Shared::new(outcomes, running.inputs.clone());
+    let listener = TcpListener::bind(plan.outcomes).await?;
+    log(format_args!("{name}: outcomes on {}", listener.local_addr()?));
+    tokio::task::spawn_local(shared.clone().serve(listener));
+    if let Some(ends) = running.ends.take() {
+        tokio::task::spawn_local(shared.keep(ends));
+    }
+    if let Some(file) = plan.endpoints_file {
+        tokio::task::spawn_local(endpoints::watch(file, plan.endpoints, running.inputs.clone()));
+    }
+    Ok((name, running))
+}
+
+/// A reload checks the file and says what a start would say; what runs goes on as it is.
+fn reload(name: &str, path: &Path) {
+    let documents = check_documents(vec![Document::read(path)]);
+    match report(&documents, false) {
+        0 => {
+            log(format_args!("{name}: SIGHUP, {} is sound; it binds from the next start on", path.display()))
+        }
+        found => log(format_args!(
+            "{name}: SIGHUP, {} would be rejected at a start ({found} findings); nothing changed",
+            path.display()
+        )),
+    }
+}
