--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -31,7 +31,7 @@
 }
 
 codes! {
-    Unreadable "001" "the file can't be read" "The file is missing, can't be opened, or is larger than 64 MiB. Check its name and who may read it.",
+    Unreadable "001" "the file can't be read" "The file is missing, can't be opened, or is larger than 16 MiB. Check its name and who may read it.",
     NotText "002" "the file is not UTF-8 text" "Configuration is UTF-8 text. The position of the first byte that is not is told. Save the file as UTF-8.",
     Syntax "003" "the text is not TOML" "The text breaks a rule of TOML (https://toml.io). Names on the left of '=', values on the right; texts stand in quotes.",
     Twice "004" "a name is given twice" "Each setting and table may be given once in a file. Nobody can tell which of the two was meant: keep one.",
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -11,8 +11,8 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-/// Larger files are not read: 100,000 endpoints take some 6 MB.
-const FILE_MOST: u64 = 64 << 20;
+/// Larger files are not read: 100,000 endpoints take some 3 MB, and a parsed file several times its size.
+const FILE_MOST: u64 = 16 << 20;
 /// More findings in one file tell nobody anything.
 const FINDINGS_MOST: usize = 200;
 /// Between the parts of a path, since names in quotes may hold dots.
@@ -81,7 +81,7 @@
             return document;
         }
         if bytes.len() as u64 > FILE_MOST {
-            document.add(Code::Unreadable, None, "it is larger than 64 MiB".to_string(), None);
+            document.add(Code::Unreadable, None, "it is larger than 16 MiB".to_string(), None);
             return document;
         }
         match String::from_utf8(bytes) {
--- a/crates/config/tests/broken.rs
+++ b/crates/config/tests/broken.rs
@@ -429,15 +429,65 @@
         Code::StateLocked,
         Code::PortTaken,
         Code::EndpointsFile,
-        Code::MachineDiffers,
     ];
-    let files = [Code::Unreadable, Code::NotText];
+    let files = [Code::Unreadable, Code::NotText, Code::MachineDiffers];
     let covered: BTreeSet<Code> =
         CASES.iter().chain(PAIRS).map(|case| case.2).chain(environment).chain(files).collect();
     let missing: Vec<&Code> = Code::ALL.iter().filter(|code| !covered.contains(code)).collect();
     assert!(missing.is_empty(), "{missing:?}");
 }
 
+#[test]
+fn one_state_folder_by_a_link_is_one_folder() {
+    let folder = tempfile::tempdir().expect("a folder");
+    std::fs::create_dir(folder.path().join("real")).expect("made");
+    std::os::unix::fs::symlink("real", folder.path().join("link")).expect("linked");
+    let write = |name: &str, state: &str, edits: &[(&str, &str)]| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, edited(name, edits).replace("billing.state", state)).expect("written");
+        path
+    };
+    let first = write("first.toml", "real", &[]);
+    let other = [("\"billing\"", "\"b\""), ("7003", "7004"), ("7103", "7104")];
+    let second = write("second.toml", "link", &other);
+    let codes = |paths: &[PathBuf]| -> Vec<Code> {
+        let documents = milletturn_config::check_files(paths);
+        findings(&documents).iter().map(|finding| finding.code).collect()
+    };
+    assert_eq!(codes(&[first.clone(), second]), [Code::SameState]);
+    let third = write("third.toml", "third", &other);
+    assert_eq!(codes(&[first, third]), []);
+}
+
+#[test]
+fn files_that_state_different_machines_are_told() {
+    let of = |name: &str, edits: &[(&str, &str)], cores: &str| {
+        let machine = format!("[machine]\ncores = {cores}\n[load]");
+        Document::parse(Path::new(name), edited(name, edits).replace("[load]", &machine))
+    };
+    let other = [("\"billing\"", "\"b\""), ("billing.state", "b.state"), ("7003", "7004"), ("7103", "7104")];
+    let documents = check_documents(vec![of("first.toml", &[], "4.0"), of("second.toml", &other, "8.0")]);
+    let codes: Vec<Code> = findings(&documents).iter().map(|finding| finding.code).collect();
+    assert_eq!(codes, [Code::MachineDiffers]);
+}
+
+#[test]
+fn many_endpoints_are_checked_and_a_fault_among_them_is_found() {
+    let list = |faulty: bool| {
+        let address = |n: usize| format!("\"10.{}.{}.{}:8{:03}\"", n >> 16, n >> 8 & 255, n & 255, n % 1000);
+        let mut all: Vec<String> = (0..100_000).map(address).collect();
+        if faulty {
+            all[77_777] = "\"10.0.0.1\"".to_string();
+        }
+        BASE.replace("\"127.0.0.1:9003\"", &all.join(", "))
+    };
+    for faulty in [false, true] {
+        let documents = check_documents(vec![Document::parse(Path::new("many.toml"), list(faulty))]);
+        let codes: Vec<Code> = findings(&documents).iter().map(|finding| finding.code).collect();
+        assert_eq!(codes, if faulty { vec![Code::BadAddress] } else { vec![] });
+    }
+}
+
 #[test]
 fn files_that_are_none_are_told() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -450,6 +500,6 @@
     assert_eq!(codes(bytes), [Code::NotText]);
     let huge = folder.path().join("huge.toml");
     let file = std::fs::File::create(&huge).expect("made");
-    file.set_len((64 << 20) + 1).expect("long");
+    file.set_len(50_000_000).expect("long");
     assert_eq!(codes(huge), [Code::Unreadable]);
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -72,7 +72,7 @@
     pub first_number: u64,
     /// What carries calls.
     pub transport: Box<dyn Transport>,
-    /// Delivered messages get a notice too.
+    /// Messages that end by an endpoint's answer, delivered ones above all, get a notice too.
     pub tell_delivered: bool,
     /// Gets the ends of what is not delivered.
     pub notices: mpsc::UnboundedSender<Notice>,
@@ -294,7 +294,7 @@
                 held.clients = held.clients.saturating_sub(1);
                 if held.clients == 0 {
                     self.events.push(Event::Dropped(message));
-                    self.end(message);
+                    self.end(message, false);
                 }
             }
             Input::Stopping(at) => self.events.push(Event::Stopping { ends: self.clock.at(at) }),
@@ -371,7 +371,7 @@
                     self.observer.observe(&Fact::Delivered { class, destination, age });
                 }
             }
-            self.end(message);
+            self.end(message, true);
         }
         let closed = self.messages.get(&message).is_none_or(|held| !held.open);
         self.events.push(Event::Ended {
@@ -394,12 +394,13 @@
         self.delivered.push_back(held.item.id.clone());
     }
 
-    /// Nothing more is owed for the message.
-    fn end(&mut self, message: MessageId) {
+    /// Nothing more is to be done for the message. Its client may still have to hear of that, where the transport
+    /// said so and not the client itself.
+    fn end(&mut self, message: MessageId, tell: bool) {
         let Some(held) = self.messages.get_mut(&message).filter(|held| held.open) else { return };
         let delivered = held.attempts.iter().any(|tried| tried.outcome == Some(Outcome::Success));
         let resend = held.resend;
-        if resend || self.tell_delivered && delivered {
+        if resend || self.tell_delivered && tell {
             let (ending, reason) = match delivered {
                 true => (Ending::Delivered, Reason::Delivered),
                 false => (Ending::Failed, Reason::TurnedAway),
--- a/crates/sidecar/src/endpoints.rs
+++ b/crates/sidecar/src/endpoints.rs
@@ -16,8 +16,8 @@
 
 /// How often the file is looked at: a change counts as told within 1 s.
 const LOOK: Duration = Duration::from_millis(250);
-/// A larger file is not read: 100,000 endpoints take some 6 MB.
-const FILE_MOST: u64 = 64 << 20;
+/// A larger file is not read: 100,000 endpoints take some 3 MB.
+const FILE_MOST: u64 = 16 << 20;
 
 /// Why a file of endpoints can't be used.
 #[derive(Debug, Error)]
@@ -31,7 +31,7 @@
         error: std::io::Error,
     },
     /// It is larger than any list.
-    #[error("{path}: it is larger than 64 MiB", path = path.display())]
+    #[error("{path}: it is larger than 16 MiB", path = path.display())]
     Large {
         /// Which file.
         path: PathBuf,
--- a/src/config.rs
+++ b/src/config.rs
@@ -53,20 +53,20 @@
         /// The file.
         file: PathBuf,
     },
-    /// Print a commented file for an application.
+    /// Print a commented file for an application. What no flag gives is asked on a terminal.
     New {
         /// The application's name.
         #[arg(long)]
-        name: String,
+        name: Option<String>,
         /// Where messages are handed in; outcomes are read 100 ports above.
-        #[arg(long, default_value_t = 7001)]
-        port: u16,
+        #[arg(long)]
+        port: Option<u16>,
         /// What a repeat of its messages does: repeatable, keyed or unsafe.
-        #[arg(long, default_value = "keyed", value_parser = ["repeatable", "keyed", "unsafe"])]
-        effect: String,
+        #[arg(long, value_parser = EFFECTS)]
+        effect: Option<String>,
         /// The first endpoint of its first destination.
-        #[arg(long, default_value = "127.0.0.1:9001")]
-        endpoint: String,
+        #[arg(long)]
+        endpoint: Option<String>,
     },
     /// JSON Schema of the files, for editors.
     Schema,
@@ -74,6 +74,17 @@
     Reference,
 }
 
+const EFFECTS: [&str; 3] = ["repeatable", "keyed", "unsafe"];
+
+/// Asks on the terminal; an empty answer, or none, is the default.
+fn ask(question: &str, default: &str) -> String {
+    let _ = write!(std::io::stderr(), "{question} [{default}]: ");
+    let mut answer = String::new();
+    let read = std::io::stdin().read_line(&mut answer).is_ok();
+    let answer = answer.trim();
+    if read && !answer.is_empty() { answer.to_string() } else { default.to_string() }
+}
+
 /// Prints what was found wrong on standard error; how much that is.
 pub fn report(documents: &[Document], json: bool) -> usize {
     let found = findings(documents);
@@ -133,7 +144,26 @@
             ExitCode::from(u8::from(found > 0))
         }
         Command::New { name, port, effect, endpoint } => {
-            let text = template::new(name, *port, effect, endpoint);
+            let asks = std::io::stdin().is_terminal() && std::io::stderr().is_terminal();
+            let given = |flag: Option<String>, question: &str, default: &str| match flag {
+                Some(value) => value,
+                None if asks => ask(question, default),
+                None => default.to_string(),
+            };
+            let name = given(name.clone(), "The application's name", "application");
+            let port = given(port.map(|port| port.to_string()), "Port where it hands messages in", "7001");
+            let Ok(port) = port.parse::<u16>() else {
+                eprintln!("milletturn: {port} is no port");
+                return ExitCode::from(2);
+            };
+            let effect = given(
+                effect.clone(),
+                "What a repeat of a message does: nothing (repeatable), it is dropped by its key (keyed), harm (unsafe)",
+                "keyed",
+            );
+            let endpoint =
+                given(endpoint.clone(), "Where the first destination takes calls", "127.0.0.1:9001");
+            let text = template::new(&name, port, &effect, &endpoint);
             let documents = milletturn_config::check_documents(vec![Document::parse(
                 &PathBuf::from("new.toml"),
                 text.clone(),
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -230,6 +230,16 @@
     assert_eq!(found.expect("read")["id"], "m2");
 }
 
+#[test]
+fn a_message_that_its_destination_says_is_over_has_a_final_answer_too() {
+    let gone = Endpoint::new(|_, _| Reply::Answer("410 Gone", String::new()));
+    let (good, _) = endpoints();
+    let sidecar = Sidecar::new(&destinations(gone.address, good.address));
+    assert_eq!(sidecar.hand_in("notice", "m1", 1), 202);
+    wait_until("it has ended", || sidecar.get("/v1/messages/m1").1.contains("failed"));
+    assert_eq!(gone.times("m1"), 1);
+}
+
 #[test]
 fn a_changed_file_of_endpoints_counts_and_a_broken_one_changes_nothing() {
     let (first, second) = (Endpoint::new(|_, _| OK), Endpoint::new(|_, _| OK));
@@ -365,3 +375,56 @@
         "write it anew by `milletturn config reference`"
     );
 }
+
+/// A seeded sample of variants of a good configuration, by a real start: what the check takes starts, and delivers.
+#[test]
+fn what_the_check_takes_starts_and_delivers() {
+    let good = Endpoint::new(|_, _| OK);
+    let folder = folder();
+    let variants = [
+        ("limits", "memory", "'16MB'"),
+        ("limits", "sockets", "128"),
+        ("limits", "held", "40"),
+        ("limits", "calls", "4"),
+        ("limits", "cores", "0.05"),
+        ("class.notice", "worth", "0"),
+        ("class.notice", "late_worth", "0"),
+        ("retry", "attempts", "1"),
+        ("retry", "copies", "false"),
+        ("retry", "client_wait", "'0s'"),
+        ("connections", "idle", "'100ms'"),
+        ("connections", "dial", "'1ms'"),
+        ("safety", "cold", "'0s'"),
+        ("safety", "drain", "'0s'"),
+        ("safety", "cold_start", "0.01"),
+        ("undelivered", "keep", "true"),
+        ("outcomes", "size", "'100KB'"),
+        ("load", "rate", "0.001"),
+        ("destination.good", "batch", "100"),
+        ("destination.good", "limit", "1000000"),
+    ];
+    // every third of them, from a seed that the day of writing gave
+    for (index, (table, name, value)) in variants.iter().enumerate().filter(|(index, _)| index % 3 == 1) {
+        let (http, outcomes) = (free(), free());
+        let state = format!("name = 'app'\nstate = 'app-{index}.state'\n");
+        let mut text = format!(
+            "{state}[listen]\nhttp = '{http}'\noutcomes = '{outcomes}'\n[class.notice]\neffect = 'keyed'\n\
+             window = '12s'\ndeadline = '12s'\n[destination.good]\nid = 1\nendpoints = ['{}']\n",
+            good.address
+        );
+        let head = format!("[{table}]\n");
+        let line = format!("{name} = {value}\n");
+        text = match text.contains(&head) {
+            true => text.replace(&head, &format!("{head}{line}")),
+            false => format!("{text}{head}{line}"),
+        };
+        let file = folder.join(format!("variant-{index}.toml"));
+        std::fs::write(&file, text).expect("written");
+        let check = command(&["config", "check", file.to_str().expect("text")]).output().expect("it ends");
+        assert!(check.status.success(), "{table}.{name}: {}", String::from_utf8_lossy(&check.stderr));
+        let sidecar = Sidecar::run(file, http, outcomes);
+        let id = format!("v{index}");
+        assert_eq!(sidecar.hand_in("notice", &id, 1), 202, "{table}.{name}");
+        wait_until("delivered", || good.times(&id) >= 1);
+    }
+}
--- a/tests/undelivered.rs
+++ b/tests/undelivered.rs
@@ -153,3 +153,44 @@
         "unsafe ones ran once at most"
     );
 }
+
+#[test]
+fn a_store_that_can_not_be_written_delays_no_answer_and_loses_nothing() {
+    let (bad, _) = broken();
+    let good = Endpoint::new(|_, _| OK);
+    let lines = list(&[("s-1", bad.address, "one", 7, "up"), ("s-2", good.address, "one", 8, "up")]);
+    let node =
+        Node::with_store(&Agent::new(vec![lines]), "[store]\nmax_mb = 2\nkeep_returned = true").ready();
+    let lock = rusqlite::Connection::open(node.folder.join("state/undelivered.db")).expect("opened");
+    lock.execute_batch("BEGIN EXCLUSIVE").expect("locked");
+    for number in 0..5 {
+        assert_eq!(node.hand_in("order", &format!("bad-{number}"), 7, 1_000, b"x"), 202);
+        assert_eq!(node.hand_in("order", &format!("good-{number}"), 8, 20_000, b"x"), 202);
+    }
+    // calls go on while the store can't take anything
+    wait_until("the good ones are delivered", || good.count() == 5);
+    wait_until("the fault is told", || node.logged("wait in the ledger"));
+    lock.execute_batch("COMMIT").expect("free again");
+    drop(lock);
+    wait_until("all are kept", || node.undelivered(&["list"]).1.len() == 5);
+}
+
+#[test]
+fn a_store_that_the_folder_has_no_room_for_is_refused_at_the_start() {
+    // the platform's folder holds 3 MB, and the journal needs half of it
+    let (endpoint, _) = broken();
+    let mut node = Node::new(&one(&endpoint)).ready();
+    node.kill();
+    let file = node.folder.join("undelivered.toml");
+    let start = |settings: &str| {
+        std::fs::write(&file, settings).expect("written");
+        let output = command(&node.folder).env("MILLETTURN_UNDELIVERED", &file).output().expect("it ends");
+        (output.status.code(), String::from_utf8(output.stderr).expect("text"))
+    };
+    let (code, text) = start("[store]\nmax_mb = 2");
+    assert_eq!(code, Some(1));
+    assert!(text.contains("store.max_mb may be 0.500 at most"), "{text}");
+    assert!(!node.folder.join("state/undelivered.db").exists());
+    let (code, text) = start("[store]\nmax_mbs = 2");
+    assert_eq!((code, text.contains("unknown field")), (Some(1), true), "{text}");
+}
