--- a/crates/engine/src/archive.rs
+++ b/crates/engine/src/archive.rs
@@ -95,9 +95,9 @@
     pub sent_at: Micros,
 }
 
-/// An order to send an archived message again.
-#[derive(Debug)]
-pub struct Resend {
+/// An archived message that is to be sent again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
     /// Its number.
     pub number: u64,
     /// Its client's id for it.
@@ -112,6 +112,13 @@
     pub body: Bytes,
     /// What the rules must count from; none if it never ran, may be repeated, or an operator said so.
     pub risk: Option<Risk>,
+}
+
+/// An order on its way to the engine.
+#[derive(Debug)]
+pub struct Resend {
+    /// What is to be sent again.
+    pub order: Order,
     /// Gets the one answer.
     pub reply: oneshot::Sender<ResendAnswer>,
 }
--- a/crates/engine/src/closing.rs
+++ b/crates/engine/src/closing.rs
@@ -1,6 +1,6 @@
 //! What is still owed after a message's end: its notice, its place in the archive; and the way back from there.
 
-use crate::archive::{Ended, Resend, ResendAnswer, Tried};
+use crate::archive::{Ended, Order, Resend, ResendAnswer, Tried};
 use crate::engine::{Engine, position};
 use crate::ledger::{End, Ending, Sent, Taken};
 use crate::message::{Attempt, Message};
@@ -14,8 +14,6 @@
 /// A resend with less time than this before its key's window ends would arrive behind it: the module's own
 /// margin, and a call's way.
 const LEAST_TIME: Micros = 100 * MILLISECOND;
-/// A resend of a class that is not in the settings any more can't be judged.
-const UNKNOWN: usize = usize::MAX;
 
 /// What is owed after a message's end. Both are settled before the ledger forgets it.
 pub(crate) struct Closing {
@@ -42,8 +40,7 @@
         let noticed = held.resend || self.closing.remove(&number).is_some_and(|closing| closing.noticed);
         if !wanted {
             if noticed {
-                let written = self.ledger.over(number);
-                self.check(written);
+                self.forget(number);
             }
             return;
         }
@@ -108,8 +105,7 @@
             // an attempt is still out: the archive gets the message at its end
             self.closing.insert(number, Closing { noticed: true, kept: false, offer: None });
         } else {
-            let written = self.ledger.over(number);
-            self.check(written);
+            self.forget(number);
         }
     }
 
@@ -125,36 +121,41 @@
     fn settle(&mut self, number: u64) {
         if self.closing.get(&number).is_some_and(|closing| closing.noticed && closing.kept) {
             self.closing.remove(&number);
-            let written = self.ledger.over(number);
-            self.check(written);
+            self.forget(number);
         }
     }
 
+    /// The ledger forgets a message; where that can't be written, it is tried again.
+    pub(crate) fn forget(&mut self, number: u64) {
+        let written = self.ledger.over(number);
+        self.check(written);
+    }
+
     /// An archived message is to be sent again.
-    pub(crate) fn resend(&mut self, order: Resend) {
-        let (answer, reply) = self.take_back(order);
+    pub(crate) fn resend(&mut self, resend: Resend) {
+        let answer = self.take_back(resend.order);
         // one who does not wait for the answer finds the message where the ledger says
-        let _ = reply.send(answer);
+        let _ = resend.reply.send(answer);
     }
 
-    fn take_back(&mut self, order: Resend) -> (ResendAnswer, tokio::sync::oneshot::Sender<ResendAnswer>) {
-        let Resend { number, id, key, class: name, destination, body, risk, reply } = order;
+    fn take_back(&mut self, order: Order) -> ResendAnswer {
+        let Order { number, id, key, class: name, destination, body, risk } = order;
         let message = MessageId(number);
         if self.messages.contains_key(&message) || self.closing.contains_key(&number) {
-            return (ResendAnswer::InFlight, reply);
+            return ResendAnswer::InFlight;
         }
         let resends = self.messages.values().filter(|held| held.resend && held.open).count();
         if resends >= (self.max_held / RESEND_PART).max(1) || self.open >= self.max_held.div_ceil(BUSY_PART) {
-            return (ResendAnswer::Busy, reply);
+            return ResendAnswer::Busy;
         }
         let class = position(&self.class_names, &name);
         let now = self.clock.now();
-        let Some(time) = self.class_deadlines.get(class).copied().filter(|_| class != UNKNOWN) else {
-            return (ResendAnswer::TooLate, reply);
+        let Some(time) = self.class_deadlines.get(class).copied() else {
+            return ResendAnswer::TooLate;
         };
         let left = self.window_left(class, risk.as_ref().map(|risk| risk.sent_at), now);
         if left.is_some_and(|left| left < LEAST_TIME) {
-            return (ResendAnswer::TooLate, reply);
+            return ResendAnswer::TooLate;
         }
         let deadline = now + left.map_or(time, |left| left.min(time));
         let taken = Taken {
@@ -169,7 +170,7 @@
         let sent = risk.map(|risk| Sent { uid: risk.uid, sent_at: risk.sent_at, never_ran: false });
         let written = self.ledger.take_back(number, taken, sent.clone());
         if !self.check(written) {
-            return (ResendAnswer::NoRoom, reply);
+            return ResendAnswer::NoRoom;
         }
         let item = Item { id, key, body };
         let mut held = Message::new(item, class, destination, now, deadline);
@@ -184,7 +185,7 @@
         self.open += 1;
         let new = NewMessage { later: true, ..NewMessage::new(message, class, destination, deadline - now) };
         self.events.push(Event::Resumed { message: new, attempts: past });
-        (ResendAnswer::Taken, reply)
+        ResendAnswer::Taken
     }
 
     /// What is left of a key's window, where an attempt may have run and the class has one. A clock that stands
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -415,8 +415,7 @@
             }
             self.close(message);
         } else if self.close(message) {
-            let written = self.ledger.over(message.0);
-            self.check(written);
+            self.forget(message.0);
         }
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -28,7 +28,7 @@
 pub mod transport;
 mod word;
 
-pub use archive::{Archive, Reason, Resend, ResendAnswer, Risk, Tried};
+pub use archive::{Archive, Order, Reason, Resend, ResendAnswer, Risk, Tried};
 pub use clock::Clock;
 pub use door::{Answer, Arrival, BODY_MOST, Notice};
 pub use engine::{Engine, Input, Ports};
--- a/crates/engine/tests/resends.rs
+++ b/crates/engine/tests/resends.rs
@@ -129,9 +129,8 @@
         let word = Word::new(id.as_bytes()).expect("a word");
         let risk = risk.map(|sent_at| Risk { uid: "s-1".into(), sent_at });
         let (class, body) = (class.to_string(), "x".into());
-        let order =
-            Resend { number, id: word.clone(), key: Some(word), class, destination: 1, body, risk, reply };
-        self.inputs.send(Input::Resend(order)).expect("the engine runs");
+        let order = Order { number, id: word.clone(), key: Some(word), class, destination: 1, body, risk };
+        self.inputs.send(Input::Resend(Resend { order, reply })).expect("the engine runs");
         answer
     }
 
--- a/crates/sidecar/src/plan.rs
+++ b/crates/sidecar/src/plan.rs
@@ -4,7 +4,7 @@
 use milletturn_engine::Listed;
 use milletturn_platform::Budget;
 use milletturn_policy::{Class, Effect, Fade, Kind, Micros, Safety, Settings, Status};
-use milletturn_undelivered::config::Config as StoreConfig;
+use milletturn_undelivered::config::{Config as StoreConfig, STORE_SIZES};
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -12,8 +12,7 @@
 
 /// Descriptors of the outcomes, their readers, the endpoints' file, and the store with its commands.
 const OTHER_DESCRIPTORS: usize = 20;
-/// The store, the pages that a transaction copies, and one file set aside; the outcomes with their rewritten file.
-const STORE_SIZES: u64 = 3;
+/// The outcomes with their rewritten file.
 const OUTCOMES_SIZES: u64 = 2;
 
 /// What a sidecar runs with.
--- a/crates/undelivered/src/clerk.rs
+++ b/crates/undelivered/src/clerk.rs
@@ -2,14 +2,14 @@
 //! or socket, so that tests drive it step by step.
 
 use crate::config::Config;
-use crate::record::{Filter, Record, State, Stats, Summary};
+use crate::record::{Filter, Record, State, Stats, Summary, ending_of};
 use crate::row::Row;
 use crate::rules::{Book, Candidate};
 use crate::vault::{Bounds, Kept, Vault, VaultError};
 use crate::verdict::{Case, Verdict, WhyNot, judge};
 use bytes::Bytes;
 use milletturn_engine::archive::Ended;
-use milletturn_engine::{Ending, ResendAnswer, Risk, Word};
+use milletturn_engine::{Ending, Order, ResendAnswer, Risk, Word};
 use milletturn_policy::{Effect, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,25 +18,6 @@
 /// Orders that one tick gives at most, so that it stays short.
 const TICK_MOST: usize = 32;
 
-/// A message to hand to the engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Order {
-    /// Its number.
-    pub number: u64,
-    /// Its client's id for it.
-    pub id: Word,
-    /// By which its destination drops repeats.
-    pub key: Option<Word>,
-    /// Its class, by name.
-    pub class: String,
-    /// Its destination.
-    pub destination: u64,
-    /// What is delivered.
-    pub body: Bytes,
-    /// What the rules must count from.
-    pub risk: Option<Risk>,
-}
-
 /// Why a message is not sent again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Declined {
@@ -190,15 +171,10 @@
     }
 
     fn case_of(&self, summary: &Summary) -> Case {
-        let ending = match summary.ending.as_str() {
-            "returned" => Ending::Returned { after_ms: None },
-            "delivered" => Ending::Delivered,
-            _ => Ending::Failed,
-        };
         Case {
             effect: self.effects.get(&summary.class).copied(),
             keyed: summary.key.is_some(),
-            ending,
+            ending: ending_of(&summary.ending).unwrap_or(Ending::Failed),
             first_risk: summary.first_risk,
             stated: summary.stated,
             clients_retry: self.clients_retry,
--- a/crates/undelivered/src/config.rs
+++ b/crates/undelivered/src/config.rs
@@ -12,6 +12,10 @@
 /// Least size: below it SQLite's own pages leave next to no room.
 const LEAST_MB: f64 = 0.25;
 
+/// What the store may take up in the folder, in its own sizes: itself, the pages that a transaction copies, one file
+/// set aside.
+pub const STORE_SIZES: u64 = 3;
+
 /// Why the settings can't be used.
 #[derive(Debug, Error)]
 pub enum ConfigError {
--- a/crates/undelivered/src/keeper.rs
+++ b/crates/undelivered/src/keeper.rs
@@ -1,11 +1,11 @@
 //! The clerk on a thread of its own: a slow disk delays neither a turn nor an answer.
 
-use crate::clerk::{Clerk, Declined, Order, Settle};
+use crate::clerk::{Clerk, Declined, Settle};
 use crate::config::Config;
 use crate::record::{Filter, Record, Stats, Summary};
 use crate::vault::{Vault, VaultError, set_aside};
 use milletturn_engine::archive::Ended;
-use milletturn_engine::{Archive, Clock, Ending, Fact, Input, Observer, Resend, ResendAnswer};
+use milletturn_engine::{Archive, Clock, Ending, Fact, Input, Observer, Order, Resend, ResendAnswer};
 use milletturn_log::log;
 use milletturn_policy::{Effect, Micros, Outcome};
 use std::collections::{BTreeMap, BTreeSet};
@@ -323,9 +323,8 @@
     /// waits for nothing here, so neither can hold the other up.
     fn hand_over(&mut self, order: Order, now: Micros) -> Result<ResendAnswer, VaultError> {
         let (reply, answer) = oneshot::channel();
-        let Order { number, id, key, class, destination, body, risk } = order;
-        let resend = Resend { number, id, key, class, destination, body, risk, reply };
-        let sent = self.inputs.send(Input::Resend(resend)).is_ok();
+        let number = order.number;
+        let sent = self.inputs.send(Input::Resend(Resend { order, reply })).is_ok();
         // no answer: the process ends, and the next life finds it where the ledger says
         let answer = if sent { answer.blocking_recv().ok() } else { None };
         let Some(answer) = answer else { return Ok(ResendAnswer::Busy) };
--- a/crates/undelivered/src/record.rs
+++ b/crates/undelivered/src/record.rs
@@ -199,6 +199,16 @@
     }
 }
 
+/// An ending as records write it, read; the wait of a returned one is not kept.
+pub fn ending_of(word: &str) -> Option<Ending> {
+    match word {
+        "failed" => Some(Ending::Failed),
+        "returned" => Some(Ending::Returned { after_ms: None }),
+        "delivered" => Some(Ending::Delivered),
+        _ => None,
+    }
+}
+
 /// An outcome as records write it.
 pub fn outcome_word(outcome: Outcome) -> &'static str {
     match outcome {
--- a/crates/undelivered/src/row.rs
+++ b/crates/undelivered/src/row.rs
@@ -1,6 +1,6 @@
 //! A row of the store, as the file has it.
 
-use crate::record::{Note, Record, Round, State, Summary, ending_word, reason_of, reason_word};
+use crate::record::{Note, Record, Round, State, Summary, ending_of, ending_word, reason_of, reason_word};
 use crate::vault::VaultError;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -315,12 +315,3 @@
 fn bad(number: u64, what: &str) -> VaultError {
     VaultError::Row { number, what: what.to_string() }
 }
-
-fn ending_of(word: &str) -> Option<Ending> {
-    match word {
-        "failed" => Some(Ending::Failed),
-        "returned" => Some(Ending::Returned { after_ms: None }),
-        "delivered" => Some(Ending::Delivered),
-        _ => None,
-    }
-}
--- a/crates/undelivered/tests/world/mod.rs
+++ b/crates/undelivered/tests/world/mod.rs
@@ -10,9 +10,9 @@
     Class, DestinationId, Effect, EndpointId, Kind, MILLISECOND, Micros, Outcome, SECOND, Settings, Status,
 };
 use milletturn_stand_ins::{Effects, Fate, Outside, Power, VirtualTransport};
-use milletturn_undelivered::clerk::{Clerk, Order, Settle};
+use milletturn_undelivered::clerk::{Clerk, Settle};
 use milletturn_undelivered::config::Config;
-use milletturn_undelivered::record::{Filter, State};
+use milletturn_undelivered::record::{Filter, State, Summary};
 use milletturn_undelivered::rules::Rule;
 use milletturn_undelivered::vault::Vault;
 use rand_pcg::Pcg32;
@@ -214,6 +214,23 @@
 /// Answers that clients have got, or not, with what they had handed in.
 type Answers = Rc<RefCell<Vec<(String, DestinationId, Option<Answer>)>>>;
 
+/// All that the store holds.
+fn rows(clerk: &Clerk) -> Vec<Summary> {
+    let (mut all, mut after) = (Vec::new(), Some(0));
+    while let Some(from) = after {
+        let (page, next) = clerk.list(&Filter::default(), from, 1000).expect("the store");
+        all.extend(page);
+        after = next;
+    }
+    all
+}
+
+fn in_virtual_time<T>(scene: impl Future<Output = T>) -> T {
+    let builder = &mut tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, scene)
+}
+
 /// How a simulated process ended.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Finish {
@@ -227,12 +244,7 @@
     /// Checks the invariants between them. Gives the steps that the last one took.
     pub fn play(plan: Plan, lives: &[u64]) -> u64 {
         let folder = tempfile::tempdir().expect("a folder");
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .expect("a runtime");
-        LocalSet::new().block_on(&runtime, async {
+        in_virtual_time(async {
             let world = World::new(plan, folder.path().to_path_buf());
             for &steps in lives {
                 if world.live(&Power::new(steps)).await == Finish::Done {
@@ -252,12 +264,7 @@
     /// As [`World::play`] with no kill, and the trace of what could be seen.
     pub fn trace(plan: Plan) -> Vec<String> {
         let folder = tempfile::tempdir().expect("a folder");
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .expect("a runtime");
-        LocalSet::new().block_on(&runtime, async {
+        in_virtual_time(async {
             let world = World::new(plan, folder.path().to_path_buf());
             assert_eq!(world.live(&Power::new(u64::MAX)).await, Finish::Done);
             let calls = world.outside.calls.borrow();
@@ -457,15 +464,7 @@
         {
             return true;
         }
-        let (clerk, mut after) = (self.open_clerk(), Some(0));
-        while let Some(from) = after {
-            let (page, next) = clerk.list(&Filter::default(), from, 1000).expect("the store");
-            if page.iter().any(|summary| summary.id == name) {
-                return true;
-            }
-            after = next;
-        }
-        false
+        rows(&self.open_clerk()).iter().any(|summary| summary.id == name)
     }
 
     fn arrive(
@@ -525,8 +524,8 @@
             return;
         }
         let (reply, answer) = oneshot::channel();
-        let Order { number, id, key, class, destination, body, risk } = order;
-        let _ = inputs.send(Input::Resend(Resend { number, id, key, class, destination, body, risk, reply }));
+        let number = order.number;
+        let _ = inputs.send(Input::Resend(Resend { order, reply }));
         let answer = answer.await.expect("the engine answers");
         self.trace.borrow_mut().push(format!("ordered {number}: {answer:?}"));
         if power.step() {
@@ -556,12 +555,7 @@
     /// Operators look at what no rule may send, ask the destination, and say what they heard. True once nothing is
     /// left to be done.
     fn operators_are_done(&self, clerk: &mut Clerk, power: &Power) -> bool {
-        let (mut found, mut after) = (Vec::new(), Some(0));
-        while let Some(from) = after {
-            let (page, next) = clerk.list(&Filter::default(), from, 1000).expect("the store");
-            found.extend(page);
-            after = next;
-        }
+        let found = rows(clerk);
         let mut left = false;
         for summary in found.iter().filter(|summary| !summary.state.is_settled()) {
             left = true;
@@ -592,20 +586,15 @@
             let place = format!("ledger {number} resend {} ended {}", owed.resend, owed.end.is_some());
             places.entry(owed.taken.id.clone()).or_default().push(place);
         }
-        let mut after = Some(0);
-        while let Some(from) = after {
-            let (found, next) = clerk.list(&Filter::default(), from, 1000).expect("the store");
-            for summary in found {
-                let holder = owed.get(&summary.number);
-                // the ledger's open entry decides; the store's row must know that it was ordered
-                if holder.is_some_and(|owed| owed.end.is_none()) {
-                    let known = matches!(summary.state, State::Ordered | State::Out);
-                    assert!(known, "{summary:?} is in two places: {holder:?}");
-                }
-                assert!(holder.is_none_or(|owed| owed.taken.id == summary.id), "a number for two messages");
-                places.entry(summary.id.clone()).or_default().push(format!("store {:?}", summary.state));
+        for summary in rows(&clerk) {
+            let holder = owed.get(&summary.number);
+            // the ledger's open entry decides; the store's row must know that it was ordered
+            if holder.is_some_and(|owed| owed.end.is_none()) {
+                let known = matches!(summary.state, State::Ordered | State::Out);
+                assert!(known, "{summary:?} is in two places: {holder:?}");
             }
-            after = next;
+            assert!(holder.is_none_or(|owed| owed.taken.id == summary.id), "a number for two messages");
+            places.entry(summary.id.clone()).or_default().push(format!("store {:?}", summary.state));
         }
         for name in self.promised.borrow().iter() {
             let delivered = self.outside.effects.borrow().count(name) > 0;
@@ -629,12 +618,7 @@
         assert!(journal.owed().is_empty());
         let clerk = self.open_clerk();
         let mut states = BTreeMap::new();
-        let mut after = Some(0);
-        while let Some(from) = after {
-            let (found, next) = clerk.list(&Filter::default(), from, 1000).expect("the store");
-            states.extend(found.into_iter().map(|summary| (summary.id, summary.state)));
-            after = next;
-        }
+        states.extend(rows(&clerk).into_iter().map(|summary| (summary.id, summary.state)));
         let effects = self.outside.effects.borrow();
         for name in self.promised.borrow().iter() {
             let ran = effects.count(name) > 0;
--- a/src/run.rs
+++ b/src/run.rs
@@ -4,7 +4,7 @@
 use milletturn_log::log;
 use milletturn_platform::agent;
 use milletturn_platform::config::{Config, reload};
-use milletturn_undelivered::config::Config as StoreConfig;
+use milletturn_undelivered::config::{Config as StoreConfig, STORE_SIZES};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -15,8 +15,6 @@
 const STORE_DESCRIPTORS: usize = 8;
 /// Part of the folder that the journal of what is owed keeps for itself at least.
 const JOURNAL_PART: u64 = 2;
-/// What the store may take up, in its own sizes: itself, the pages that a transaction copies, one set aside.
-const STORE_SIZES: u64 = 3;
 
 /// Runs until SIGTERM.
 ///
