--- a/crates/engine/src/endings.rs
+++ b/crates/engine/src/endings.rs
@@ -3,7 +3,7 @@
 use crate::archive::{Ended, Order, Resend, ResendAnswer, Tried};
 use crate::closing::Closing;
 use crate::door::is_own_class;
-use crate::engine::{Engine, position};
+use crate::engine::Engine;
 use crate::ledger::{End, Ending, Sent, Taken};
 use crate::message::{Attempt, Message};
 use crate::transport::Item;
@@ -144,9 +144,9 @@
         if resends >= (self.max_held / RESEND_PART).max(1) || self.open >= self.max_held.div_ceil(BUSY_PART) {
             return ResendAnswer::Busy;
         }
-        let class = position(&self.class_names, &name);
+        let class = self.classes.position(&name);
         let now = self.clock.now();
-        let Some(time) = self.class_deadlines.get(class).copied() else {
+        let Some(time) = self.classes.deadline(class) else {
             return ResendAnswer::TooLate;
         };
         let left = self.window_left(class, risk.as_ref().map(|risk| risk.sent_at), now);
@@ -188,7 +188,7 @@
     /// before that attempt has been set back: nobody knows how much of the window has passed.
     fn window_left(&self, class: usize, risk: Option<Micros>, now: Micros) -> Option<Micros> {
         let sent = risk?;
-        let window = self.windows.get(class).copied().flatten()?;
+        let window = self.classes.window(class)?;
         Some(if sent > now { 0 } else { sent + window - now })
     }
 }
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -24,6 +24,11 @@
 }
 
 impl Endpoints {
+    /// Endpoints in the list.
+    pub fn count(&self) -> usize {
+        self.routes.len()
+    }
+
     pub fn route(&self, endpoint: EndpointId) -> Option<&Route> {
         self.routes.get(&endpoint)
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,6 +1,7 @@
 //! The turns, and the books of messages, calls and endpoints that they need.
 
 use crate::archive::{Archive, Reason, Resend};
+use crate::classes::Classes;
 use crate::clock::Clock;
 use crate::closing::Closing;
 use crate::door::{Answer, Arrival, Notice};
@@ -12,10 +13,10 @@
 use crate::transport::{Call, Ended, Item, Transport};
 use crate::word::Word;
 use milletturn_policy::{
-    Action, Effect, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
+    Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
     PastAttempt, Sender, Settings, SettingsError, Status,
 };
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
@@ -46,10 +47,32 @@
     Kept(Vec<u64>),
     /// An archived message is to be sent again.
     Resend(Resend),
+    /// A door turned a message away by itself.
+    TurnedAway {
+        /// Position of its class.
+        class: usize,
+        /// Its destination.
+        destination: u64,
+    },
+    /// New settings; the reply has the positions of their classes.
+    Settings(Box<Settings>, oneshot::Sender<Result<Vec<usize>, SettingsError>>),
+    /// Asks what is so now.
+    Look(oneshot::Sender<View>),
     /// Whether a message with this id is held and has no final answer yet.
     Find(Word, oneshot::Sender<bool>),
 }
 
+/// What is so now.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct View {
+    /// Messages that have been taken on and have no final answer.
+    pub held: usize,
+    /// Endpoints in the list.
+    pub listed: usize,
+    /// Listed endpoints that take calls, which the module keeps away from.
+    pub avoided: usize,
+}
+
 /// What the engine is put together from.
 pub struct Ports {
     /// The decisions.
@@ -106,10 +129,7 @@
     bundle_max: Vec<usize>,
     pub(crate) max_held: usize,
     pub(crate) max_attempts: usize,
-    pub(crate) class_deadlines: Vec<Micros>,
-    /// Windows of the keyed classes; zero where a repeat is never allowed, none where it always is.
-    pub(crate) windows: Vec<Option<Micros>>,
-    pub(crate) class_names: Vec<String>,
+    pub(crate) classes: Classes,
     pub(crate) ledger: Box<dyn Ledger>,
     transport: Box<dyn Transport>,
     pub(crate) archive: Option<Box<dyn Archive>>,
@@ -158,14 +178,7 @@
             ..
         } = ports;
         let bundle_max = settings.kinds.iter().map(|kind| kind.bundle_max).collect();
-        let class_names = settings.classes.iter().map(|class| class.name.clone()).collect();
-        let class_deadlines = settings.classes.iter().map(|class| class.deadline).collect();
-        let windows = settings.classes.iter().map(|class| match class.effect {
-            Effect::Repeatable => None,
-            Effect::Keyed { window, .. } => Some(window),
-            Effect::Unsafe => Some(0),
-        });
-        let windows = windows.collect();
+        let classes = Classes::new(&settings.classes);
         let (max_held, max_attempts) = (settings.max_held, settings.max_attempts);
         let mut engine = Engine {
             sender: Sender::new(settings, ports.seed)?,
@@ -175,9 +188,7 @@
             bundle_max,
             max_held,
             max_attempts,
-            class_deadlines,
-            windows,
-            class_names,
+            classes,
             ledger,
             archive,
             tell_delivered: ports.tell_delivered,
@@ -199,6 +210,7 @@
             events: Vec::new(),
             alarm: None,
         };
+        engine.observer.observe(&Fact::Classes(engine.classes.names()));
         if let Some(known) = known {
             engine.list(known, true);
         }
@@ -249,7 +261,7 @@
             self.next_message = self.next_message.max(number + 1);
             let key = owed.taken.key.as_deref().map(|key| Word::new(key.as_bytes())).transpose();
             let (Ok(id), Ok(key)) = (Word::new(owed.taken.id.as_bytes()), key) else { continue };
-            let class = position(&self.class_names, &owed.taken.class);
+            let class = self.classes.position(&owed.taken.class);
             let (destination, born) = (owed.taken.destination, owed.taken.taken_at);
             let past: Vec<PastAttempt> = owed
                 .attempts
@@ -303,6 +315,18 @@
             Input::Noticed(numbers) => numbers.into_iter().for_each(|number| self.noticed(number)),
             Input::Kept(numbers) => numbers.into_iter().for_each(|number| self.kept(number)),
             Input::Resend(order) => self.resend(order),
+            Input::TurnedAway { class, destination } => {
+                let (at, answer) = (self.clock.now(), Answer::NoRoom);
+                self.observer.observe(&Fact::TurnedAway { class, destination, at, answer });
+            }
+            Input::Settings(settings, reply) => {
+                // one who does not wait for the answer learns nothing, and the settings hold all the same
+                let _ = reply.send(self.retune(*settings));
+            }
+            Input::Look(reply) => {
+                // one who does not wait for the answer needs none
+                let _ = reply.send(self.view());
+            }
             Input::Find(id, reply) => {
                 // one who does not wait for the answer needs none
                 let _ = reply.send(self.by_id.contains_key(&id));
@@ -310,6 +334,24 @@
         }
     }
 
+    /// Takes new settings over. What is open keeps its class; news of it reach the module in this very turn.
+    fn retune(&mut self, settings: Settings) -> Result<Vec<usize>, SettingsError> {
+        settings.validate()?;
+        let mut classes = self.classes.clone();
+        let used: HashSet<usize> = self.messages.values().map(|held| held.class).collect();
+        let renewed = classes.take(&settings.classes, |position| used.contains(&position));
+        let positions = settings.classes.iter().map(|class| classes.position(&class.name)).collect();
+        let (max_held, max_attempts) = (settings.max_held, settings.max_attempts);
+        self.sender.retune(Settings { classes: classes.all().to_vec(), ..settings }, &renewed)?;
+        (self.max_held, self.max_attempts, self.classes) = (max_held, max_attempts, classes);
+        self.observer.observe(&Fact::Classes(self.classes.names()));
+        Ok(positions)
+    }
+
+    fn view(&self) -> View {
+        View { held: self.open, listed: self.endpoints.count(), avoided: self.sender.avoided() }
+    }
+
     fn arrive(&mut self, arrival: Arrival) {
         // a receiver that is gone is a client that left: its guard says so too
         if let Some(&message) = self.by_id.get(&arrival.id) {
@@ -320,7 +362,10 @@
         } else if self.delivered.contains(&arrival.id) {
             let _ = arrival.reply.send(Answer::Delivered);
         } else if self.open >= self.max_held {
-            let _ = arrival.reply.send(Answer::Refused { wait: None });
+            let (class, destination, at) = (arrival.class, arrival.destination, self.clock.now());
+            let answer = Answer::Refused { wait: None };
+            self.observer.observe(&Fact::TurnedAway { class, destination, at, answer });
+            let _ = arrival.reply.send(answer);
         } else {
             let message = MessageId(self.next_message);
             self.next_message += 1;
@@ -436,7 +481,7 @@
             && let Some(held) = self.messages.remove(&message)
             && held.end.is_some()
         {
-            let class = self.class_names.get(held.class).cloned().unwrap_or_default();
+            let class = self.classes.name(held.class);
             self.archive_ended(message.0, class, held);
         }
     }
@@ -529,7 +574,7 @@
             let (class, destination, at) = (arrival.class, arrival.destination, began);
             self.observer.observe(&match answer {
                 Answer::Taken => Fact::Taken { class, destination, at },
-                _ => Fact::TurnedAway { class, destination, at },
+                _ => Fact::TurnedAway { class, destination, at, answer },
             });
             if answer != Answer::Taken {
                 self.close(message);
@@ -554,7 +599,7 @@
         let taken = Taken {
             id: arrival.id.to_string(),
             key: arrival.key.as_ref().map(Word::to_string),
-            class: self.class_names.get(arrival.class).cloned().unwrap_or_default(),
+            class: self.classes.name(arrival.class),
             destination: arrival.destination,
             taken_at: began,
             deadline: began + arrival.time,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -16,6 +16,7 @@
 //! the whole runs in virtual time and the same way each time.
 
 pub mod archive;
+mod classes;
 mod clock;
 mod closing;
 pub mod door;
@@ -32,7 +33,7 @@
 pub use archive::{Archive, Order, Reason, Resend, ResendAnswer, Risk, Tried};
 pub use clock::Clock;
 pub use door::{Answer, Arrival, BODY_MOST, Notice};
-pub use engine::{Engine, Input, Ports};
+pub use engine::{Engine, Input, Ports, View};
 pub use ledger::{End, Ending, Ledger, LedgerError, Owed, Sent, Taken};
 pub use observer::{Fact, Observer};
 pub use source::{ListUpdate, Listed};
--- a/crates/engine/src/observer.rs
+++ b/crates/engine/src/observer.rs
@@ -1,11 +1,13 @@
 //! Observers: hear what happened, and change nothing.
 
-use crate::{Ending, LedgerError};
+use crate::{Answer, Ending, LedgerError};
 use milletturn_policy::{Micros, Outcome};
 
 /// Something that happened. Times are module time in microseconds.
 #[derive(Debug)]
 pub enum Fact<'a> {
+    /// The names of the classes, by the positions that other facts carry: at the start, and when they change.
+    Classes(&'a [String]),
     /// A message was taken on.
     Taken {
         /// Position of its class.
@@ -23,6 +25,8 @@
         destination: u64,
         /// When.
         at: Micros,
+        /// What its client hears.
+        answer: Answer,
     },
     /// An attempt started.
     Sent {
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -16,7 +16,7 @@
 use milletturn_engine::{BODY_MOST, Call, Ended, Input, Item, Transport};
 use milletturn_log::Seldom;
 use milletturn_policy::{EndpointId, Micros, Outcome};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -68,6 +68,8 @@
     report_fields: Vec<String>,
     faults: Seldom,
     inputs: mpsc::UnboundedSender<Input>,
+    /// Messages written whole to endpoints.
+    tries: Rc<Cell<u64>>,
 }
 
 /// What came of the whole call.
@@ -90,10 +92,11 @@
 }
 
 impl Calls {
-    /// No connections yet. `idle` is when endpoints close idle ones, zero where that is not known.
+    /// No connections yet. `idle` is when endpoints close idle ones, zero where that is not known. `tries` counts
+    /// messages that have been written whole.
     pub fn new(
         idle: Duration, dial_timeout: Duration, report_fields: Vec<String>, budget: &Budget,
-        inputs: mpsc::UnboundedSender<Input>,
+        inputs: mpsc::UnboundedSender<Input>, tries: Rc<Cell<u64>>,
     ) -> Self {
         let idle = if idle.is_zero() { Duration::from_secs(5) } else { idle };
         let idle_most = (idle * 9 / 10).min(idle.saturating_sub(Duration::from_millis(300)));
@@ -106,6 +109,7 @@
             report_fields,
             faults: Seldom::default(),
             inputs,
+            tries,
         }))
     }
 }
@@ -228,7 +232,7 @@
         let Some((request, least)) = request_of(call.address, &call.items, call.expires) else {
             return Outcome::Unsent { no_slot: false }.into();
         };
-        connection.wire.begin(reused);
+        connection.wire.begin(reused, least, call.items.len() as u64, &shared.tries);
         *wire.borrow_mut() = Some(connection.wire.clone());
         let before = connection.wire.written.get();
         let response = {
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
@@ -37,6 +37,9 @@
         /// Why, with line and column.
         error: serde_json::Error,
     },
+    /// A key that stood in the file before.
+    #[error("{0} is missing; it stood in the file before")]
+    Missing(String),
     /// A value that is none.
     #[error("{name} is '{found}', not {wanted}")]
     Value {
@@ -59,6 +62,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators connect, if they may.
+    pub management: Option<SocketAddr>,
     /// The agent.
     pub discovery: SocketAddr,
     /// The folder that outlasts the process.
@@ -75,6 +80,8 @@
     pub budget: Budget,
     /// The file that all this comes from; a reload reads it again.
     pub path: PathBuf,
+    /// The keys that it has.
+    pub shape: Shape,
     /// The list as last known, maybe old.
     pub known: Option<ListUpdate>,
     /// What the decision module is told.
@@ -89,6 +96,8 @@
     listen: String,
     discovery: String,
     #[serde(default)]
+    management: Option<String>,
+    #[serde(default)]
     seed: String,
     limits: Limits,
     #[serde(default)]
@@ -110,19 +119,78 @@
 }
 
 /// What a reload can change. The rest of the file binds from the next start on.
-#[derive(Deserialize)]
-struct Reloaded {
-    discovery: String,
+#[derive(Debug)]
+pub struct Reloaded {
+    /// The agent.
+    pub discovery: SocketAddr,
+    /// What the decision module is told.
+    pub settings: Settings,
 }
 
-/// Reads the file again: the address of discovery in it. `RELAY_DISCOVERY` does not count here, since it still
-/// says what held at the start of the process.
+/// Reads the file again, whole or not at all: `RELAY_DISCOVERY` does not count here, since it still says what held
+/// at the start of the process. `shape` has the keys of the file that held before: one that is missing now shows a
+/// file that is not complete.
 ///
 /// # Errors
-/// When the file can't be read or names no address.
-pub fn reload(path: &Path) -> Result<SocketAddr, ConfigError> {
-    let reloaded: Reloaded = read(path)?;
-    address("discovery", reloaded.discovery)
+/// When the file can't be read, lacks a key, or has a value that makes no sense.
+pub fn reload(path: &Path, shape: &Shape) -> Result<Reloaded, ConfigError> {
+    let value: Value = read(path)?;
+    if let Some(key) = shape.missing(&value) {
+        return Err(ConfigError::Missing(key));
+    }
+    let file =
+        File::deserialize(&value).map_err(|error| ConfigError::Json { path: path.to_path_buf(), error })?;
+    bytes_of("limits.disk_mb", file.limits.disk_mb)?;
+    bytes_of("limits.memory_mb", file.limits.memory_mb)?;
+    let (settings, _) = settings_of(&file.settings)?;
+    Ok(Reloaded { discovery: address("discovery", file.discovery)?, settings })
+}
+
+/// Which keys a file has, by path. Lists count as one key: classes come and go.
+#[derive(Debug, Clone, Default)]
+pub struct Shape(BTreeSet<String>);
+
+impl Shape {
+    fn of(value: &Value) -> Self {
+        let mut shape = Shape::default();
+        shape.add("", value);
+        shape
+    }
+
+    fn add(&mut self, path: &str, value: &Value) {
+        if !path.is_empty() {
+            self.0.insert(path.to_string());
+        }
+        if let Value::Object(fields) = value {
+            for (name, value) in fields {
+                self.add(&below(path, name), value);
+            }
+        }
+    }
+
+    /// The first key that the value lacks.
+    fn missing(&self, value: &Value) -> Option<String> {
+        let found = Shape::of(value);
+        self.0.difference(&found.0).next().cloned()
+    }
+}
+
+/// Figures that must stand as numbers: text that looks like one is a mistake.
+fn settings_of(value: &Value) -> Result<(Settings, Names), ConfigError> {
+    let number = |name: &'static str, value: &Value| match value {
+        Value::Number(_) => Ok(()),
+        other => Err(ConfigError::Value { name, found: other.to_string(), wanted: "a number" }),
+    };
+    number("settings.caps.mostTries", &value["caps"]["mostTries"])?;
+    for class in value["classes"].as_array().into_iter().flatten() {
+        number("settings.classes.deadline", &class["deadline"])?;
+    }
+    let mut flat = BTreeMap::new();
+    flatten("", value, &mut flat);
+    let pairs = flat.iter().map(|(path, text)| (path.as_str(), text.as_str())).collect();
+    let (settings, names) = read_settings(&Pairs(pairs))?;
+    settings.validate()?;
+    Ok((settings, names))
 }
 
 fn read<T: DeserializeOwned>(path: &Path) -> Result<T, ConfigError> {
@@ -143,7 +211,10 @@
     pub fn from_env() -> Result<Self, ConfigError> {
         let variable = |name| std::env::var(name).map_err(|_| ConfigError::Variable(name));
         let path = PathBuf::from(variable("RELAY_CONFIG")?);
-        let file: File = read(&path)?;
+        let value: Value = read(&path)?;
+        let shape = Shape::of(&value);
+        let file =
+            File::deserialize(value).map_err(|error| ConfigError::Json { path: path.clone(), error })?;
         let state = PathBuf::from(variable("RELAY_STATE")?);
         let name = variable("RELAY_NAME").unwrap_or(file.name);
         let listen = address("RELAY_LISTEN", variable("RELAY_LISTEN").unwrap_or(file.listen))?;
@@ -152,6 +223,8 @@
             log(format_args!("{name}: RELAY_DISCOVERY is {told}, the file says {}", file.discovery));
         }
         let discovery = address("RELAY_DISCOVERY", told)?;
+        let management = variable("RELAY_MANAGEMENT").ok().or(file.management);
+        let management = management.map(|text| address("RELAY_MANAGEMENT", text)).transpose()?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Value {
             name: "seed",
             found: file.seed.clone(),
@@ -159,14 +232,11 @@
         })?;
         let disk = bytes_of("limits.disk_mb", file.limits.disk_mb)?;
         let memory = bytes_of("limits.memory_mb", file.limits.memory_mb)?;
-        let mut flat = BTreeMap::new();
-        flatten("", &file.settings, &mut flat);
-        let pairs = flat.iter().map(|(path, text)| (path.as_str(), text.as_str())).collect();
-        let (settings, names) = read_settings(&Pairs(pairs))?;
-        settings.validate()?;
+        let (settings, names) = settings_of(&file.settings)?;
         Ok(Config {
             name,
             listen,
+            management,
             discovery,
             state,
             seed,
@@ -175,6 +245,7 @@
             memory,
             budget: Budget::new(file.limits.sockets, memory, settings.call_slots),
             path,
+            shape,
             known: parse_list(&file.known),
             settings,
             names,
@@ -196,17 +267,18 @@
 /// Nested JSON to paths with text, as the wire's `setup` has them: a list of plain values is joined with
 /// commas, a list of objects has its length under `.count` and its items under their numbers.
 fn flatten(path: &str, value: &Value, flat: &mut BTreeMap<String, String>) {
-    let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
     match value {
-        Value::Object(fields) => fields.iter().for_each(|(name, value)| flatten(&below(name), value, flat)),
+        Value::Object(fields) => {
+            fields.iter().for_each(|(name, value)| flatten(&below(path, name), value, flat));
+        }
         Value::Array(items) if items.iter().any(Value::is_object) => {
-            flat.insert(below("count"), items.len().to_string());
+            flat.insert(below(path, "count"), items.len().to_string());
             for (index, item) in items.iter().enumerate() {
-                flatten(&below(&index.to_string()), item, flat);
+                flatten(&below(path, &index.to_string()), item, flat);
             }
         }
         Value::Array(items) if items.is_empty() => {
-            flat.insert(below("count"), "0".to_string());
+            flat.insert(below(path, "count"), "0".to_string());
             flat.insert(path.to_string(), String::new());
         }
         Value::Array(items) => {
@@ -219,6 +291,10 @@
     }
 }
 
+fn below(path: &str, name: &str) -> String {
+    if path.is_empty() { name.to_string() } else { format!("{path}.{name}") }
+}
+
 fn plain(value: &Value) -> String {
     match value {
         Value::String(text) => text.replace([' ', ','], "_"),
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -1,5 +1,6 @@
 //! The clients' side: reads messages that are handed in, and answers as the driver decides.
 
+use crate::gate::Gate;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -43,20 +44,18 @@
 
 /// What the connections share.
 pub struct Server {
-    /// Classes of message, which are the first parts of paths.
-    pub classes: Vec<Class>,
+    /// Classes of message, which are the first parts of paths, with their positions.
+    pub classes: Rc<RefCell<Vec<(usize, Class)>>>,
     /// The engine.
     pub inputs: mpsc::UnboundedSender<Input>,
     /// True once endpoints are known.
     pub ready: watch::Receiver<bool>,
-    /// Set once the process is to end: each answer then closes its connection.
-    pub draining: Rc<Cell<bool>>,
+    /// Whether clients are let in, and whether each answer closes its connection.
+    pub gate: Rc<Gate>,
     /// Connections that may be open at once.
     pub most: usize,
     /// Bytes of bodies that may be in reading at once.
     pub bodies: Semaphore,
-    /// Turns true when idle connections are to be closed too.
-    pub closing: watch::Receiver<bool>,
 }
 
 /// Why a request is not taken on, as HTTP tells it.
@@ -183,7 +182,7 @@
 async fn serve_one(stream: TcpStream, server: Rc<Server>, place: Rc<Place>) {
     // without it answers still come, only later
     let _ = stream.set_nodelay(true);
-    let mut closing = server.closing.clone();
+    let mut closing = server.gate.closing();
     let (seen, stream) = (place.clone(), Watched { stream, place: place.clone(), dropped: 0 });
     let service = service_fn(move |request| answer(request, server.clone(), seen.clone()));
     let connection = http1::Builder::new()
@@ -191,7 +190,8 @@
         .max_buf_size(HEAD_MOST)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let mut stays = true;
+    // one that comes after the idle ones have been closed is answered once
+    let mut stays = !*closing.borrow_and_update();
     loop {
         let until = place.until.get();
         tokio::select! {
@@ -310,7 +310,7 @@
         }
     };
     let mut response = response;
-    let close = close || server.draining.get();
+    let close = close || server.gate.closes();
     if close {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -336,7 +336,7 @@
         if request.method() != Method::GET {
             return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET));
         }
-        let ready = *server.ready.borrow() && !server.draining.get();
+        let ready = *server.ready.borrow() && server.gate.says_ready();
         return if ready {
             Ok(Response::default())
         } else {
@@ -346,8 +346,8 @@
     let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
     let headers = request.headers();
     let named = single(headers, "x-priority-class", "X-Priority-Class")?;
-    let class = server.classes.iter().position(|class| class.name == first);
-    let Some(class) = class else {
+    let known = server.classes.borrow().iter().find(|(_, class)| class.name == first).cloned();
+    let Some((class, Class { effect, .. })) = known else {
         // a class that nobody knows, or a path that is none
         return Err(if named.is_some_and(|name| name == first) {
             bad("unknown class")
@@ -363,7 +363,7 @@
     }
     let id = word(single(headers, "x-request-id", "X-Request-ID")?)?.ok_or(bad("X-Request-ID is missing"))?;
     let key = word(single(headers, "idempotency-key", "Idempotency-Key")?)?;
-    if key.is_none() && matches!(server.classes[class].effect, Effect::Keyed { .. }) {
+    if key.is_none() && matches!(effect, Effect::Keyed { .. }) {
         return Err(bad("Idempotency-Key is missing"));
     }
     let time = single(headers, "x-timeout", "X-Timeout")?.ok_or(bad("X-Timeout is missing"))?;
@@ -377,15 +377,24 @@
     }
     let most =
         request.body().size_hint().upper().map_or(BODY_MOST, |most| most.min(BODY_MOST as u64) as usize);
+    // a message that the door itself refuses is counted as turned away all the same
+    let refuse = |what| {
+        // nobody listens any more only when the process ends
+        let _ = server.inputs.send(Input::TurnedAway { class, destination });
+        Err((StatusCode::SERVICE_UNAVAILABLE, what))
+    };
     let Ok(room) = server.bodies.try_acquire_many(most as u32) else {
-        return Err((StatusCode::SERVICE_UNAVAILABLE, "too many bodies at once"));
+        return refuse("too many bodies at once");
     };
     let body = timeout_at(ends, read_body(request.into_body()))
         .await
         .map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))??;
     drop(room);
     if !*server.ready.borrow() {
-        return Err((StatusCode::SERVICE_UNAVAILABLE, "not ready"));
+        return refuse("not ready");
+    }
+    if !server.gate.takes() {
+        return refuse("draining");
     }
     let (reply, answer) = oneshot::channel();
     place.hand_on();
--- /dev/null
+++ b/crates/platform/src/gate.rs
@@ -0,0 +1,179 @@
+//! Whether clients are let in: the state machine behind `GET /ready`, drains, and the end of the process.
+//!
+//! ```text
+//! Open <-> Drained        by operators
+//!   \        |
+//!    +----> Ending        by SIGTERM, for good
+//! ```
+
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+/// From a drain to the end of idle client connections. The front asks every 100 ms and sends no new connection
+/// 200 ms after a no; what is used until then is closed behind its answer. Later leaves clients more time to
+/// come back by themselves, sooner leaves more room before the 4 s at which none may stand idle.
+const DRAIN_IDLE: Duration = Duration::from_millis(1000);
+/// From a drain to the last message that is taken on: 4 s after it there may be no connection with a message
+/// of the last 2 s.
+const DRAIN_TAKES: Duration = Duration::from_millis(1800);
+/// From SIGTERM to the end of idle client connections. SIGKILL comes no sooner than 3.7 s after SIGTERM.
+const ENDING_IDLE: Duration = Duration::from_millis(2500);
+
+/// What the clients' door does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Takes clients.
+    Open,
+    /// Emptied by operators since then.
+    Drained(Instant),
+    /// The process ends.
+    Ending(Instant),
+}
+
+impl Phase {
+    /// When idle connections are closed.
+    fn closes_idle(self) -> Option<Instant> {
+        match self {
+            Phase::Open => None,
+            Phase::Drained(since) => Some(since + DRAIN_IDLE),
+            Phase::Ending(since) => Some(since + ENDING_IDLE),
+        }
+    }
+
+    /// True while messages are still taken on. A process that ends takes them to the last: nothing tells its
+    /// clients sooner.
+    fn takes(self, now: Instant) -> bool {
+        !matches!(self, Phase::Drained(since) if now >= since + DRAIN_TAKES)
+    }
+}
+
+/// The phase, and those who wait for it.
+#[derive(Debug)]
+pub struct Gate {
+    phase: watch::Sender<Phase>,
+    /// Idle connections are to be closed.
+    closing: watch::Sender<bool>,
+}
+
+impl Gate {
+    /// An open one. [`Gate::run`] must run beside it.
+    #[allow(clippy::new_without_default)]
+    pub fn new() -> Self {
+        Gate { phase: watch::channel(Phase::Open).0, closing: watch::channel(false).0 }
+    }
+
+    /// True while clients are wanted.
+    pub fn says_ready(&self) -> bool {
+        *self.phase.borrow() == Phase::Open
+    }
+
+    /// True if each answer is to close its connection.
+    pub fn closes(&self) -> bool {
+        *self.phase.borrow() != Phase::Open
+    }
+
+    /// True while messages are taken on.
+    pub fn takes(&self) -> bool {
+        self.phase.borrow().takes(Instant::now())
+    }
+
+    /// Turns true when idle connections are to go.
+    pub fn closing(&self) -> watch::Receiver<bool> {
+        self.closing.subscribe()
+    }
+
+    /// Empties the sender; false if the process ends. A drain that is on goes on.
+    pub fn drain(&self) -> bool {
+        self.phase.send_if_modified(|phase| {
+            let open = *phase == Phase::Open;
+            if open {
+                *phase = Phase::Drained(Instant::now());
+            }
+            open
+        });
+        !self.is_ending()
+    }
+
+    /// Ends a drain; false if the process ends.
+    pub fn resume(&self) -> bool {
+        self.phase.send_if_modified(|phase| {
+            let drained = matches!(phase, Phase::Drained(_));
+            if drained {
+                *phase = Phase::Open;
+            }
+            drained
+        });
+        !self.is_ending()
+    }
+
+    /// The process ends.
+    pub fn end(&self) {
+        self.phase.send_replace(Phase::Ending(Instant::now()));
+    }
+
+    fn is_ending(&self) -> bool {
+        matches!(*self.phase.borrow(), Phase::Ending(_))
+    }
+
+    /// Tells idle connections when to go, and no longer once the gate is open again.
+    pub async fn run(self: Rc<Self>) {
+        let mut phases = self.phase.subscribe();
+        loop {
+            let due = phases.borrow_and_update().closes_idle();
+            let now = due.is_some_and(|due| due <= Instant::now());
+            self.closing.send_if_modified(|closing| std::mem::replace(closing, now) != now);
+            tokio::select! {
+                changed = phases.changed() => if changed.is_err() { return },
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() && !now => {}
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::task::LocalSet;
+    use tokio::time::advance;
+
+    #[tokio::test(start_paused = true)]
+    async fn a_drain_closes_idle_connections_and_a_resume_opens_again() {
+        LocalSet::new()
+            .run_until(async {
+                let gate = Rc::new(Gate::new());
+                tokio::task::spawn_local(gate.clone().run());
+                let closing = gate.closing();
+                assert!(gate.says_ready() && gate.takes() && !gate.closes());
+                assert!(gate.drain());
+                advance(DRAIN_IDLE / 2).await;
+                // a second word must not start the time anew
+                assert!(gate.drain());
+                assert!(!gate.says_ready() && gate.closes() && gate.takes() && !*closing.borrow());
+                tokio::time::sleep(DRAIN_IDLE / 2 + Duration::from_millis(1)).await;
+                assert!(*closing.borrow());
+                tokio::time::sleep(DRAIN_TAKES - DRAIN_IDLE).await;
+                assert!(!gate.takes());
+                assert!(gate.resume());
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                assert!(gate.says_ready() && gate.takes() && !*closing.borrow());
+            })
+            .await;
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn the_end_is_for_good() {
+        LocalSet::new()
+            .run_until(async {
+                let gate = Rc::new(Gate::new());
+                tokio::task::spawn_local(gate.clone().run());
+                assert!(gate.drain());
+                gate.end();
+                assert!(!gate.resume() && !gate.drain() && !gate.says_ready());
+                tokio::time::sleep(ENDING_IDLE + Duration::from_millis(1)).await;
+                assert!(*gate.closing().borrow() && gate.takes());
+            })
+            .await;
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod calls;
 pub mod config;
 pub mod door;
+mod gate;
 mod list;
 mod wire;
 
 pub use budget::Budget;
+pub use gate::{Gate, Phase};
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -3,7 +3,7 @@
 
 use milletturn_engine::BODY_MOST;
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -24,6 +24,16 @@
     /// Bytes of 1xx answers ahead of the present call's answer.
     ahead: Cell<usize>,
     seen: Notify,
+    /// Where the present call counts its messages once it has been written whole.
+    whole: RefCell<Option<Whole>>,
+}
+
+/// A call that is being written: the count of written bytes at which it is whole.
+#[derive(Debug)]
+struct Whole {
+    at: u64,
+    messages: u64,
+    tries: Rc<Cell<u64>>,
 }
 
 /// How far the first line of the answer that counts has come. 1xx answers ahead of it are passed over.
@@ -74,8 +84,11 @@
 }
 
 impl Wire {
-    /// A call is about to be written.
-    pub fn begin(&self, reused: bool) {
+    /// A call of so many messages is about to be written, which takes `least` bytes at the very least; `tries`
+    /// counts its messages then.
+    pub fn begin(&self, reused: bool, least: u64, messages: u64, tries: &Rc<Cell<u64>>) {
+        let whole = Whole { at: self.written.get() + least, messages, tries: tries.clone() };
+        self.whole.replace(Some(whole));
         self.look.set(reused);
         self.ahead.set(0);
         self.answer.set(FirstLine::Status(0, 0));
@@ -140,7 +153,11 @@
 
     fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &result {
-            self.wire.written.set(self.wire.written.get() + *bytes as u64);
+            let written = self.wire.written.get() + *bytes as u64;
+            self.wire.written.set(written);
+            if let Some(whole) = self.wire.whole.borrow_mut().take_if(|whole| written >= whole.at) {
+                whole.tries.set(whole.tries.get() + whole.messages);
+            }
         }
         result
     }
@@ -190,13 +207,14 @@
 #[cfg(test)]
 mod tests {
     use super::{FirstLine, Wire};
+    use std::rc::Rc;
 
     /// The first line after these bytes, however they are cut into reads, and what hyper gets to see of them.
     fn seen(text: &str) -> (FirstLine, String) {
         let mut found = Vec::new();
         for size in [1, 2, 5, 13, text.len().max(1)] {
             let (wire, mut bytes) = (Wire::default(), text.as_bytes().to_vec());
-            wire.begin(false);
+            wire.begin(false, 0, 1, &Rc::default());
             bytes.chunks_mut(size).for_each(|chunk| wire.pass(chunk).expect("short enough"));
             found.push((wire.answer.get(), String::from_utf8(bytes).expect("text")));
         }
@@ -231,7 +249,7 @@
     #[test]
     fn answers_ahead_without_end_are_an_error() {
         let wire = Wire::default();
-        wire.begin(false);
+        wire.begin(false, 0, 1, &Rc::default());
         let ends = (0..10_000).any(|_| wire.pass(&mut b"HTTP/1.1 102 Processing\r\n\r\n".to_vec()).is_err());
         assert!(ends);
     }
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -110,16 +110,16 @@
 /// The decisions of one sender.
 #[derive(Debug)]
 pub struct Sender {
-    settings: Settings,
+    pub(crate) settings: Settings,
     random: Pcg32,
     now: Micros,
     alarm: Micros,
-    endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     routes: BTreeMap<DestinationId, BTreeSet<EndpointId>>,
     /// When the list last had something at a destination.
     listed: BTreeMap<DestinationId, Micros>,
-    units: BTreeMap<UnitId, Unit>,
-    messages: BTreeMap<MessageId, Held>,
+    pub(crate) units: BTreeMap<UnitId, Unit>,
+    pub(crate) messages: BTreeMap<MessageId, Held>,
     keys: BTreeMap<u64, KeyLine>,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
@@ -290,7 +290,7 @@
         }
         let mut held = Held { key, born, deadline, worth, open: true, ..Held::default() };
         (held.class, held.destination, held.retry_rest) = (new.class, new.destination, RETRY_FIRST);
-        held.later = new.later;
+        (held.later, held.most) = (new.later, self.settings.max_attempts);
         self.messages.insert(new.id, held);
     }
 
@@ -610,7 +610,7 @@
         if !message.open
             || !target.serving
             || target.destination != message.destination
-            || message.attempts.len() >= settings.max_attempts
+            || message.attempts.len() >= message.most
             || self.now + MARGIN >= message.deadline
             || (out > 0 && !settings.second_copies)
         {
@@ -695,7 +695,7 @@
             Effect::Unsafe => risky.next().is_some(),
             Effect::Keyed { window, .. } => risky.any(|attempt| self.now + MARGIN >= attempt.sent + window),
         };
-        closed || message.attempts.len() >= self.settings.max_attempts
+        closed || message.attempts.len() >= message.most
     }
 
     /// True if every unit of the message's destination is sick, returning or has failed of late.
@@ -923,7 +923,7 @@
         self.settings.classes.get(class).map_or(Effect::Unsafe, |class| class.effect)
     }
 
-    fn unit_of(&self, endpoint: EndpointId) -> UnitId {
+    pub(crate) fn unit_of(&self, endpoint: EndpointId) -> UnitId {
         let Some(known) = self.endpoints.get(&endpoint) else { return (0, Some(endpoint)) };
         let apart = self.settings.kinds.get(known.kind).is_some_and(|kind| kind.separate_routes);
         (known.destination, apart.then_some(endpoint))
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -226,6 +226,17 @@
     /// # Errors
     /// Names the first setting that does not.
     pub fn validate(&self) -> Result<(), SettingsError> {
+        let mut names = BTreeSet::new();
+        for class in &self.classes {
+            if !names.insert(&class.name) {
+                return Err(SettingsError::new(&format!("classes.{}.name", class.name), "stands twice"));
+            }
+        }
+        self.validate_figures()
+    }
+
+    /// Checks all but the names of classes: after a reload one name may stand at two positions.
+    pub(crate) fn validate_figures(&self) -> Result<(), SettingsError> {
         let positive = |name: &str, ok: bool| {
             if ok { Ok(()) } else { Err(SettingsError::new(name, "must be above zero")) }
         };
@@ -263,12 +274,8 @@
         }
         share("safety.start_capacity", safety.start_capacity)?;
         share("safety.fall_multiple", safety.fall_multiple)?;
-        let mut names = BTreeSet::new();
         for class in &self.classes {
             let name = |field: &str| format!("classes.{}.{field}", class.name);
-            if !names.insert(&class.name) {
-                return Err(SettingsError::new(&name("name"), "stands twice"));
-            }
             positive(&name("aim"), class.aim > 0)?;
             positive(&name("deadline"), class.deadline > 0)?;
             share(&name("worth"), class.worth)?;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,7 +25,9 @@
 mod interface;
 pub mod odds;
 pub mod refusals;
+mod retune;
 mod state;
+mod view;
 
 pub use decide::Sender;
 pub use interface::*;
--- /dev/null
+++ b/crates/policy/src/retune.rs
@@ -0,0 +1,28 @@
+//! New settings in the middle of a life. It decides nothing: it only says from when on which figure holds.
+
+use crate::decide::Sender;
+use crate::interface::{Settings, SettingsError};
+
+impl Sender {
+    /// Takes new settings over. Classes stand at positions as before: what an open message carries must stand there
+    /// unchanged; `renewed` are the positions that mean something new. A message that is open keeps its class, and
+    /// never gets more attempts than it might have had. Kinds, zones, tenants and the way to the list are those of
+    /// the start: entries and messages carry their positions.
+    ///
+    /// # Errors
+    /// When the settings make no sense; nothing has changed then.
+    pub fn retune(&mut self, mut settings: Settings, renewed: &[usize]) -> Result<(), SettingsError> {
+        settings.validate_figures()?;
+        settings.zone = self.settings.zone;
+        settings.list_on_request = self.settings.list_on_request;
+        settings.kinds = std::mem::take(&mut self.settings.kinds);
+        settings.tenants = std::mem::take(&mut self.settings.tenants);
+        self.settings = settings;
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.classes.retain(|class, _| !renewed.contains(class));
+        }
+        let most = self.settings.max_attempts;
+        self.messages.values_mut().for_each(|held| held.most = held.most.min(most));
+        Ok(())
+    }
+}
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -67,6 +67,8 @@
     pub worth: f64,
     /// No final answer yet.
     pub open: bool,
+    /// Attempts that it may have.
+    pub most: usize,
     /// All others come first.
     pub later: bool,
     /// For a destination that was not known when it came.
--- /dev/null
+++ b/crates/policy/src/view.rs
@@ -0,0 +1,12 @@
+//! What the module shows of itself. It decides nothing.
+
+use crate::decide::Sender;
+use crate::state::Health;
+
+impl Sender {
+    /// Listed endpoints that take calls, of units that are taken for gone: they get trials only.
+    pub fn avoided(&self) -> usize {
+        let sick = |id| self.units.get(&id).is_some_and(|unit| matches!(unit.health, Health::Sick { .. }));
+        self.endpoints.iter().filter(|(id, known)| known.serving && sick(self.unit_of(**id))).count()
+    }
+}
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -7,14 +7,15 @@
 use milletturn_engine::{Archive, Clock, Engine, Input, Ledger, ListUpdate, Notice, Observer, Ports};
 use milletturn_ledger::{Journal, Recovery};
 use milletturn_log::log;
-use milletturn_platform::Budget;
+use milletturn_management::{Counting, Figures};
 use milletturn_platform::calls::Calls;
 use milletturn_platform::door::{Server, serve};
-use milletturn_policy::Settings;
+use milletturn_platform::{Budget, Gate};
+use milletturn_policy::{Class, Settings};
 use milletturn_undelivered::config::Config as StoreConfig;
 use milletturn_undelivered::control;
 use milletturn_undelivered::keeper::{Keeper, Start};
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -24,11 +25,9 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::{JoinHandle, LocalSet};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
-/// From SIGTERM to the end of idle client connections, and to the end of the process. SIGKILL comes no
-/// sooner than 3.7 s after SIGTERM.
-const CLOSE_IDLE: Duration = Duration::from_millis(2500);
+/// From SIGTERM to the end of the process. SIGKILL comes no sooner than 3.7 s after SIGTERM.
 const END: Duration = Duration::from_millis(3300);
 
 /// SIGTERM and SIGHUP, from before any file is read: a SIGHUP behind that must neither kill nor be missed.
@@ -70,9 +69,15 @@
     pub inputs: mpsc::UnboundedSender<Input>,
     /// The ends that are owed to clients.
     pub ends: Option<mpsc::UnboundedReceiver<Notice>>,
+    /// What is counted.
+    pub figures: Rc<Figures>,
+    /// Whether clients are let in.
+    pub gate: Rc<Gate>,
+    /// True once endpoints are known.
+    pub ready: watch::Receiver<bool>,
+    /// Classes that clients may name, with their positions.
+    pub classes: Rc<RefCell<Vec<(usize, Class)>>>,
     name: String,
-    draining: Rc<Cell<bool>>,
-    close: watch::Sender<bool>,
     engine: JoinHandle<()>,
 }
 
@@ -82,6 +87,11 @@
     LocalSet::new().block_on(&runtime, future)
 }
 
+/// The classes that clients may name: the sender's own are none.
+pub fn of_clients(classes: impl Iterator<Item = (usize, Class)>) -> Vec<(usize, Class)> {
+    classes.filter(|(_, class)| !is_own_class(&class.name)).collect()
+}
+
 /// Reads the ledger, opens the store, listens, and starts the engine.
 pub async fn assemble(parts: Parts) -> Result<Running, Box<dyn Error>> {
     let Parts { name, state, settings, budget, .. } = parts;
@@ -91,18 +101,18 @@
     let (inputs, received) = mpsc::unbounded_channel();
     let (notices, ends) = mpsc::unbounded_channel();
     let (ready, ready_seen) = watch::channel(false);
-    let (close, closing) = watch::channel(false);
-    let draining = Rc::new(Cell::new(false));
-    let calls = Calls::new(parts.idle, parts.dial, parts.report_fields, &budget, inputs.clone());
+    let (gate, figures) = (Rc::new(Gate::new()), Rc::new(Figures::default()));
+    tokio::task::spawn_local(gate.clone().run());
+    let tries = figures.tries.clone();
+    let calls = Calls::new(parts.idle, parts.dial, parts.report_fields, &budget, inputs.clone(), tries);
+    let classes = Rc::new(RefCell::new(of_clients(settings.classes.iter().cloned().enumerate())));
     let server = Server {
-        // the sender's own classes stand last, so positions stay
-        classes: settings.classes.iter().filter(|class| !is_own_class(&class.name)).cloned().collect(),
+        classes: classes.clone(),
         inputs: inputs.clone(),
-        ready: ready_seen,
-        draining: draining.clone(),
+        ready: ready_seen.clone(),
+        gate: gate.clone(),
         most: budget.clients,
         bodies: Semaphore::new(budget.bodies),
-        closing,
     };
     let wall = i64::try_from(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros())?;
     let clock = Clock::new(if parts.store.is_some() { module_time(&state, wall) } else { wall });
@@ -124,10 +134,11 @@
         })?),
         None => None,
     };
-    let observer: Box<dyn Observer> = match &keeper {
+    let next: Box<dyn Observer> = match &keeper {
         Some(keeper) => Box::new(keeper.listener(Logger::default())),
         None => Box::new(Logger::default()),
     };
+    let observer = Box::new(Counting { figures: figures.clone(), next });
     if let Some(keeper) = &keeper {
         tokio::task::spawn_local(control::serve(control::listen(&state)?, keeper.jobs.clone()));
     }
@@ -151,7 +162,7 @@
     log(format_args!("{name}: listening on {}", listener.local_addr()?));
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
     let engine = tokio::task::spawn_local(engine.run(received));
-    Ok(Running { inputs, ends: Some(ends), name, draining, close, engine })
+    Ok(Running { inputs, ends: Some(ends), figures, gate, ready: ready_seen, classes, name, engine })
 }
 
 impl Running {
@@ -159,7 +170,7 @@
     pub async fn until_told(
         self, mut signals: Signals, mut hangup: impl FnMut(),
     ) -> Result<(), Box<dyn Error>> {
-        let Running { inputs, name, draining, close, mut engine, .. } = self;
+        let Running { inputs, name, gate, mut engine, .. } = self;
         loop {
             tokio::select! {
                 ended = &mut engine => return Ok(ended?),
@@ -168,14 +179,10 @@
             }
         }
         log(format_args!("{name}: SIGTERM, draining"));
-        draining.set(true);
+        gate.end();
         let ends = Instant::now() + END;
         let _ = inputs.send(Input::Stopping(ends));
-        let ending = async {
-            sleep(CLOSE_IDLE).await;
-            let _ = close.send(true);
-            sleep_until(ends).await;
-        };
+        let ending = sleep_until(ends);
         tokio::pin!(ending);
         loop {
             tokio::select! {
--- a/src/run.rs
+++ b/src/run.rs
@@ -1,15 +1,22 @@
 //! The sender as the platform runs it: its configuration, its agent, reload on SIGHUP.
 
-use crate::assemble::{Parts, Signals, assemble, block_on};
+use crate::assemble::{Parts, Signals, assemble, block_on, of_clients};
+use milletturn_engine::Input;
 use milletturn_log::log;
+use milletturn_management::Figures;
+use milletturn_management::door::{DESCRIPTORS, Operators, serve};
 use milletturn_platform::agent;
-use milletturn_platform::config::{Config, reload};
+use milletturn_platform::config::{Config, Reloaded, Shape, reload};
+use milletturn_policy::Class;
 use milletturn_undelivered::config::{Config as StoreConfig, STORE_SIZES};
+use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::net::TcpListener;
+use tokio::sync::{Mutex, mpsc, oneshot, watch};
 
 /// Descriptors of the store: its file and rollback journal, the socket and its commands.
 const STORE_DESCRIPTORS: usize = 8;
@@ -29,10 +36,12 @@
     let mut config = Config::from_env()?;
     let store = undelivered.map(StoreConfig::read).transpose()?;
     let mut journal_room = config.disk;
+    let mut beside = config.management.map_or(0, |_| DESCRIPTORS);
     if let Some(store) = &store {
-        config.budget = config.budget_beside(STORE_DESCRIPTORS);
+        beside += STORE_DESCRIPTORS;
         journal_room = room_beside(store, config.disk)?;
     }
+    config.budget = config.budget_beside(beside);
     let version =
         config.known.as_ref().filter(|known| !known.targets.is_empty()).map_or(0, |known| known.version);
     let (name, path) = (config.name.clone(), config.path.clone());
@@ -60,7 +69,33 @@
     if let Some(ends) = running.ends.take() {
         tokio::task::spawn_local(agent::post_notices(agents, ends, running.inputs.clone()));
     }
-    running.until_told(signals, || reload_discovery(&name, &path, &agent)).await
+    if let Some(address) = config.management {
+        let listener = TcpListener::bind(address).await?;
+        log(format_args!("{name}: operators on {}", listener.local_addr()?));
+        let operators = Operators {
+            figures: running.figures.clone(),
+            inputs: running.inputs.clone(),
+            gate: running.gate.clone(),
+            ready: running.ready.clone(),
+            last: Cell::default(),
+        };
+        tokio::task::spawn_local(serve(listener, Rc::new(operators)));
+    }
+    let reload = Rc::new(Reload {
+        name,
+        path,
+        shape: config.shape,
+        agent,
+        figures: running.figures.clone(),
+        inputs: running.inputs.clone(),
+        classes: running.classes.clone(),
+        turn: Mutex::new(()),
+    });
+    running
+        .until_told(signals, move || {
+            tokio::task::spawn_local(reload.clone().run());
+        })
+        .await
 }
 
 /// What is left to the journal.
@@ -79,14 +114,48 @@
     Ok(room)
 }
 
-/// Moves the watch and the notices to the address that the file now names; a file that can't be read changes
-/// nothing.
-fn reload_discovery(name: &str, path: &Path, agent: &watch::Sender<SocketAddr>) {
-    match reload(path) {
-        Ok(address) => {
-            let before = agent.send_replace(address);
-            log(format_args!("{name}: SIGHUP, discovery at {address}, before at {before}"));
+/// What SIGHUP does: all that the file says is taken over, or nothing.
+struct Reload {
+    name: String,
+    path: PathBuf,
+    shape: Shape,
+    agent: watch::Sender<SocketAddr>,
+    figures: Rc<Figures>,
+    inputs: mpsc::UnboundedSender<Input>,
+    classes: Rc<RefCell<Vec<(usize, Class)>>>,
+    /// Reloads go one at a time, in the order of their signals.
+    turn: Mutex<()>,
+}
+
+impl Reload {
+    async fn run(self: Rc<Self>) {
+        let _turn = self.turn.lock().await;
+        let name = &self.name;
+        match self.take_over().await {
+            Ok((before, now)) => {
+                self.figures.config_applied.update(|count| count + 1);
+                let classes: Vec<String> =
+                    self.classes.borrow().iter().map(|(_, class)| class.name.clone()).collect();
+                let classes = classes.join(", ");
+                log(format_args!(
+                    "{name}: SIGHUP, discovery at {now}, before at {before}; classes {classes}"
+                ));
+            }
+            Err(error) => {
+                self.figures.config_rejected.update(|count| count + 1);
+                log(format_args!("{name}: SIGHUP, nothing changed: {error}"));
+            }
         }
-        Err(error) => log(format_args!("{name}: SIGHUP, nothing changed: {error}")),
+    }
+
+    /// The address of discovery before and now. The engine comes first: what it turns down changes nothing else.
+    async fn take_over(&self) -> Result<(SocketAddr, SocketAddr), Box<dyn Error>> {
+        let Reloaded { discovery, settings } = reload(&self.path, &self.shape)?;
+        let classes = settings.classes.clone();
+        let (reply, positions) = oneshot::channel();
+        self.inputs.send(Input::Settings(Box::new(settings), reply))?;
+        let positions = positions.await??;
+        *self.classes.borrow_mut() = of_clients(positions.into_iter().zip(classes));
+        Ok((self.agent.send_replace(discovery), discovery))
     }
 }
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -22,6 +22,8 @@
     store: Option<String>,
     pub process: Child,
     pub address: SocketAddr,
+    /// Where its operators connect.
+    pub operators: Option<SocketAddr>,
     pub log: Arc<Mutex<Vec<String>>>,
     reading: Arc<AtomicBool>,
 }
@@ -73,7 +75,7 @@
         store: Option<String>,
     ) -> Self {
         let config = format!(
-            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
+            r#"{{"name":"n1","listen":"127.0.0.1:0","management":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets},"disk_mb":{disk_mb}}},
             "known":{{"rev":0,"all":true,"targets":[]}},
             "settings":{{"az":"a","balancers":1,"zones":["a"],"machineTypes":["one","bulk"],
@@ -106,14 +108,17 @@
                 }
             }
         });
-        let mut address = None;
-        wait_until("the sender listens", || {
+        let told = |what: &str| {
             let log = log.lock().expect("not poisoned");
-            address = log.iter().find_map(|line| line.split_once("listening on ")?.1.parse().ok());
-            address.is_some()
+            log.iter().find_map(|line| line.split_once(what)?.1.parse().ok())
+        };
+        let (mut address, mut operators) = (None, None);
+        wait_until("the sender listens", || {
+            (address, operators) = (told("listening on "), told("operators on "));
+            address.is_some() && operators.is_some()
         });
         let address = address.expect("found");
-        Node { folder, discovery, disk_mb, idle_s, sockets, store, process, address, log, reading }
+        Node { folder, discovery, disk_mb, idle_s, sockets, store, process, address, operators, log, reading }
     }
 
     /// Waits until it is ready.
@@ -126,6 +131,29 @@
         self.raw("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n".as_bytes()).0
     }
 
+    /// A call by an operator; its status.
+    pub fn operate(&self, method: &str, path: &str) -> u16 {
+        self.operators_call(method, path).0
+    }
+
+    fn operators_call(&self, method: &str, path: &str) -> (u16, Request) {
+        let mut client = Client::new(self.operators.expect("an address"));
+        let text = format!("{method} {path} HTTP/1.1\r\nHost: a\r\n\r\n");
+        client.send(text.as_bytes()).unwrap_or_default()
+    }
+
+    /// A figure; `u64::MAX` where it is not told.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (status, answer) = self.operators_call("GET", "/-/metrics");
+        assert_eq!(status, 200);
+        let text = String::from_utf8(answer.body).expect("text");
+        let value = |line: &str| {
+            let (found, rest) = line.strip_prefix("relay.")?.split_once(':')?;
+            rest.split_once('|').filter(|_| found == name)?.0.parse().ok()
+        };
+        text.lines().find_map(value).unwrap_or(u64::MAX)
+    }
+
     /// Sends the bytes on a connection of their own; the status and head of the answer, 0 if none comes.
     pub fn raw(&self, bytes: &[u8]) -> (u16, Request) {
         let mut client = Client::new(self.address);
