Upgrade under load: a new process takes over engine, module, clients' socket and calls

Until now the second process ended, since the address was taken.

The new process asks at a socket in the state folder. The old one stops between two turns and offers all that engine and module know (waits, health, windows, attempts), the clients' listening socket and the folder's lock as descriptors. Once that is taken over it is only a door for clients that are still connected and the carrier of the calls that are out, and passes both on. So there is one engine at any time, and no connection is refused or cut.

They share no waits, no health and no slots, and what stands in the old one's queue of connections is reset when it closes.

Seen: an upgrade under four clients, all answered, each message delivered once, one unsafe call in the old process ended in the new one (tests/upgrade.rs).

--- a/crates/engine/src/classes.rs
+++ b/crates/engine/src/classes.rs
@@ -2,11 +2,12 @@
 //! refers to it.
 
 use milletturn_policy::{Class, Effect, Micros};
+use serde::{Deserialize, Serialize};
 
 /// The table. What a reload drops or changes keeps its old position for the messages that carry it; what is new or
 /// changed gets a position of its own. Positions that nothing refers to any more are given anew, so the table is
 /// no longer than the classes of the settings and those of open messages together.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Classes {
     slots: Vec<Class>,
     /// The class stands in the present settings.
--- a/crates/engine/src/door.rs
+++ b/crates/engine/src/door.rs
@@ -8,6 +8,7 @@
 use crate::{Ending, Word};
 use bytes::Bytes;
 use milletturn_policy::Micros;
+use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -46,7 +47,7 @@
 }
 
 /// The answer to a client.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// The sender owes the message its end from now on.
     Taken,
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 /// Where an endpoint is and what its kind allows.
+#[derive(Clone)]
 pub(crate) struct Route {
     pub uid: Arc<str>,
     pub address: SocketAddr,
@@ -24,6 +25,23 @@
 }
 
 impl Endpoints {
+    /// Those that a process before this one knew, under the same numbers.
+    pub fn restore(routes: impl Iterator<Item = (EndpointId, Route)>, last: u32) -> Self {
+        let routes: BTreeMap<EndpointId, Route> = routes.collect();
+        let by_uid = routes.iter().map(|(&endpoint, route)| (route.uid.clone(), endpoint)).collect();
+        Endpoints { routes, by_uid, last }
+    }
+
+    /// All, by number.
+    pub fn all(&self) -> impl Iterator<Item = (EndpointId, &Route)> {
+        self.routes.iter().map(|(&endpoint, route)| (endpoint, route))
+    }
+
+    /// The last number given.
+    pub fn last(&self) -> u32 {
+        self.last
+    }
+
     /// Endpoints in the list.
     pub fn count(&self) -> usize {
         self.routes.len()
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -105,11 +105,11 @@
     pub ready: watch::Sender<bool>,
 }
 
-struct CallOut {
-    cancels: mpsc::UnboundedSender<usize>,
+pub(crate) struct CallOut {
+    pub cancels: mpsc::UnboundedSender<usize>,
     /// The message and attempt of each position.
-    items: Vec<(MessageId, usize)>,
-    left: usize,
+    pub items: Vec<(MessageId, usize)>,
+    pub left: usize,
 }
 
 /// A turn's sends to one endpoint that travel together.
@@ -122,39 +122,39 @@
 
 /// Owner of the module and the messages.
 pub struct Engine {
-    sender: Sender,
+    pub(crate) sender: Sender,
     pub(crate) clock: Clock,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    bundle_max: Vec<usize>,
+    pub(crate) zones: Vec<String>,
+    pub(crate) kinds: Vec<String>,
+    pub(crate) bundle_max: Vec<usize>,
     pub(crate) max_held: usize,
     pub(crate) max_attempts: usize,
     pub(crate) classes: Classes,
     pub(crate) ledger: Box<dyn Ledger>,
-    transport: Box<dyn Transport>,
+    pub(crate) transport: Box<dyn Transport>,
     pub(crate) archive: Option<Box<dyn Archive>>,
     pub(crate) tell_delivered: bool,
-    observer: Box<dyn Observer>,
+    pub(crate) observer: Box<dyn Observer>,
     notices: mpsc::UnboundedSender<Notice>,
-    ready: watch::Sender<bool>,
+    pub(crate) ready: watch::Sender<bool>,
     pub(crate) endpoints: Endpoints,
     pub(crate) messages: BTreeMap<MessageId, Message>,
-    by_id: HashMap<Word, MessageId>,
+    pub(crate) by_id: HashMap<Word, MessageId>,
     /// Messages that have ended and are still owed something, where there is an archive: all are in the ledger,
     /// whose room bounds them.
     pub(crate) closing: BTreeMap<u64, Closing>,
     /// Messages without a final answer.
     pub(crate) open: usize,
     pub(crate) next_message: u64,
-    out: BTreeMap<u64, CallOut>,
-    next_call: u64,
-    delivered: VecDeque<Word>,
+    pub(crate) out: BTreeMap<u64, CallOut>,
+    pub(crate) next_call: u64,
+    pub(crate) delivered: VecDeque<Word>,
     /// Messages that came in this turn, with their clients and the times when these sent them.
     arrived: BTreeMap<MessageId, (Arrival, Micros)>,
     /// Clients that handed in once more what came in this turn: a promise to them must wait for the journal.
     doubled: Vec<(MessageId, Word, oneshot::Sender<Answer>)>,
     pub(crate) events: Vec<Event>,
-    alarm: Option<Micros>,
+    pub(crate) alarm: Option<Micros>,
 }
 
 impl Engine {
@@ -163,6 +163,11 @@
     /// # Errors
     /// When the settings make no sense.
     pub fn new(ports: Ports) -> Result<Self, SettingsError> {
+        Engine::build(ports, false)
+    }
+
+    /// An engine with its ports; a bare one knows neither list nor ledger yet.
+    pub(crate) fn build(ports: Ports, bare: bool) -> Result<Self, SettingsError> {
         let Ports {
             settings,
             zones,
@@ -180,6 +185,7 @@
         let bundle_max = settings.kinds.iter().map(|kind| kind.bundle_max).collect();
         let classes = Classes::new(&settings.classes);
         let (max_held, max_attempts) = (settings.max_held, settings.max_attempts);
+        let known = known.filter(|_| !bare);
         let mut engine = Engine {
             sender: Sender::new(settings, ports.seed)?,
             clock,
@@ -214,12 +220,14 @@
         if let Some(known) = known {
             engine.list(known, true);
         }
-        engine.resume();
+        if !bare {
+            engine.resume();
+        }
         Ok(engine)
     }
 
-    /// Turns until the inputs end.
-    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+    /// Turns until the inputs end. It may be dropped where it waits, and run again: nothing is half done then.
+    pub async fn run(&mut self, inputs: &mut mpsc::UnboundedReceiver<Input>) {
         let mut sweep = tokio::time::interval(SWEEP);
         self.turns();
         loop {
@@ -335,7 +343,10 @@
     }
 
     /// Takes new settings over. What is open keeps its class; news of it reach the module in this very turn.
-    fn retune(&mut self, settings: Settings) -> Result<Vec<usize>, SettingsError> {
+    ///
+    /// # Errors
+    /// When the settings make no sense; nothing has changed then.
+    pub fn retune(&mut self, settings: Settings) -> Result<Vec<usize>, SettingsError> {
         settings.validate()?;
         let mut classes = self.classes.clone();
         let used: HashSet<usize> = self.messages.values().map(|held| held.class).collect();
--- /dev/null
+++ b/crates/engine/src/snapshot.rs
@@ -0,0 +1,300 @@
+//! All that the engine and the module know, for the process that takes their place under load.
+//!
+//! Bodies are not in it: the ledger has them, and the next process reads that. Calls that are out stay with the
+//! process that made them, which tells their ends; the next process knows them as [`Remote`] calls.
+
+use crate::archive::Reason;
+use crate::classes::Classes;
+use crate::clock::Clock;
+use crate::endpoints::{Endpoints, Route};
+use crate::engine::{CallOut, Engine, Ports};
+use crate::ledger::{End, Ending};
+use crate::message::{Attempt, Message};
+use crate::transport::Item;
+use crate::word::Word;
+use milletturn_policy::{EndpointId, MessageId, Micros, Outcome, Sender, SettingsError};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tokio::sync::mpsc;
+
+/// See the module's page. Its form must be that of both processes; who carries it says which form it is.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Snapshot {
+    now: Micros,
+    sender: Sender,
+    classes: Classes,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    bundle_max: Vec<usize>,
+    max_held: usize,
+    max_attempts: usize,
+    routes: Vec<RouteForm>,
+    last_endpoint: u32,
+    messages: Vec<MessageForm>,
+    next_message: u64,
+    calls: Vec<CallForm>,
+    next_call: u64,
+    delivered: Vec<String>,
+    alarm: Option<Micros>,
+    ready: bool,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct RouteForm {
+    endpoint: EndpointId,
+    uid: String,
+    address: SocketAddr,
+    bundle_max: usize,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct MessageForm {
+    number: u64,
+    id: String,
+    key: Option<String>,
+    class: usize,
+    destination: u64,
+    born: Micros,
+    deadline: Micros,
+    open: bool,
+    clients: usize,
+    /// How it ended, where the ledger holds that: when, and for one that was returned the advice.
+    end: Option<(Micros, Option<Option<u64>>)>,
+    attempts: Vec<AttemptForm>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct AttemptForm {
+    endpoint: EndpointId,
+    uid: String,
+    sent: Micros,
+    call: u64,
+    item: usize,
+    out: bool,
+    outcome: Option<Outcome>,
+    latency: Option<Micros>,
+    may_have_run: bool,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct CallForm {
+    call: u64,
+    items: Vec<(MessageId, usize)>,
+    left: usize,
+}
+
+/// A call that another process has out.
+#[derive(Debug)]
+pub struct Remote {
+    /// Its number.
+    pub call: u64,
+    /// Messages in it.
+    pub items: usize,
+    /// Positions that are called off.
+    pub cancels: mpsc::UnboundedReceiver<usize>,
+}
+
+/// An engine that goes on where another left off.
+pub struct Restored {
+    /// The engine.
+    pub engine: Engine,
+    /// The calls whose ends must be told as inputs.
+    pub remote: Vec<Remote>,
+}
+
+impl Snapshot {
+    /// The module's time when it was taken.
+    pub fn now(&self) -> Micros {
+        self.now
+    }
+}
+
+impl Engine {
+    /// All that the next process must know. Must be taken between two runs. There must be no archive: what it is
+    /// owed can't be handed on.
+    pub fn snapshot(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_allocvec(&SnapshotRef {
+            now: self.clock.now(),
+            sender: &self.sender,
+            classes: &self.classes,
+            zones: &self.zones,
+            kinds: &self.kinds,
+            bundle_max: &self.bundle_max,
+            max_held: self.max_held,
+            max_attempts: self.max_attempts,
+            routes: self.endpoints.all().map(route_form).collect(),
+            last_endpoint: self.endpoints.last(),
+            messages: self.messages.iter().map(|(id, held)| message_form(id.0, held)).collect(),
+            next_message: self.next_message,
+            calls: self
+                .out
+                .iter()
+                .map(|(&call, out)| CallForm { call, items: out.items.clone(), left: out.left })
+                .collect(),
+            next_call: self.next_call,
+            delivered: self.delivered.iter().map(Word::to_string).collect(),
+            alarm: self.alarm,
+            ready: *self.ready.borrow(),
+        })
+    }
+
+    /// Gives all up but the calls that are out: what calls them off, by number.
+    pub fn release(self) -> BTreeMap<u64, mpsc::UnboundedSender<usize>> {
+        self.out.into_iter().map(|(call, out)| (call, out.cancels)).collect()
+    }
+
+    /// Calls that are out.
+    pub fn calls_out(&self) -> usize {
+        self.out.len()
+    }
+
+    /// Goes on where the process that gave the snapshot left off. Of the ports, `settings`, `known`, `seed`, zones
+    /// and kinds don't count.
+    ///
+    /// # Errors
+    /// When the snapshot's settings make no sense.
+    pub fn restore(snapshot: Snapshot, ports: Ports) -> Result<Restored, SettingsError> {
+        let mut engine = Engine::build(ports, true)?;
+        engine.clock = Clock::new(snapshot.now);
+        engine.sender = snapshot.sender;
+        engine.classes = snapshot.classes;
+        (engine.zones, engine.kinds, engine.bundle_max) =
+            (snapshot.zones, snapshot.kinds, snapshot.bundle_max);
+        (engine.max_held, engine.max_attempts) = (snapshot.max_held, snapshot.max_attempts);
+        (engine.next_message, engine.next_call) = (snapshot.next_message, snapshot.next_call);
+        engine.alarm = snapshot.alarm;
+        engine.observer.observe(&crate::Fact::Classes(engine.classes.names()));
+        let routes = snapshot.routes.into_iter().map(|form| {
+            let uid = form.uid.as_str().into();
+            (form.endpoint, Route { uid, address: form.address, bundle_max: form.bundle_max })
+        });
+        engine.endpoints = Endpoints::restore(routes, snapshot.last_endpoint);
+        for (endpoint, route) in engine.endpoints.all() {
+            engine.transport.admit(endpoint, route.address);
+        }
+        let words = snapshot.delivered.iter().filter_map(|id| Word::new(id.as_bytes()).ok());
+        engine.delivered = words.collect();
+        engine.restore_messages(snapshot.messages);
+        let mut remote = Vec::new();
+        for CallForm { call, items, left } in snapshot.calls {
+            let (cancels, receiver) = mpsc::unbounded_channel();
+            remote.push(Remote { call, items: items.len(), cancels: receiver });
+            engine.out.insert(call, CallOut { cancels, items, left });
+        }
+        engine.ready.send_replace(snapshot.ready);
+        Ok(Restored { engine, remote })
+    }
+
+    /// The messages, with what the ledger has of them. Ends that were told may not have been taken: they are told
+    /// again, which does no harm.
+    fn restore_messages(&mut self, forms: Vec<MessageForm>) {
+        let mut owed = self.ledger.owed();
+        for form in forms {
+            let written = owed.remove(&form.number);
+            let body = written.map(|owed| owed.taken.body).unwrap_or_default();
+            let (number, open) = (form.number, form.open);
+            let Some(held) = message_of(form, body) else { continue };
+            if let Some(end) = held.end {
+                self.notify(number, held.item.id.clone(), held.class, end.ending);
+            }
+            self.open += usize::from(open);
+            if open {
+                self.by_id.insert(held.item.id.clone(), MessageId(number));
+            }
+            self.messages.insert(MessageId(number), held);
+        }
+        for (number, owed) in owed {
+            match (owed.end, Word::new(owed.taken.id.as_bytes())) {
+                (Some(end), Ok(id)) => {
+                    let class = self.classes.position(&owed.taken.class);
+                    self.notify(number, id, class, end.ending);
+                }
+                // it was over, and that could not be written yet
+                _ => self.forget(number),
+            }
+        }
+    }
+}
+
+/// What [`Snapshot`] is written from, with the same fields in the same order.
+#[derive(Serialize)]
+struct SnapshotRef<'a> {
+    now: Micros,
+    sender: &'a Sender,
+    classes: &'a Classes,
+    zones: &'a [String],
+    kinds: &'a [String],
+    bundle_max: &'a [usize],
+    max_held: usize,
+    max_attempts: usize,
+    routes: Vec<RouteForm>,
+    last_endpoint: u32,
+    messages: Vec<MessageForm>,
+    next_message: u64,
+    calls: Vec<CallForm>,
+    next_call: u64,
+    delivered: Vec<String>,
+    alarm: Option<Micros>,
+    ready: bool,
+}
+
+fn route_form((endpoint, route): (EndpointId, &Route)) -> RouteForm {
+    let (uid, address, bundle_max) = (route.uid.to_string(), route.address, route.bundle_max);
+    RouteForm { endpoint, uid, address, bundle_max }
+}
+
+fn message_form(number: u64, held: &Message) -> MessageForm {
+    let attempt = |tried: &Attempt| AttemptForm {
+        endpoint: tried.endpoint,
+        uid: tried.uid.to_string(),
+        sent: tried.sent,
+        call: tried.call,
+        item: tried.item,
+        out: tried.out,
+        outcome: tried.outcome,
+        latency: tried.latency,
+        may_have_run: tried.may_have_run,
+    };
+    let end = held.end.map(|end| match end.ending {
+        Ending::Returned { after_ms } => (end.at, Some(after_ms)),
+        Ending::Failed | Ending::Delivered => (end.at, None),
+    });
+    MessageForm {
+        number,
+        id: held.item.id.to_string(),
+        key: held.item.key.as_ref().map(Word::to_string),
+        class: held.class,
+        destination: held.destination,
+        born: held.born,
+        deadline: held.deadline,
+        open: held.open,
+        clients: held.clients,
+        end,
+        attempts: held.attempts.iter().map(attempt).collect(),
+    }
+}
+
+fn message_of(form: MessageForm, body: Vec<u8>) -> Option<Message> {
+    let id = Word::new(form.id.as_bytes()).ok()?;
+    let key = form.key.map(|key| Word::new(key.as_bytes())).transpose().ok()?;
+    let item = Item { id, key, body: body.into() };
+    let mut held = Message::new(item, form.class, form.destination, form.born, form.deadline);
+    (held.open, held.clients) = (form.open, form.clients);
+    held.end = form.end.map(|(at, returned)| {
+        let ending = returned.map_or(Ending::Failed, |after_ms| Ending::Returned { after_ms });
+        End { ending, reason: Reason::Unknown, at }
+    });
+    held.attempts = form
+        .attempts
+        .into_iter()
+        .map(|tried| {
+            let mut attempt = Attempt::start(tried.endpoint, tried.uid.as_str().into(), tried.sent);
+            (attempt.call, attempt.item, attempt.out) = (tried.call, tried.item, tried.out);
+            (attempt.outcome, attempt.latency) = (tried.outcome, tried.latency);
+            attempt.may_have_run = tried.may_have_run;
+            attempt
+        })
+        .collect();
+    Some(held)
+}
--- a/crates/engine/tests/resends.rs
+++ b/crates/engine/tests/resends.rs
@@ -99,7 +99,8 @@
             ready: watch::channel(false).0,
         })
         .expect("settings");
-        tokio::task::spawn_local(engine.run(received));
+        let (mut engine, mut received) = (engine, received);
+        tokio::task::spawn_local(async move { engine.run(&mut received).await });
         Rig { inputs, notices, ledger, shelf, outside, fate }
     }
 
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -20,6 +20,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
@@ -61,7 +62,7 @@
     pools: RefCell<HashMap<EndpointId, Pool>>,
     idle_all: usize,
     /// Descriptors for connections.
-    places: std::sync::Arc<Semaphore>,
+    places: Arc<Semaphore>,
     /// Connections are given up somewhat before the endpoint would close them.
     idle_most: Duration,
     dial_timeout: Duration,
@@ -103,7 +104,7 @@
         Calls(Rc::new(Shared {
             pools: RefCell::default(),
             idle_all: budget.idle,
-            places: std::sync::Arc::new(Semaphore::new(budget.endpoints)),
+            places: Arc::new(Semaphore::new(budget.endpoints)),
             idle_most,
             dial_timeout,
             report_fields,
@@ -114,6 +115,13 @@
     }
 }
 
+impl Calls {
+    /// Descriptors for connections that are free.
+    pub fn places(&self) -> Arc<Semaphore> {
+        self.0.places.clone()
+    }
+}
+
 impl Transport for Calls {
     /// Starts a call; its messages' ends come as inputs. `cancels` has the positions that are called off.
     fn start(&self, call: Call, cancels: mpsc::UnboundedReceiver<usize>) {
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -18,6 +18,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -54,6 +55,8 @@
     pub gate: Rc<Gate>,
     /// Connections that may be open at once.
     pub most: usize,
+    /// Those of them that are not.
+    pub places: Arc<Semaphore>,
     /// Bytes of bodies that may be in reading at once.
     pub bodies: Semaphore,
 }
@@ -151,10 +154,15 @@
 /// oldest connection with no open request goes.
 pub async fn serve(listener: TcpListener, server: Rc<Server>) {
     let faults = Seldom::default();
-    let free = std::sync::Arc::new(Semaphore::new(server.most));
+    let free = server.places.clone();
     let places = Rc::new(Places::default());
     for number in 0u64.. {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // what stands in the queue is the other process's
+            () = server.gate.handed_over() => return,
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
                 faults.log(format_args!("clients: no connection accepted: {error}"));
@@ -171,10 +179,11 @@
         };
         let (server, places, place) = (server.clone(), places.clone(), Rc::new(Place::new()));
         places.0.borrow_mut().insert(number, place.clone());
+        let inside = server.gate.enter();
         tokio::task::spawn_local(async move {
             serve_one(stream, server, place).await;
             places.0.borrow_mut().remove(&number);
-            drop(permit);
+            drop((permit, inside));
         });
     }
 }
--- a/crates/platform/src/gate.rs
+++ b/crates/platform/src/gate.rs
@@ -3,9 +3,11 @@
 //! ```text
 //! Open <-> Drained        by operators
 //!   \        |
+//!    +----> HandedOver    by a process that takes this one's place, for good
 //!    +----> Ending        by SIGTERM, for good
 //! ```
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -28,6 +30,8 @@
     Open,
     /// Emptied by operators since then.
     Drained(Instant),
+    /// Another process has taken over: clients that are connected still are served, and asked to go.
+    HandedOver,
     /// The process ends.
     Ending(Instant),
 }
@@ -36,7 +40,8 @@
     /// When idle connections are closed.
     fn closes_idle(self) -> Option<Instant> {
         match self {
-            Phase::Open => None,
+            // each is answered once more, or goes when it has been idle for long
+            Phase::Open | Phase::HandedOver => None,
             Phase::Drained(since) => Some(since + DRAIN_IDLE),
             Phase::Ending(since) => Some(since + ENDING_IDLE),
         }
@@ -55,18 +60,27 @@
     phase: watch::Sender<Phase>,
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
+    /// The sender serves in another process, whatever this one does.
+    handed: Cell<bool>,
+    /// Connections that are open.
+    connections: Cell<usize>,
 }
 
 impl Gate {
     /// An open one. [`Gate::run`] must run beside it.
     #[allow(clippy::new_without_default)]
     pub fn new() -> Self {
-        Gate { phase: watch::channel(Phase::Open).0, closing: watch::channel(false).0 }
+        Gate {
+            phase: watch::channel(Phase::Open).0,
+            closing: watch::channel(false).0,
+            handed: Cell::new(false),
+            connections: Cell::new(0),
+        }
     }
 
     /// True while clients are wanted.
     pub fn says_ready(&self) -> bool {
-        *self.phase.borrow() == Phase::Open
+        *self.phase.borrow() == Phase::Open || self.handed.get()
     }
 
     /// True if each answer is to close its connection.
@@ -93,7 +107,7 @@
             }
             open
         });
-        !self.is_ending()
+        !self.is_over()
     }
 
     /// Ends a drain; false if the process ends.
@@ -105,7 +119,20 @@
             }
             drained
         });
-        !self.is_ending()
+        !self.is_over()
+    }
+
+    /// Another process has taken over; one that ends goes on ending.
+    pub fn hand_over(&self) {
+        self.handed.set(true);
+        let next = if self.is_over() { *self.phase.borrow() } else { Phase::HandedOver };
+        self.phase.send_replace(next);
+    }
+
+    /// Waits until another process has taken over.
+    pub async fn handed_over(&self) {
+        // the sender lives as long as this
+        let _ = self.phase.subscribe().wait_for(|_| self.handed.get()).await;
     }
 
     /// The process ends.
@@ -113,8 +140,25 @@
         self.phase.send_replace(Phase::Ending(Instant::now()));
     }
 
-    fn is_ending(&self) -> bool {
-        matches!(*self.phase.borrow(), Phase::Ending(_))
+    /// True once the process ends, or has been taken over.
+    pub fn is_over(&self) -> bool {
+        matches!(*self.phase.borrow(), Phase::Ending(_) | Phase::HandedOver)
+    }
+
+    /// True while operators have it drained.
+    pub fn is_drained(&self) -> bool {
+        matches!(*self.phase.borrow(), Phase::Drained(_))
+    }
+
+    /// Connections from clients that are open.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// One more connection, until what this gives is dropped.
+    pub fn enter(self: &Rc<Self>) -> Inside {
+        self.connections.update(|count| count + 1);
+        Inside(self.clone())
     }
 
     /// Tells idle connections when to go, and no longer once the gate is open again.
@@ -132,6 +176,16 @@
     }
 }
 
+/// An open connection.
+#[derive(Debug)]
+pub struct Inside(Rc<Gate>);
+
+impl Drop for Inside {
+    fn drop(&mut self) {
+        self.0.connections.update(|count| count.saturating_sub(1));
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -108,7 +108,7 @@
 const TENANT_BURST: f64 = 2.0;
 
 /// The decisions of one sender.
-#[derive(Debug)]
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
 pub struct Sender {
     pub(crate) settings: Settings,
     random: Pcg32,
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -1,5 +1,6 @@
 //! The module's types: settings, ids, time, events, outcomes and actions. Validates, decides nothing.
 
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::fmt;
 
@@ -11,18 +12,18 @@
 pub const MILLISECOND: Micros = 1_000;
 
 /// A message, numbered by the host; used again after its end only if the same message is sent again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MessageId(pub u64);
 
 /// An endpoint, numbered by the host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId(pub u32);
 
 /// A destination's number.
 pub type DestinationId = u64;
 
 /// What a repeat of a message does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// May be sent any number of times.
     Repeatable,
@@ -38,7 +39,7 @@
 }
 
 /// A class of message.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Its name, unique among the classes.
     pub name: String,
@@ -76,7 +77,7 @@
 }
 
 /// A kind of destination.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Kind {
     /// Its name.
     pub name: String,
@@ -87,7 +88,7 @@
 }
 
 /// A tenant.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Its name.
     pub name: String,
@@ -96,7 +97,7 @@
 }
 
 /// How worth falls after the aim.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fade {
     /// Evenly, down to the late share at the deadline.
     Even,
@@ -105,7 +106,7 @@
 }
 
 /// Figures of the rules.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Safety {
     /// Sends to a draining endpoint end within this time.
     pub drain_grace: Micros,
@@ -126,7 +127,7 @@
 }
 
 /// All that a sender is told at start-up.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// Senders of this group, this one counted.
     pub senders: u32,
@@ -416,7 +417,7 @@
 }
 
 /// How a call ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Success,
--- a/crates/policy/src/odds.rs
+++ b/crates/policy/src/odds.rs
@@ -28,7 +28,7 @@
 pub const SICK: f64 = 13.5;
 
 /// The usual share of bad calls, and the evidence that it no longer holds.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct Odds {
     /// Calls remembered at most; bad ones and all.
     memory: f64,
--- a/crates/policy/src/refusals.rs
+++ b/crates/policy/src/refusals.rs
@@ -45,7 +45,7 @@
 }
 
 /// Refusals that tell no limit and no wait: whether they follow the load.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct Refusals {
     odds: Odds,
     look: Option<Look>,
@@ -58,7 +58,7 @@
 }
 
 /// A look at the refused share: first as things are, then at half the pace.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
 struct Look {
     halved: bool,
     from: Micros,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -3,13 +3,14 @@
 use crate::interface::{DestinationId, EndpointId, MessageId, Micros, SECOND};
 use crate::odds::Odds;
 use crate::refusals::Refusals;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// What shares health, waits and limits: a destination, or one endpoint where routes are apart.
 pub type UnitId = (DestinationId, Option<EndpointId>);
 
 /// What is known of one endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Endpoint {
     /// Its destination, zone and kind, as listed last.
     pub destination: DestinationId,
@@ -24,7 +25,7 @@
 }
 
 /// How one class fares at one endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct ClassRecord {
     pub strikes: u32,
     pub first_strike: Micros,
@@ -35,7 +36,7 @@
 }
 
 /// One send of a message.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Attempt {
     /// Where it went and when.
     pub endpoint: EndpointId,
@@ -53,7 +54,7 @@
 }
 
 /// A message until its end and the end of its attempts.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Held {
     /// Position of its class.
     pub class: usize,
@@ -96,7 +97,7 @@
 }
 
 /// One call in flight, with one message or a bundle.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Call {
     /// Whose window and limit it counts for.
     pub unit: UnitId,
@@ -110,7 +111,7 @@
 }
 
 /// Messages that take turns.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct KeyLine {
     /// Messages of the key, in the order of arrival.
     pub turn: VecDeque<MessageId>,
@@ -119,7 +120,7 @@
 }
 
 /// How a unit seems to be.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub enum Health {
     #[default]
     Well,
@@ -134,7 +135,7 @@
 }
 
 /// What is known of a unit.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Unit {
     pub health: Health,
     /// Calls that may be in flight, and when that was cut last.
@@ -184,7 +185,7 @@
 }
 
 /// The last values of something, oldest first.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Samples(VecDeque<Micros>);
 
 impl Samples {
--- a/crates/undelivered/tests/world/mod.rs
+++ b/crates/undelivered/tests/world/mod.rs
@@ -384,7 +384,8 @@
             ready,
         })
         .expect("settings");
-        let engine = tokio::task::spawn_local(engine.run(received));
+        let (mut engine, mut received) = (engine, received);
+        let engine = tokio::task::spawn_local(async move { engine.run(&mut received).await });
         let open_replies: Rc<Cell<usize>> = Rc::default();
         let answers: Answers = Rc::default();
         let begun = self.outside.now();
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -5,6 +5,9 @@
 use crate::timekeeper::module_time;
 use milletturn_engine::door::is_own_class;
 use milletturn_engine::{Archive, Clock, Engine, Input, Ledger, ListUpdate, Notice, Observer, Ports};
+use milletturn_engine::{Remote, Restored};
+use milletturn_handover::give::{self, Given, Rest, Taker};
+use milletturn_handover::take::{Begun, Bridge};
 use milletturn_ledger::{Journal, Recovery};
 use milletturn_log::log;
 use milletturn_management::{Counting, Figures};
@@ -17,11 +20,14 @@
 use milletturn_undelivered::keeper::{Keeper, Start};
 use std::cell::RefCell;
 use std::error::Error;
+use std::fs::File;
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::{JoinHandle, LocalSet};
@@ -30,6 +36,10 @@
 /// From SIGTERM to the end of the process. SIGKILL comes no sooner than 3.7 s after SIGTERM.
 const END: Duration = Duration::from_millis(3300);
 
+/// Connections that the system holds until they are accepted: a burst of all clients of a large house. The system
+/// has a bound of its own.
+const BACKLOG: u32 = 1024;
+
 /// SIGTERM and SIGHUP, from before any file is read: a SIGHUP behind that must neither kill nor be missed.
 pub struct Signals {
     terminate: Signal,
@@ -60,10 +70,20 @@
     pub dial: Duration,
     pub known: Option<ListUpdate>,
     pub tell_delivered: bool,
+    /// How the process came to its folder.
+    pub place: Place,
     /// Greater than any number of a message that is known outside ledger and store.
     pub first_number: u64,
 }
 
+/// How a process came to its state folder, and where clients connect.
+pub enum Place {
+    /// As it was configured.
+    Own,
+    /// With the lock of the folder: another process may take this one's place, or this one has taken another's.
+    Shared(Begun),
+}
+
 /// A sender that runs.
 pub struct Running {
     pub inputs: mpsc::UnboundedSender<Input>,
@@ -78,7 +98,7 @@
     /// Classes that clients may name, with their positions.
     pub classes: Rc<RefCell<Vec<(usize, Class)>>>,
     name: String,
-    engine: JoinHandle<()>,
+    engine: JoinHandle<bool>,
 }
 
 /// Runs a future on a runtime of one thread.
@@ -96,6 +116,13 @@
 pub async fn assemble(parts: Parts) -> Result<Running, Box<dyn Error>> {
     let Parts { name, state, settings, budget, .. } = parts;
     let entries = settings.max_held.saturating_mul(2 * settings.max_attempts + 1) as u64;
+    let shared = matches!(parts.place, Place::Shared(_));
+    let (mut over, mut lock, mut listener) = (None, None, None);
+    match parts.place {
+        Place::Own => {}
+        Place::Shared(Begun::Alone(owned, left)) => (lock, listener) = (Some(owned), left),
+        Place::Shared(Begun::Over(found)) => over = Some(found),
+    }
     let (journal, recovery) = Journal::open(&state, parts.journal_room, entries)?;
     log_recovery(&name, &journal, &recovery);
     let (inputs, received) = mpsc::unbounded_channel();
@@ -106,7 +133,9 @@
     let tries = figures.tries.clone();
     let calls = Calls::new(parts.idle, parts.dial, parts.report_fields, &budget, inputs.clone(), tries);
     let classes = Rc::new(RefCell::new(of_clients(settings.classes.iter().cloned().enumerate())));
+    let places = [Arc::new(Semaphore::new(budget.clients)), calls.places()];
     let server = Server {
+        places: places[0].clone(),
         classes: classes.clone(),
         inputs: inputs.clone(),
         ready: ready_seen.clone(),
@@ -142,8 +171,8 @@
     if let Some(keeper) = &keeper {
         tokio::task::spawn_local(control::serve(control::listen(&state)?, keeper.jobs.clone()));
     }
-    let engine = Engine::new(Ports {
-        settings,
+    let ports = Ports {
+        settings: settings.clone(),
         seed: parts.seed,
         zones: parts.zones,
         kinds: parts.kinds,
@@ -157,14 +186,119 @@
         notices,
         observer,
         ready,
-    })?;
-    let listener = TcpListener::bind(parts.listen).await?;
+    };
+    let mut engine = match over {
+        None => Engine::new(ports)?,
+        Some(over) => {
+            if over.drained {
+                gate.drain();
+            }
+            let held = [over.clients, over.calls];
+            let (snapshot, door, owned, bridge) = over.part();
+            (lock, listener) = (Some(owned), Some(door));
+            let Restored { mut engine, remote } = Engine::restore(snapshot, ports)?;
+            // the file may have changed since the old process read it
+            let positions = engine.retune(settings.clone())?;
+            *classes.borrow_mut() = of_clients(positions.into_iter().zip(settings.classes));
+            log(format_args!("{name}: takes over, {} calls out in the process before", remote.len()));
+            tokio::task::spawn_local(bridge_over(bridge, remote, inputs.clone(), places, held));
+            engine
+        }
+    };
+    let listener = match listener {
+        Some(listener) => {
+            listener.set_nonblocking(true)?;
+            TcpListener::from_std(listener)?
+        }
+        None => listen(parts.listen, shared)?,
+    };
     log(format_args!("{name}: listening on {}", listener.local_addr()?));
+    let door = listener.as_fd().try_clone_to_owned()?;
     tokio::task::spawn_local(serve(listener, Rc::new(server)));
-    let engine = tokio::task::spawn_local(engine.run(received));
+    let (takers, asked) = mpsc::channel(1);
+    match lock.is_some().then(|| give::listen(&state)) {
+        Some(Ok(socket)) => {
+            tokio::task::spawn_local(give::serve(socket, takers));
+        }
+        // an upgrade waits until this process has ended then
+        Some(Err(error)) => log(format_args!("{name}: no process can take over: {error}")),
+        None => {}
+    }
+    let owner = Owner { gate: gate.clone(), lock, door };
+    let mut received = received;
+    let engine = tokio::task::spawn_local(async move {
+        match asked_away(&mut engine, &mut received, asked, &owner).await {
+            None => true,
+            Some(Given::Leave) => false,
+            Some(Given::Away(taker)) => {
+                let calls = engine.release();
+                give::serve_on(taker, Rest { calls, inputs: received, gate: owner.gate }).await;
+                true
+            }
+        }
+    });
     Ok(Running { inputs, ends: Some(ends), figures, gate, ready: ready_seen, classes, name, engine })
 }
 
+/// What a process needs to be taken over.
+struct Owner {
+    gate: Rc<Gate>,
+    lock: Option<File>,
+    door: OwnedFd,
+}
+
+/// Runs the engine until its inputs end, or until another process takes over.
+async fn asked_away(
+    engine: &mut Engine, inputs: &mut mpsc::UnboundedReceiver<Input>, mut asked: mpsc::Receiver<Taker>,
+    owner: &Owner,
+) -> Option<Given> {
+    loop {
+        let taker = tokio::select! {
+            () = engine.run(inputs) => return None,
+            Some(taker) = asked.recv() => taker,
+        };
+        // a process that ends is not taken over: the next one begins when it is gone
+        let Some(lock) = owner.lock.as_ref().filter(|_| !owner.gate.is_over()) else { continue };
+        let estate = give::Estate { listener: owner.door.as_fd(), lock: lock.as_fd(), gate: &owner.gate };
+        match give::offer(taker, engine, &estate).await {
+            Ok(given) => {
+                owner.gate.hand_over();
+                log(format_args!(
+                    "handover: {} clients and {} calls stay here",
+                    owner.gate.connections(),
+                    engine.calls_out()
+                ));
+                return Some(given);
+            }
+            Err(error) => log(format_args!("handover: goes on here: {error}")),
+        }
+    }
+}
+
+/// Hears from the process before until that is gone. Meanwhile its descriptors count against this one's.
+async fn bridge_over(
+    bridge: Bridge, remote: Vec<Remote>, inputs: mpsc::UnboundedSender<Input>, places: [Arc<Semaphore>; 2],
+    held: [usize; 2],
+) {
+    let mut lent = Vec::new();
+    for (places, held) in places.iter().zip(held) {
+        // half stays: the old process gives its own back within seconds
+        let part = u32::try_from(held.min(places.available_permits() / 2)).unwrap_or(0);
+        lent.extend(places.clone().try_acquire_many_owned(part));
+    }
+    bridge.run(remote, inputs).await;
+    drop(lent);
+}
+
+/// Where clients connect. A shared address lets the next process listen beside this one.
+fn listen(address: SocketAddr, shared: bool) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(shared)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 impl Running {
     /// Runs until SIGTERM, and then to the end. `hangup` is called at each SIGHUP.
     pub async fn until_told(
@@ -173,7 +307,13 @@
         let Running { inputs, name, gate, mut engine, .. } = self;
         loop {
             tokio::select! {
-                ended = &mut engine => return Ok(ended?),
+                ended = &mut engine => {
+                    return match ended? {
+                        true => Ok(()),
+                        // nothing more may be answered or sent
+                        false => Err("the process that takes over can't read what this one knows".into()),
+                    };
+                }
                 Some(()) = signals.hangup.recv() => hangup(),
                 _ = signals.terminate.recv() => break,
             }
@@ -187,6 +327,7 @@
         loop {
             tokio::select! {
                 () = &mut ending => break,
+                _ = &mut engine => break,
                 // notices are still owed while draining
                 Some(()) = signals.hangup.recv() => hangup(),
             }
--- a/src/run.rs
+++ b/src/run.rs
@@ -1,7 +1,8 @@
 //! The sender as the platform runs it: its configuration, its agent, reload on SIGHUP.
 
-use crate::assemble::{Parts, Signals, assemble, block_on, of_clients};
+use crate::assemble::{Parts, Place, Signals, assemble, block_on, of_clients};
 use milletturn_engine::Input;
+use milletturn_handover::take::{Begun, begin};
 use milletturn_log::log;
 use milletturn_management::Figures;
 use milletturn_management::door::{DESCRIPTORS, Operators, serve};
@@ -42,8 +43,12 @@
         journal_room = room_beside(store, config.disk)?;
     }
     config.budget = config.budget_beside(beside);
-    let version =
-        config.known.as_ref().filter(|known| !known.targets.is_empty()).map_or(0, |known| known.version);
+    // what the store is owed can't be handed on: with one, the next process begins when this one has ended
+    let place = if store.is_some() { Place::Own } else { Place::Shared(begin(&config.state).await?) };
+    // a list that another process has followed may be newer than the file's: the next one is asked for whole
+    let known = config.known.as_ref().filter(|known| !known.targets.is_empty());
+    let known = known.filter(|_| !matches!(place, Place::Shared(Begun::Over(_))));
+    let version = known.map_or(0, |known| known.version);
     let (name, path) = (config.name.clone(), config.path.clone());
     let mut running = assemble(Parts {
         state: config.state,
@@ -60,6 +65,7 @@
         settings: config.settings,
         known: config.known,
         tell_delivered: false,
+        place,
         first_number: 0,
         name: config.name,
     })
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,6 +1,6 @@
 //! `milletturn sidecar`: the sender beside an application, with no platform; and `milletturn demo`.
 
-use crate::assemble::{Parts, Running, Signals, assemble, block_on};
+use crate::assemble::{Parts, Place, Running, Signals, assemble, block_on};
 use crate::config::{findings, report};
 use milletturn_config::check_documents;
 use milletturn_config::document::Document;
@@ -68,6 +68,7 @@
         dial: plan.dial,
         known: Some(ListUpdate { version: 1, full: true, targets }),
         tell_delivered: true,
+        place: Place::Own,
         first_number: outcomes.first_number(),
     })
     .await?;
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -89,6 +89,19 @@
               "safety":{{"stopSendingWithin":1.0,"cold":11.0,"startCapacity":0.18,"fallMultiple":2.0,"fall":3.0}}}}}}"#
         );
         std::fs::write(folder.join("config.json"), config).expect("written");
+        Node::launch(folder, discovery, disk_mb, idle_s, sockets, store)
+    }
+
+    /// A second process with the same folder and address, while this one runs.
+    pub fn upgrade(&self) -> Self {
+        let folder = self.folder.clone();
+        Node::launch(folder, self.discovery, self.disk_mb, self.idle_s, self.sockets, self.store.clone())
+    }
+
+    fn launch(
+        folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize,
+        store: Option<String>,
+    ) -> Self {
         let mut command = command(&folder);
         if let Some(settings) = &store {
             let file = folder.join("undelivered.toml");
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,192 @@
+//! One sender in two processes: an upgrade under load, and all that can go wrong in the middle of it.
+
+mod node;
+
+use node::*;
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+fn one(endpoint: &Endpoint) -> Agent {
+    Agent::new(vec![list(&[
+        ("s-1", endpoint.address, "one", 7, "up"),
+        ("s-2", endpoint.address, "one", 8, "up"),
+    ])])
+}
+
+/// An endpoint that answers messages whose id begins with `held` only once it is released.
+fn held_until(release: &Arc<AtomicBool>) -> Endpoint {
+    let release = release.clone();
+    Endpoint::new(move |request, _| {
+        let held = request.header("x-request-id").starts_with("held");
+        while held && !release.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(3));
+        }
+        OK
+    })
+}
+
+#[test]
+fn an_upgrade_under_load_loses_nothing_sends_nothing_twice_and_cuts_no_client_off() {
+    let release = Arc::new(AtomicBool::new(false));
+    let endpoint = held_until(&release);
+    let old = Node::new(&one(&endpoint)).ready();
+    // out in the old process while it is replaced; unsafe, so a second send would be seen as harm
+    assert_eq!(old.hand_in("order", "held-order", 7, 20_000, b"x"), 202);
+    wait_until("it is out", || endpoint.times("held-order") == 1);
+    let (stop, sent) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let clients: Vec<_> = (0..4)
+        .map(|number| {
+            let (stop, sent, address) = (stop.clone(), sent.clone(), old.address);
+            thread::spawn(move || {
+                let mut client = Client::new(address);
+                for n in 0.. {
+                    if stop.load(Ordering::SeqCst) {
+                        return n;
+                    }
+                    let text = message("webhook", &format!("m{number}-{n}"), 7, 20_000, b"x");
+                    // no connection is refused, reset or left without an answer
+                    let (status, head) = client.send(&text).expect("an answer");
+                    assert_eq!(status, 202);
+                    sent.fetch_add(1, Ordering::SeqCst);
+                    if head.header("connection") == "close" {
+                        client = Client::new(address);
+                    }
+                    thread::sleep(Duration::from_millis(2));
+                }
+                unreachable!()
+            })
+        })
+        .collect();
+    let more = |count: usize| {
+        let before = sent.load(Ordering::SeqCst);
+        wait_until("the load goes on", || sent.load(Ordering::SeqCst) >= before + count);
+    };
+    more(50);
+    let new = old.upgrade().ready();
+    assert_eq!(new.address, old.address);
+    assert!(new.logged("takes over"));
+    more(50);
+    // the call that is out in the old process ends in the new one
+    assert_eq!(new.hand_in("order", "held-order", 7, 20_000, b"x"), 202);
+    release.store(true, Ordering::SeqCst);
+    wait_until("its end is known", || new.hand_in("order", "held-order", 7, 0, b"x") == 200);
+    let mut old = old;
+    wait_until("the old process ends by itself", || old.process.try_wait().expect("ours").is_some());
+    assert!(old.process.wait().expect("ended").success());
+    more(50);
+    stop.store(true, Ordering::SeqCst);
+    let handed: usize = clients.into_iter().map(|client| client.join().expect("no client failed")).sum();
+    wait_until("all delivered", || endpoint.count() > handed && new.figure("active") == 0);
+    assert_eq!(endpoint.times("held-order"), 1);
+    for number in 0..4 {
+        assert_eq!(endpoint.times(&format!("m{number}-0")), 1);
+    }
+    // one each, and the one that was held
+    assert_eq!(endpoint.count(), handed + 1);
+}
+
+#[test]
+fn a_wait_that_the_old_process_was_told_binds_the_new_one() {
+    let endpoint = Endpoint::new(|request, _| match request.header("x-request-id") {
+        "first" => Reply::Answer("429 No\r\nRetry-After: 600", String::new()),
+        _ => OK,
+    });
+    let old = Node::new(&one(&endpoint)).ready();
+    assert_eq!(old.hand_in("webhook", "first", 7, 20_000, b"x"), 202);
+    wait_until("told", || endpoint.times("first") == 1 && old.figure("active") <= 1);
+    thread::sleep(Duration::from_millis(100)); // the answer's way
+    let new = old.upgrade().ready();
+    let _ = new.hand_in("webhook", "second", 7, 20_000, b"x");
+    // another destination, later than that: had it been sent, it would have been seen
+    assert_eq!(new.hand_in("webhook", "other", 8, 20_000, b"x"), 202);
+    wait_until("the other goes", || endpoint.times("other") == 1);
+    assert_eq!((endpoint.times("first"), endpoint.times("second")), (1, 0));
+}
+
+#[test]
+fn calls_of_an_old_process_that_is_killed_may_have_run() {
+    let release = Arc::new(AtomicBool::new(false));
+    let endpoint = held_until(&release);
+    let agent = one(&endpoint);
+    let mut old = Node::new(&agent).ready();
+    for (class, id) in [("order", "held-order"), ("webhook", "held-webhook")] {
+        assert_eq!(old.hand_in(class, id, 7, 20_000, b"x"), 202);
+        wait_until("it is out", || endpoint.times(id) >= 1);
+    }
+    let new = old.upgrade().ready();
+    old.kill();
+    wait_until("its calls are told as cut off", || new.logged("calls cut off"));
+    release.store(true, Ordering::SeqCst);
+    // the unsafe one has failed for good, the keyed one goes again
+    wait_until("failed", || {
+        agent.notices().iter().any(|line| line.contains("held-order") && line.contains("failed"))
+    });
+    wait_until("delivered", || new.hand_in("webhook", "held-webhook", 7, 0, b"x") == 200);
+    assert_eq!(endpoint.times("held-order"), 1);
+    assert!(endpoint.times("held-webhook") >= 2);
+}
+
+#[test]
+fn callers_at_the_socket_who_know_nothing_change_nothing() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let node = Node::new(&one(&endpoint)).ready();
+    let socket = node.folder.join("state/handover");
+    let hello = b"MTH1\x01\0\0\0";
+    // noise, silence, half a hello; then one that asks and goes, and one that asks and answers noise
+    for (first, then) in [
+        (&b"GET / HTTP/1.1\r\n\r\n"[..], None),
+        (b"", None),
+        (b"MTH", None),
+        (hello, None),
+        (hello, Some(&b"\x01\0\0\0\x63"[..])),
+        (hello, Some(b"\xff\xff\xff\xff")),
+    ] {
+        let mut caller = UnixStream::connect(&socket).expect("it listens");
+        caller.write_all(first).expect("written");
+        if let Some(then) = then {
+            let _ = caller.read(&mut [0; 8]);
+            let _ = caller.write_all(then);
+        }
+        drop(caller);
+        wait_until("it goes on", || node.hand_in("webhook", "m1", 7, 20_000, b"x") == 200);
+    }
+    // and a real one takes over all the same
+    let new = node.upgrade().ready();
+    assert_eq!(new.hand_in("webhook", "m1", 7, 20_000, b"x"), 200);
+}
+
+#[test]
+fn a_process_that_can_not_read_the_offer_goes_on_from_the_journal() {
+    let release = Arc::new(AtomicBool::new(false));
+    let endpoint = held_until(&release);
+    let mut old = Node::new(&one(&endpoint)).ready();
+    assert_eq!(old.hand_in("webhook", "held-1", 7, 20_000, b"x"), 202);
+    wait_until("it is out", || endpoint.times("held-1") == 1);
+    let mut caller = UnixStream::connect(old.folder.join("state/handover")).expect("it listens");
+    caller.write_all(b"MTH1\x01\0\0\0").expect("written");
+    let _ = caller.read(&mut [0; 8]).expect("a hello");
+    caller.write_all(b"\x01\0\0\0\x01").expect("leave");
+    wait_until("it ends at once", || old.process.try_wait().expect("ours").is_some());
+    let new = old.restart();
+    assert!(new.logged("1 messages owed"));
+    release.store(true, Ordering::SeqCst);
+    let new = new.ready();
+    wait_until("delivered", || new.hand_in("webhook", "held-1", 7, 0, b"x") == 200);
+}
+
+#[test]
+fn a_drain_outlasts_an_upgrade() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let old = Node::new(&one(&endpoint)).ready();
+    assert_eq!(old.operate("POST", "/-/drain"), 200);
+    let new = old.upgrade();
+    wait_until("it has taken over", || new.logged("takes over"));
+    assert_eq!((new.get_ready(), new.operate("GET", "/-/ready")), (503, 503));
+    assert_eq!(new.operate("POST", "/-/resume"), 200);
+    assert_eq!(new.get_ready(), 200);
+    let _ = new.ready();
+}
