Call off what later calls overtake: dead connections no longer hold slots

Ruled out by a trace of units and slots in the log (taken out again): pace, limits and windows had room; all 13 slots were taken from the third second on. By the calls' times, 7 to 14 calls a sender stayed out for 7.2 s, to the end of their key's window: they hung on connections that had gone silent while others to the same endpoint were answered, so neither silence nor a strike of the class applied. With one endpoint there is no copy either.

Change: a call out for one and a half silence limits (more with each attempt) that calls sent well behind it have overtaken is called off, where a repeat is allowed. What is only slow is answered in order and stays.

The test fails without the change.

--- a/crates/engine/src/snapshot.rs
+++ b/crates/engine/src/snapshot.rs
@@ -104,6 +104,19 @@
 }
 
 impl Snapshot {
+    /// Reads what [`Engine::snapshot`] gave.
+    ///
+    /// # Errors
+    /// When the bytes are not those of a snapshot of this form.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let damaged = postcard::Error::DeserializeBadCrc;
+        let (payload, sum) = bytes.split_last_chunk::<4>().ok_or(damaged.clone())?;
+        if crc32fast::hash(payload) != u32::from_le_bytes(*sum) {
+            return Err(damaged);
+        }
+        postcard::from_bytes(payload)
+    }
+
     /// The module's time when it was taken.
     pub fn now(&self) -> Micros {
         self.now
@@ -113,8 +126,11 @@
 impl Engine {
     /// All that the next process must know. Must be taken between two runs. There must be no archive: what it is
     /// owed can't be handed on.
+    ///
+    /// # Errors
+    /// When it can't be encoded.
     pub fn snapshot(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_allocvec(&SnapshotRef {
+        let mut bytes = postcard::to_allocvec(&SnapshotRef {
             now: self.clock.now(),
             sender: &self.sender,
             classes: &self.classes,
@@ -136,7 +152,10 @@
             delivered: self.delivered.iter().map(Word::to_string).collect(),
             alarm: self.alarm,
             ready: *self.ready.borrow(),
-        })
+        })?;
+        let sum = crc32fast::hash(&bytes);
+        bytes.extend_from_slice(&sum.to_le_bytes());
+        Ok(bytes)
     }
 
     /// Gives all up but the calls that are out: what calls them off, by number.
--- a/crates/handover/src/take.rs
+++ b/crates/handover/src/take.rs
@@ -91,7 +91,7 @@
             return Err(HandoverError::Unreadable("another form"));
         }
         let offer: Offer = timeout(WORD, read(&mut stream, OFFER_MOST)).await.map_err(silent)??;
-        let snapshot: Snapshot = postcard::from_bytes(&offer.snapshot)?;
+        let snapshot = Snapshot::decode(&offer.snapshot)?;
         Ok((offer, snapshot))
     };
     let (offer, snapshot) = match offer.await {
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -7,7 +7,9 @@
 use crate::interface::*;
 use crate::odds::{Odds, SICK};
 use crate::refusals::Advice;
-use crate::state::{Attempt, Call, ClassRecord, Endpoint, Health, Held, KeyLine, Unit, UnitId, seconds};
+use crate::state::{
+    Attempt, Call, ClassRecord, Endpoint, Health, Held, KeyLine, Unit, UnitId, seconds, share_of,
+};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -60,6 +62,8 @@
 const RECLAIM_LIMITS: i64 = 2;
 /// So many times longer where only the one class at the one endpoint is without a sign of life.
 const CLASS_LIMITS: i64 = 2;
+/// Half limits, for each attempt so far, after which a call that later ones overtook is called off.
+const OVERTAKEN: i64 = 3;
 /// Slots in use above which unsafe calls are called off too: lower gives up more, higher frees less.
 const SLOTS_SCARCE: f64 = 0.7;
 /// A unit lags while a call is out for this many usual latencies; all lagging and sick units share the sick
@@ -376,6 +380,7 @@
             let record = endpoint.classes.entry(class).or_default();
             if outcome == Outcome::Success {
                 (record.strikes, record.alive_at) = (0, now);
+                record.alive_sent = record.alive_sent.max(sent);
                 record.fails -= CLASS_WEIGHT * record.fails;
             } else if outcome.failed() || outcome == Outcome::Cancelled && latency > silence {
                 record.strikes += 1;
@@ -587,10 +592,15 @@
                 let Some(unit) = call.and_then(|call| self.units.get(&call.unit)) else { continue };
                 let sick = unit.alive_at < attempt.sent && matches!(unit.health, Health::Sick { .. });
                 let record = self.endpoints.get(&attempt.endpoint).map(|known| &known.classes);
-                let alive = record.and_then(|classes| classes.get(&held.class)).map(|class| class.alive_at);
+                let class = record.and_then(|classes| classes.get(&held.class));
+                let (alive, later) = class.map_or((0, 0), |class| (class.alive_at, class.alive_sent));
                 let limits = (if scarce { 1 } else { RECLAIM_LIMITS }) * if sick { 1 } else { CLASS_LIMITS };
-                let over = self.now - attempt.sent > limits * unit.silence_limit();
-                if over && (sick || alive.unwrap_or(0) < attempt.sent) {
+                let (age, limit) = (self.now - attempt.sent, unit.silence_limit());
+                let over = age > limits * limit && (sick || alive < attempt.sent);
+                // what calls sent well behind it have overtaken hangs on a connection that is dead
+                let overtaken =
+                    later > attempt.sent + limit / 2 && 2 * age > OVERTAKEN * limit * (index as i64 + 1);
+                if over || overtaken {
                     attempt.cancelled = true;
                     actions.push(Action::Cancel { message, attempt: index });
                 }
@@ -974,15 +984,6 @@
         (self.offset.unwrap_or(FIRST_COPY_DELAY) * SILENT_OFFSETS).max(SILENT_LEAST)
     }
 
-    fn usual_rate(&self, now: Micros, least: Micros) -> f64 {
-        self.sent as f64 / seconds((now - self.since).max(least).max(1))
-    }
-
-    fn served_rate(&mut self, now: Micros, span: Micros) -> f64 {
-        self.served.drop_until(now - span);
-        self.served.len() as f64 / seconds(span)
-    }
-
     /// A refusal is taken for a limit's: one is told, or many senders meet a unit that each seldom calls.
     fn tells(&self, settings: &Settings, now: Micros) -> bool {
         let busy = self.usual_rate(now, settings.safety.fall_span / 30) >= BUSY;
@@ -1060,7 +1061,3 @@
         self.tokens = if rate.is_finite() { (self.tokens + rate * passed).min(most) } else { f64::MAX };
     }
 }
-
-fn share_of(slots: usize, share: f64) -> usize {
-    ((slots as f64 * share).floor() as usize).max(1)
-}
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -33,6 +33,8 @@
     pub fails: f64,
     pub struck_until: Micros,
     pub alive_at: Micros,
+    /// When the last call that it answered was sent.
+    pub alive_sent: Micros,
 }
 
 /// One send of a message.
@@ -184,6 +186,19 @@
     pub tokens_at: Micros,
 }
 
+impl Unit {
+    /// Calls sent a second since it was first seen, over `least` at the least.
+    pub fn usual_rate(&self, now: Micros, least: Micros) -> f64 {
+        self.sent as f64 / seconds((now - self.since).max(least).max(1))
+    }
+
+    /// Calls served a second over the last span.
+    pub fn served_rate(&mut self, now: Micros, span: Micros) -> f64 {
+        self.served.drop_until(now - span);
+        self.served.len() as f64 / seconds(span)
+    }
+}
+
 /// The last values of something, oldest first.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Samples(VecDeque<Micros>);
@@ -224,3 +239,8 @@
 pub fn seconds(span: Micros) -> f64 {
     span as f64 / SECOND as f64
 }
+
+/// A share of the slots, one at least.
+pub fn share_of(slots: usize, share: f64) -> usize {
+    ((slots as f64 * share).floor() as usize).max(1)
+}
--- a/crates/policy/tests/guards.rs
+++ b/crates/policy/tests/guards.rs
@@ -294,3 +294,42 @@
     rig.run(from + 25 * SECOND);
     assert_eq!(rig.sends_of(20).len(), 1, "after the rest");
 }
+
+#[test]
+fn a_call_that_later_ones_overtake_is_called_off_and_what_is_only_slow_is_not() {
+    // Days of pieces: calls on connections that had gone silent held a sixth of all slots to the end of their
+    // window, since others to the same endpoint fared well.
+    for overtaken in [true, false] {
+        let mut rig = Rig::new(settings(8), two_destinations());
+        warm(&mut rig);
+        // answered late, but in the order of their sending: only slow
+        rig.tell(vec![message(50, KEYED, 7), message(51, KEYED, 7)]);
+        rig.run(rig.now + 10 * MILLISECOND);
+        rig.tell(vec![message(1, KEYED, 7)]);
+        let began = rig.now;
+        for id in 2..20 {
+            rig.run(rig.now + 100 * MILLISECOND);
+            match (overtaken, id) {
+                (true, _) => {
+                    rig.tell(vec![message(id, KEYED, 7)]);
+                    rig.end(id, Outcome::Success, 0);
+                }
+                (false, 8 | 16) => {
+                    rig.end(49 + id / 8, Outcome::Success, SECOND);
+                }
+                _ => {}
+            }
+            if rig.cancels(1) > 0 {
+                break;
+            }
+        }
+        let after = rig.now - began;
+        assert_eq!(rig.cancels(1) > 0, overtaken, "after {after}");
+        if overtaken {
+            assert!((1_500 * MILLISECOND..1_800 * MILLISECOND).contains(&after), "after {after}");
+            rig.end(1, Outcome::Cancelled, after);
+            rig.run(rig.now + SECOND);
+            assert_eq!(rig.sends_of(1).len(), 2, "it goes again, inside its window");
+        }
+    }
+}
