Keep a message's effect through restarts; an operators' door beside applications too

A message that was taken as unsafe could go out again if a reload made its class repeatable and a kill followed: the next life knew the class by name only. The test fails without it (the message goes out twice).

Checked against the other ports of the file, its neighbours' and the descriptors.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -2,6 +2,7 @@
 
 use crate::codes::Code;
 use crate::document::Document;
+use crate::neighbours::{LISTENERS, same_port};
 use crate::units::{size_text, time_text};
 use std::collections::BTreeMap;
 
@@ -11,6 +12,8 @@
 /// Descriptors beside those of clients and endpoints: standard streams, the poll, signals, listener, journal,
 /// endpoints' file, outcomes, the store and its commands.
 const SOCKETS_REST: u64 = 34;
+/// Those of the operators' door, where it is open.
+pub const SOCKETS_OPERATORS: u64 = 14;
 /// Parts of the descriptors: clients get two fifths, and a tenth stays free.
 const CLIENT_PART: f64 = 0.4;
 const FREE_PART: f64 = 0.1;
@@ -67,16 +70,20 @@
     let store =
         if document.flag(&["undelivered", "keep"]) { document.size(&["undelivered", "size"]) } else { 0 };
     let outcomes = document.size(&["outcomes", "size"]);
+    let operators = document.given(&["listen", "operators"]).map(|_| ("operators", SOCKETS_OPERATORS));
     let journal = held.saturating_mul(body.saturating_add(JOURNAL_MESSAGE)).saturating_mul(JOURNAL_FILES);
     [
         Budget {
             what: "limits.sockets",
-            parts: vec![
+            parts: [
                 ("calls", calls),
                 ("application", clients),
                 ("free", (room * FREE_PART) as u64),
                 ("rest", SOCKETS_REST),
-            ],
+            ]
+            .into_iter()
+            .chain(operators)
+            .collect(),
             most: sockets,
             bytes: false,
         },
@@ -106,12 +113,16 @@
 
 /// Checks a file that has been read without a finding of its own in the settings that it compares.
 pub fn check(document: &mut Document) {
-    let (http, outcomes) = (document.text_of(&["listen", "http"]), document.text_of(&["listen", "outcomes"]));
-    if let (Some(http), Some(outcomes)) = (http, outcomes)
-        && crate::neighbours::same_port(&http, &outcomes)
-    {
-        let span = document.span(&["listen", "outcomes"]);
-        document.add(Code::SamePort, span, "messages are handed in at this port".into(), None);
+    let pairs = [(0, "messages are handed in at this port"), (1, "outcomes are read at this port")];
+    for (at, label) in pairs {
+        for later in &LISTENERS[at + 1..] {
+            let texts = [LISTENERS[at], later].map(|name| document.text_of(&["listen", name]));
+            let [Some(first), Some(other)] = texts else { continue };
+            if same_port(&first, &other) {
+                let span = document.span(&["listen", later]);
+                document.add(Code::SamePort, span, label.into(), None);
+            }
+        }
     }
     classes(document);
     destinations(document);
--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -89,6 +89,12 @@
     ),
     required("listen.http", Kind::Address, "Where the application hands messages in."),
     required("listen.outcomes", Kind::Address, "Where the application reads final answers."),
+    field(
+        "listen.operators",
+        Kind::Address,
+        "",
+        "Where operators read figures and drain; left out: nowhere.",
+    ),
     field("limits.memory", Kind::Size(16 * MB, 64_000 * MB), "\"64MB\"", "Memory that the sidecar may use."),
     field("limits.sockets", Kind::Count(64, 1_000_000), "256", "File descriptors that it may hold."),
     field("limits.disk", Kind::Size(MB, 1_000_000 * MB), "\"30MB\"", "Bytes that the state folder may hold."),
--- a/crates/config/src/neighbours.rs
+++ b/crates/config/src/neighbours.rs
@@ -9,7 +9,7 @@
 use std::path::{Component, Path, PathBuf};
 
 /// The settings that claim a port.
-pub const LISTENERS: [&str; 2] = ["http", "outcomes"];
+pub const LISTENERS: [&str; 3] = ["http", "outcomes", "operators"];
 
 /// True if two listeners can't both be had.
 pub fn same_port(left: &str, right: &str) -> bool {
--- a/crates/config/tests/broken.rs
+++ b/crates/config/tests/broken.rs
@@ -201,6 +201,12 @@
         "\"12s\"",
     ),
     ("own-port", &[("127.0.0.1:7103", "0.0.0.0:7003")], Code::SamePort, "\"0.0.0.0:7003\""),
+    (
+        "own-port-operators",
+        &[("127.0.0.1:7103\"", "127.0.0.1:7103\"\noperators = \"[::]:7103\"")],
+        Code::SamePort,
+        "\"[::]:7103\"",
+    ),
     ("limit-low", &[("rate = 10.0", "rate = 30.0")], Code::LimitTooLow, "20.0"),
     ("calls-few", &[("sockets = 256", "sockets = 256\ncalls = 2")], Code::CallsTooFew, "2"),
     ("held-few", &[("sockets = 256", "sockets = 256\nheld = 20")], Code::HeldTooFew, "20"),
--- a/crates/engine/src/classes.rs
+++ b/crates/engine/src/classes.rs
@@ -47,6 +47,22 @@
         self.slots.get(position).map(|class| class.deadline)
     }
 
+    /// What a repeat of the class's messages does.
+    pub fn effect(&self, position: usize) -> Option<Effect> {
+        self.slots.get(position).map(|class| class.effect)
+    }
+
+    /// A position for a class that only messages of an earlier life have; true if it is a new one.
+    pub fn hold(&mut self, class: &Class) -> (usize, bool) {
+        if let Some(at) = self.slots.iter().position(|known| known == class) {
+            return (at, false);
+        }
+        self.slots.push(class.clone());
+        self.names.push(class.name.clone());
+        self.current.push(false);
+        (self.slots.len() - 1, true)
+    }
+
     /// The window of a keyed class; zero where a repeat is never allowed, none where it always is.
     pub fn window(&self, position: usize) -> Option<Micros> {
         match self.slots.get(position)?.effect {
--- a/crates/engine/src/endings.rs
+++ b/crates/engine/src/endings.rs
@@ -158,6 +158,7 @@
             id: id.to_string(),
             key: key.as_ref().map(ToString::to_string),
             class: name,
+            effect: self.classes.effect(class),
             destination,
             taken_at: now,
             deadline,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,8 +13,8 @@
 use crate::transport::{Call, Ended, Item, Transport};
 use crate::word::Word;
 use milletturn_policy::{
-    Action, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
-    PastAttempt, Sender, Settings, SettingsError, Status,
+    Action, Class, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
+    PastAttempt, SECOND, Sender, Settings, SettingsError, Status,
 };
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -24,6 +24,9 @@
 /// Delivered ids that are remembered, for clients whose request crossed a closed connection: at 120 messages a
 /// second those of the last half minute, longer than any such client waits.
 const REMEMBERED: usize = 4096;
+/// Aim and deadline of a class that the settings no longer have: they only order its messages among others, since
+/// each has a deadline of its own.
+const GONE_TIME: Micros = 20 * SECOND;
 /// How often the transport sweeps and the ledger tries again.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -269,7 +272,7 @@
             self.next_message = self.next_message.max(number + 1);
             let key = owed.taken.key.as_deref().map(|key| Word::new(key.as_bytes())).transpose();
             let (Ok(id), Ok(key)) = (Word::new(owed.taken.id.as_bytes()), key) else { continue };
-            let class = self.classes.position(&owed.taken.class);
+            let class = self.class_of(&owed.taken);
             let (destination, born) = (owed.taken.destination, owed.taken.taken_at);
             let past: Vec<PastAttempt> = owed
                 .attempts
@@ -305,6 +308,25 @@
         }
     }
 
+    /// The class of a message of an earlier life. One whose name means another effect now, or nothing, keeps the
+    /// effect under which it was taken.
+    fn class_of(&mut self, taken: &Taken) -> usize {
+        let position = self.classes.position(&taken.class);
+        let present = self.classes.all().get(position).cloned();
+        let Some(effect) =
+            taken.effect.filter(|effect| present.as_ref().map(|now| now.effect) != Some(*effect))
+        else {
+            return position;
+        };
+        let gone = || Class::new(&taken.class, effect, GONE_TIME, GONE_TIME);
+        let class = Class { effect, ..present.unwrap_or_else(gone) };
+        let (position, new) = self.classes.hold(&class);
+        if new {
+            self.sender.add_class(class);
+        }
+        position
+    }
+
     fn learn(&mut self, input: Input) {
         match input {
             Input::Arrived(arrival) => self.arrive(arrival),
@@ -611,6 +633,7 @@
             id: arrival.id.to_string(),
             key: arrival.key.as_ref().map(Word::to_string),
             class: self.classes.name(arrival.class),
+            effect: self.classes.effect(arrival.class),
             destination: arrival.destination,
             taken_at: began,
             deadline: began + arrival.time,
--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The ledger: what outlasts the process.
 
 use crate::Reason;
-use milletturn_policy::Micros;
+use milletturn_policy::{Effect, Micros};
 use std::collections::BTreeMap;
 use std::error::Error;
 use thiserror::Error;
@@ -51,6 +51,9 @@
     pub key: Option<String>,
     /// Its class, by name: positions may differ in the next life.
     pub class: String,
+    /// What a repeat of it does, as its class was then: a message keeps that, whatever the name means in the next
+    /// life. None in a ledger that did not say.
+    pub effect: Option<Effect>,
     /// Its destination.
     pub destination: u64,
     /// Unix time in microseconds.
--- a/crates/ledger/src/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -6,7 +6,7 @@
 //! file that then takes the old one's name.
 
 use milletturn_engine::{End, Ending, Ledger, LedgerError, Owed, Reason, Sent, Taken};
-use milletturn_policy::Micros;
+use milletturn_policy::{Effect, Micros};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
@@ -33,12 +33,23 @@
     id: String,
     key: Option<String>,
     class: String,
+    #[serde(skip)]
+    effect: Option<Effect>,
     destination: u64,
     taken_at: i64,
     deadline: i64,
     body: Vec<u8>,
 }
 
+/// What a repeat does, as the file has it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(remote = "Effect")]
+enum EffectForm {
+    Repeatable,
+    Keyed { window: i64, zone_only: bool },
+    Unsafe,
+}
+
 /// One send of a message, as the file has it.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(remote = "Sent")]
@@ -102,6 +113,8 @@
     // from here on: since the archive; what stands above is read as before
     TakenBack(u64, #[serde(with = "TakenForm")] Taken, Option<Past>),
     End(u64, #[serde(with = "EndForm")] End),
+    // since settings may change in service
+    TakenAs(u64, #[serde(with = "TakenForm")] Taken, #[serde(with = "EffectForm")] Effect),
 }
 
 /// What was found at the start.
@@ -220,6 +233,11 @@
                 let owed = Owed { taken, attempts: Vec::new(), end: None, resend: false, past: 0 };
                 self.insert(number, owed, length);
             }
+            Entry::TakenAs(number, taken, effect) => {
+                let taken = Taken { effect: Some(effect), ..taken };
+                let owed = Owed { taken, attempts: Vec::new(), end: None, resend: false, past: 0 };
+                self.insert(number, owed, length);
+            }
             Entry::TakenBack(number, taken, past) => {
                 let attempts: Vec<Sent> = past.into_iter().map(|Past(sent)| sent).collect();
                 let past = attempts.len();
@@ -317,7 +335,7 @@
     }
 
     fn take(&mut self, number: u64, taken: Taken) -> Result<(), LedgerError> {
-        self.append(Entry::Taken(number, taken), self.reserve)
+        self.append(taken_entry(number, taken), self.reserve)
     }
 
     fn take_back(&mut self, number: u64, taken: Taken, risk: Option<Sent>) -> Result<(), LedgerError> {
@@ -353,11 +371,18 @@
     }
 }
 
+fn taken_entry(number: u64, taken: Taken) -> Entry {
+    match taken.effect {
+        Some(effect) => Entry::TakenAs(number, taken, effect),
+        None => Entry::Taken(number, taken),
+    }
+}
+
 fn encode_owed(number: u64, owed: &Owed) -> Result<Vec<u8>, LedgerError> {
     let (taken, past) = (owed.taken.clone(), owed.attempts.first().filter(|_| owed.past > 0).cloned());
     let mut bytes = encode(&match owed.resend {
         true => Entry::TakenBack(number, taken, past.map(Past)),
-        false => Entry::Taken(number, taken),
+        false => taken_entry(number, taken),
     })?;
     for sent in owed.attempts.iter().skip(owed.past) {
         bytes.extend(encode(&Entry::Sent(number, sent.clone()))?);
--- a/crates/policy/src/retune.rs
+++ b/crates/policy/src/retune.rs
@@ -1,9 +1,14 @@
 //! New settings in the middle of a life. It decides nothing: it only says from when on which figure holds.
 
 use crate::decide::Sender;
-use crate::interface::{Settings, SettingsError};
+use crate::interface::{Class, Settings, SettingsError};
 
 impl Sender {
+    /// A class that messages of an earlier life have, at the next position.
+    pub fn add_class(&mut self, class: Class) {
+        self.settings.classes.push(class);
+    }
+
     /// Takes new settings over. Classes stand at positions as before: what an open message carries must stand there
     /// unchanged; `renewed` are the positions that mean something new. A message that is open keeps its class, and
     /// never gets more attempts than it might have had. Kinds, zones, tenants and the way to the list are those of
--- a/crates/sidecar/src/environment.rs
+++ b/crates/sidecar/src/environment.rs
@@ -4,6 +4,7 @@
 use crate::endpoints;
 use milletturn_config::codes::Code;
 use milletturn_config::document::Document;
+use milletturn_config::neighbours::LISTENERS;
 use std::fs::{self, File, TryLockError};
 use std::io;
 use std::net::TcpListener;
@@ -37,7 +38,7 @@
     {
         document.add(Code::EndpointsFile, document.span(&["endpoints", "file"]), error.to_string(), None);
     }
-    for name in ["http", "outcomes"] {
+    for name in LISTENERS {
         let Some(text) = document.text_of(&["listen", name]) else { continue };
         // a name that can't be resolved is told at the start
         let Ok(address) = crate::plan::resolve(&text) else { continue };
--- a/crates/sidecar/src/plan.rs
+++ b/crates/sidecar/src/plan.rs
@@ -1,6 +1,7 @@
 //! From a checked file to what the engine and its ports are told.
 
 use crate::callback::{CLASS, Callback};
+use milletturn_config::check::SOCKETS_OPERATORS;
 use milletturn_config::document::{Document, host_and_port};
 use milletturn_engine::Listed;
 use milletturn_platform::Budget;
@@ -33,6 +34,8 @@
     pub listen: SocketAddr,
     /// Where outcomes are read.
     pub outcomes: SocketAddr,
+    /// Where operators connect, if they may.
+    pub operators: Option<SocketAddr>,
     /// What the decision module is told.
     pub settings: Settings,
     /// Kinds of destination, by the messages that a call may carry.
@@ -203,12 +206,16 @@
             ..StoreConfig::default()
         });
         let store_room = store.as_ref().map_or(0, |store| STORE_SIZES * store.bytes_most);
-        let sockets = count(&["limits", "sockets"]).saturating_sub(OTHER_DESCRIPTORS);
+        let operators = document.text_of(&["listen", "operators"]);
+        let operators = operators.map(|address| resolve(&address)).transpose()?;
+        let beside = OTHER_DESCRIPTORS + operators.map_or(0, |_| SOCKETS_OPERATORS as usize);
+        let sockets = count(&["limits", "sockets"]).saturating_sub(beside);
         Ok(Plan {
             name: text(&["name"]),
             state: document.path_of(&["state"]).unwrap_or_default(),
             listen: resolve(&text(&["listen", "http"]))?,
             outcomes: resolve(&text(&["listen", "outcomes"]))?,
+            operators,
             budget: Budget::new(sockets, memory, calls),
             journal_room: disk.saturating_sub(store_room).saturating_sub(OUTCOMES_SIZES * outcomes_most),
             store_room,
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod demo;
 mod logger;
+mod operators;
 mod run;
 mod sidecar;
 mod timekeeper;
--- /dev/null
+++ b/src/operators.rs
@@ -0,0 +1,27 @@
+//! The operators' door beside a running sender, on the platform and beside an application alike.
+
+use crate::assemble::Running;
+use milletturn_log::log;
+use milletturn_management::door::{Operators, serve};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+
+/// Opens the door.
+///
+/// # Errors
+/// When the address can't be had.
+pub async fn open(name: &str, address: SocketAddr, running: &Running) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    log(format_args!("{name}: operators on {}", listener.local_addr()?));
+    let operators = Operators {
+        figures: running.figures.clone(),
+        inputs: running.inputs.clone(),
+        gate: running.gate.clone(),
+        ready: running.ready.clone(),
+        last: Cell::default(),
+    };
+    tokio::task::spawn_local(serve(listener, Rc::new(operators)));
+    Ok(())
+}
--- a/src/run.rs
+++ b/src/run.rs
@@ -1,22 +1,22 @@
 //! The sender as the platform runs it: its configuration, its agent, reload on SIGHUP.
 
 use crate::assemble::{Parts, Place, Signals, assemble, block_on, of_clients};
+use crate::operators;
 use milletturn_engine::Input;
 use milletturn_handover::take::{Begun, begin};
 use milletturn_log::log;
 use milletturn_management::Figures;
-use milletturn_management::door::{DESCRIPTORS, Operators, serve};
+use milletturn_management::door::DESCRIPTORS;
 use milletturn_platform::agent;
 use milletturn_platform::config::{Config, Reloaded, Shape, reload};
 use milletturn_policy::Class;
 use milletturn_undelivered::config::{Config as StoreConfig, STORE_SIZES};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::{Mutex, mpsc, oneshot, watch};
 
 /// Descriptors of the store: its file and rollback journal, the socket and its commands.
@@ -76,16 +76,7 @@
         tokio::task::spawn_local(agent::post_notices(agents, ends, running.inputs.clone()));
     }
     if let Some(address) = config.management {
-        let listener = TcpListener::bind(address).await?;
-        log(format_args!("{name}: operators on {}", listener.local_addr()?));
-        let operators = Operators {
-            figures: running.figures.clone(),
-            inputs: running.inputs.clone(),
-            gate: running.gate.clone(),
-            ready: running.ready.clone(),
-            last: Cell::default(),
-        };
-        tokio::task::spawn_local(serve(listener, Rc::new(operators)));
+        operators::open(&name, address, &running).await?;
     }
     let reload = Rc::new(Reload {
         name,
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -2,10 +2,12 @@
 
 use crate::assemble::{Parts, Place, Running, Signals, assemble, block_on};
 use crate::config::{findings, report};
+use crate::operators;
 use milletturn_config::check_documents;
 use milletturn_config::document::Document;
 use milletturn_engine::ListUpdate;
 use milletturn_log::log;
+use milletturn_management::Figures;
 use milletturn_sidecar::endpoints;
 use milletturn_sidecar::environment;
 use milletturn_sidecar::outcomes::Outcomes;
@@ -38,7 +40,8 @@
     }
     let (name, running) = start(document).await?;
     let path = path.to_path_buf();
-    running.until_told(signals, || reload(&name, &path)).await
+    let figures = running.figures.clone();
+    running.until_told(signals, || reload(&name, &path, &figures)).await
 }
 
 /// Starts a sidecar from a document without findings.
@@ -76,6 +79,9 @@
     let listener = TcpListener::bind(plan.outcomes).await?;
     log(format_args!("{name}: outcomes on {}", listener.local_addr()?));
     tokio::task::spawn_local(shared.clone().serve(listener));
+    if let Some(address) = plan.operators {
+        operators::open(&name, address, &running).await?;
+    }
     let own = plan.callback.map(|callback| {
         let (sender, ended) = mpsc::unbounded_channel();
         tokio::task::spawn_local(callback.run(shared.clone(), seed, ended));
@@ -91,16 +97,19 @@
 }
 
 /// A reload checks the file and says what a start would say; what runs goes on as it is.
-fn reload(name: &str, path: &Path) {
+fn reload(name: &str, path: &Path, figures: &Figures) {
     let documents = check_documents(vec![Document::read(path)]);
     match report(&documents, false) {
         0 => {
             log(format_args!("{name}: SIGHUP, {} is sound; it binds from the next start on", path.display()))
         }
-        found => log(format_args!(
-            "{name}: SIGHUP, {} would be rejected at a start ({}); nothing changed",
-            path.display(),
-            findings(found)
-        )),
+        found => {
+            figures.config_rejected.update(|count| count + 1);
+            log(format_args!(
+                "{name}: SIGHUP, {} would be rejected at a start ({}); nothing changed",
+                path.display(),
+                findings(found)
+            ));
+        }
     }
 }
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -92,7 +92,7 @@
         Node::launch(folder, discovery, disk_mb, idle_s, sockets, store)
     }
 
-    /// A second process with the same folder and address, while this one runs.
+    /// Another process with the same folder and configuration; if this one runs, it takes over.
     pub fn upgrade(&self) -> Self {
         let folder = self.folder.clone();
         Node::launch(folder, self.discovery, self.disk_mb, self.idle_s, self.sockets, self.store.clone())
@@ -215,6 +215,12 @@
         )
     }
 
+    /// The same, with its configuration as a reload has left it.
+    pub fn restart_as_it_is(mut self) -> Self {
+        self.kill();
+        self.upgrade()
+    }
+
     pub fn journal(&self) -> PathBuf {
         self.folder.join("state/journal")
     }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -114,7 +114,9 @@
     wait_until("handed back", || node.figure("responses.order.shed") == 1);
     wait_until("failed", || node.figure("responses.order.errors") == 1);
     assert_eq!((endpoint.times("bad-order"), endpoint.times("slow-order")), (2, 1));
-    assert!(agent.notices().iter().any(|line| line.contains("slow-order") && line.contains("failed")));
+    wait_until("told", || {
+        agent.notices().iter().any(|line| line.contains("slow-order") && line.contains("failed"))
+    });
     // and the new one goes again
     node.reload(|text| text.replace(NEW, r#"{"name":"order""#));
     wait_until("taken over", || node.figure("config_applied") == 2);
@@ -162,3 +164,28 @@
     node.reload(|_| with_new.clone());
     wait_until("a sound one is taken", || node.figure("config_applied") == 1);
 }
+
+#[test]
+fn a_message_keeps_its_effect_through_a_kill_behind_a_reload() {
+    // guards against an unsafe message that goes again since its class's name means another effect by then
+    let endpoint = Endpoint::new(|request, _| match request.header("x-request-id") {
+        "m1" | "m2" => Reply::Silence,
+        _ => OK,
+    });
+    let agent = one(&endpoint);
+    let node = Node::new(&agent).ready();
+    for (class, id) in [("order", "m1"), ("webhook", "m2")] {
+        assert_eq!(node.hand_in(class, id, 7, 20_000, b"x"), 202);
+        wait_until("it is out", || endpoint.times(id) == 1);
+    }
+    node.reload(|text| text.replace("at_most_once", "idempotent").replace("\"webhook\"", "\"licence\""));
+    wait_until("taken over", || node.figure("config_applied") == 1);
+    // the next life reads the changed file
+    let node = node.restart_as_it_is().ready();
+    wait_until("the unsafe one has failed", || {
+        agent.notices().iter().any(|line| line.contains("m1") && line.contains("failed"))
+    });
+    wait_until("the keyed one goes again, though its class is gone", || endpoint.times("m2") == 2);
+    assert_eq!(endpoint.times("m1"), 1);
+    assert_eq!(node.hand_in("order", "m3", 7, 20_000, b"x"), 202);
+}
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -324,8 +324,21 @@
 #[test]
 fn a_reload_that_would_be_rejected_changes_nothing_and_says_so() {
     let (good, bad) = endpoints();
-    let sidecar = Sidecar::new(&destinations(good.address, bad.address));
-    let text = std::fs::read_to_string(&sidecar.file).expect("read");
+    let rest = destinations(good.address, bad.address);
+    let (folder, http, outcomes, operators) = (folder(), free(), free(), free());
+    let file = folder.join("app.toml");
+    let text = config(http, outcomes, &rest);
+    let text = text.replace("[class.notice]", &format!("operators = '{operators}'\n[class.notice]"));
+    std::fs::write(&file, &text).expect("written");
+    let sidecar = Sidecar::run(file, http, outcomes);
+    let rejected = || {
+        let asked = Client::new(operators).send(b"GET /-/metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+        let (status, answer) = asked.expect("an answer");
+        assert_eq!(status, 200);
+        let lines = String::from_utf8(answer.body).expect("text");
+        lines.lines().find_map(|line| line.strip_prefix("relay.config_rejected:")).map(str::to_string)
+    };
+    assert_eq!(rejected().as_deref(), Some("0|c"));
     std::fs::write(&sidecar.file, text.replace("name = 'app'", "nam = 'app'")).expect("written");
     let hangup = || {
         let id = sidecar.process.id().to_string();
@@ -334,6 +347,7 @@
     hangup();
     wait_until("it is told", || sidecar.logged("would be rejected at a start"));
     assert!(sidecar.logged("MT005"));
+    assert_eq!(rejected().as_deref(), Some("1|c"));
     assert_eq!(sidecar.hand_in("notice", "m1", 1), 202);
     wait_until("it goes on", || good.times("m1") == 1);
     std::fs::write(&sidecar.file, text).expect("written");
