--- a/crates/engine/src/snapshot.rs
+++ b/crates/engine/src/snapshot.rs
@@ -19,10 +19,14 @@
 use tokio::sync::mpsc;
 
 /// See the module's page. Its form must be that of both processes; who carries it says which form it is.
+#[derive(Debug)]
+pub struct Snapshot(Form<Sender>);
+
+/// What a snapshot holds: written from a module that stays, read into one of its own.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct Snapshot {
+struct Form<S> {
     now: Micros,
-    sender: Sender,
+    sender: S,
     classes: Classes,
     zones: Vec<String>,
     kinds: Vec<String>,
@@ -114,12 +118,7 @@
         if crc32fast::hash(payload) != u32::from_le_bytes(*sum) {
             return Err(damaged);
         }
-        postcard::from_bytes(payload)
-    }
-
-    /// The module's time when it was taken.
-    pub fn now(&self) -> Micros {
-        self.now
+        postcard::from_bytes(payload).map(Snapshot)
     }
 }
 
@@ -130,13 +129,13 @@
     /// # Errors
     /// When it can't be encoded.
     pub fn snapshot(&self) -> Result<Vec<u8>, postcard::Error> {
-        let mut bytes = postcard::to_allocvec(&SnapshotRef {
+        let mut bytes = postcard::to_allocvec(&Form {
             now: self.clock.now(),
             sender: &self.sender,
-            classes: &self.classes,
-            zones: &self.zones,
-            kinds: &self.kinds,
-            bundle_max: &self.bundle_max,
+            classes: self.classes.clone(),
+            zones: self.zones.clone(),
+            kinds: self.kinds.clone(),
+            bundle_max: self.bundle_max.clone(),
             max_held: self.max_held,
             max_attempts: self.max_attempts,
             routes: self.endpoints.all().map(route_form).collect(),
@@ -173,7 +172,7 @@
     ///
     /// # Errors
     /// When the snapshot's settings make no sense.
-    pub fn restore(snapshot: Snapshot, ports: Ports) -> Result<Restored, SettingsError> {
+    pub fn restore(Snapshot(snapshot): Snapshot, ports: Ports) -> Result<Restored, SettingsError> {
         let mut engine = Engine::build(ports, true)?;
         engine.clock = Clock::new(snapshot.now);
         engine.sender = snapshot.sender;
@@ -236,28 +235,6 @@
     }
 }
 
-/// What [`Snapshot`] is written from, with the same fields in the same order.
-#[derive(Serialize)]
-struct SnapshotRef<'a> {
-    now: Micros,
-    sender: &'a Sender,
-    classes: &'a Classes,
-    zones: &'a [String],
-    kinds: &'a [String],
-    bundle_max: &'a [usize],
-    max_held: usize,
-    max_attempts: usize,
-    routes: Vec<RouteForm>,
-    last_endpoint: u32,
-    messages: Vec<MessageForm>,
-    next_message: u64,
-    calls: Vec<CallForm>,
-    next_call: u64,
-    delivered: Vec<String>,
-    alarm: Option<Micros>,
-    ready: bool,
-}
-
 fn route_form((endpoint, route): (EndpointId, &Route)) -> RouteForm {
     let (uid, address, bundle_max) = (route.uid.to_string(), route.address, route.bundle_max);
     RouteForm { endpoint, uid, address, bundle_max }
--- a/crates/handover/src/give.rs
+++ b/crates/handover/src/give.rs
@@ -1,8 +1,8 @@
 //! The old process: offers what it knows, and serves on for the new one.
 
-use crate::descriptors::{form_of, hello, send};
+use crate::HandoverError;
+use crate::descriptors::{form_of, send};
 use crate::frames::{Decision, FRAME_MOST, Offer, ToNew, ToOld, Yours, read, write};
-use crate::{FORM, HandoverError};
 use milletturn_engine::{Answer, Engine, Input, View};
 use milletturn_log::{Seldom, log};
 use milletturn_platform::Gate;
@@ -122,7 +122,7 @@
 pub struct Rest {
     /// What calls off each call that is out, by number.
     pub calls: BTreeMap<u64, mpsc::UnboundedSender<usize>>,
-    /// Messages that each of them carries and whose end has not come.
+    /// What clients and calls bring.
     pub inputs: mpsc::UnboundedReceiver<Input>,
     /// The clients' door.
     pub gate: Rc<Gate>,
@@ -230,9 +230,3 @@
         }
     }
 }
-
-/// The first bytes of one that asks, for `take`.
-pub(crate) fn first_bytes() -> [u8; 8] {
-    debug_assert_eq!(form_of(hello()), Some(FORM));
-    hello()
-}
--- a/crates/handover/src/take.rs
+++ b/crates/handover/src/take.rs
@@ -1,8 +1,8 @@
 //! The new process: asks the old one for its place, and hears from it what its clients and calls bring.
 
-use crate::descriptors::receive;
+use crate::descriptors::{hello, receive};
 use crate::frames::{Decision, FRAME_MOST, OFFER_MOST, Offer, ToNew, ToOld, Yours, read, write};
-use crate::give::{SOCKET, first_bytes};
+use crate::give::SOCKET;
 use crate::{FORM, HandoverError};
 use milletturn_engine::{Arrival, Ended, Input, Remote, Snapshot, Word};
 use milletturn_log::log;
@@ -83,7 +83,7 @@
 async fn take(folder: &Path, listener: &mut Option<TcpListener>) -> Result<Over, HandoverError> {
     let silent = |_| HandoverError::Silent(WORD);
     let mut stream = UnixStream::connect(folder.join(SOCKET)).await?;
-    stream.write_all(&first_bytes()).await?;
+    stream.write_all(&hello()).await?;
     let (form, [door, lock]) = timeout(WORD, receive(&stream)).await.map_err(silent)??;
     let door = TcpListener::from(door);
     let offer = async {
--- a/crates/platform/src/gate.rs
+++ b/crates/platform/src/gate.rs
@@ -25,7 +25,7 @@
 
 /// What the clients' door does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
+enum Phase {
     /// Takes clients.
     Open,
     /// Emptied by operators since then.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,4 +12,4 @@
 mod wire;
 
 pub use budget::Budget;
-pub use gate::{Gate, Phase};
+pub use gate::Gate;
