--- a/crates/ledger/src/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -235,8 +235,7 @@
             }
             Entry::TakenAs(number, taken, effect) => {
                 let taken = Taken { effect: Some(effect), ..taken };
-                let owed = Owed { taken, attempts: Vec::new(), end: None, resend: false, past: 0 };
-                self.insert(number, owed, length);
+                self.apply(Entry::Taken(number, taken), length);
             }
             Entry::TakenBack(number, taken, past) => {
                 let attempts: Vec<Sent> = past.into_iter().map(|Past(sent)| sent).collect();
