Pack destinations that are not called; what is old is trusted less, a wait in full

Need: each listed destination cost a kilobyte for life, and what was known of it weeks ago counted as if it were of now.

The test of a told wait fails when the packed form drops the wait.

--- a/benches/noise.rs
+++ b/benches/noise.rs
@@ -6,14 +6,15 @@
 //! that tries three times with exponential backoff and full jitter get the same load from the same seed: four clients at
 //! a steady pace that hand in what is refused once more after its wait. Rows with kills end the sidecar every 1.5 s.
 
+mod common;
+
+use common::{Sidecar, free};
 use milletturn_stand_ins::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -77,90 +78,16 @@
     })
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind("127.77.0.1:0").expect("a port").local_addr().expect("bound")
-}
-
-struct Sidecar {
-    program: PathBuf,
-    file: PathBuf,
-    http: SocketAddr,
-    outcomes: SocketAddr,
-    process: Child,
-}
-
-impl Sidecar {
-    fn new(program: &Path, endpoint: SocketAddr) -> (Self, tempfile::TempDir) {
-        let folder = tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).expect("a folder");
-        let (http, outcomes) = (free(), free());
-        let text = format!(
-            "name = 'app'\nstate = 'app.state'\n[listen]\nhttp = '{http}'\noutcomes = '{outcomes}'\n\
-             [limits]\ndisk = '60MB'\n\
-             [class.notice]\neffect = 'keyed'\nwindow = '30s'\ndeadline = '20s'\n[destination.one]\nid = 7\n\
-             endpoints = ['{endpoint}']\n"
-        );
-        let file = folder.path().join("app.toml");
-        std::fs::write(&file, text).expect("written");
-        let process = Sidecar::spawn(program, &file);
-        let sidecar = Sidecar { program: program.to_path_buf(), file, http, outcomes, process };
-        sidecar.wait();
-        (sidecar, folder)
-    }
-
-    fn spawn(program: &Path, file: &Path) -> Child {
-        let words = ["sidecar", "--config", file.to_str().expect("text")];
-        // MILLETTURN_LOG=1 shows what the program says
-        let shown = std::env::var_os("MILLETTURN_LOG").is_some();
-        let log = if shown { Stdio::inherit() } else { Stdio::null() };
-        Command::new(program).args(words).stderr(log).spawn().expect("it starts")
-    }
-
-    fn wait(&self) {
-        wait_until("ready", || {
-            TcpStream::connect(self.http).is_ok()
-                && Client::new(self.http)
-                    .send(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
-                    .is_some_and(|(code, _)| code == 200)
-        });
-    }
-
-    fn kill(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-        self.process = Sidecar::spawn(&self.program, &self.file);
-        self.wait();
-    }
-
-    /// Reads final answers until `done` says that all are there.
-    fn answers(&self, done: impl Fn(&BTreeMap<String, String>) -> bool) -> BTreeMap<String, String> {
-        let mut stream = TcpStream::connect(self.outcomes).expect("it accepts");
-        stream.write_all(b"GET /v1/outcomes?from=0 HTTP/1.1\r\nHost: a\r\n\r\n").expect("written");
-        stream.set_read_timeout(Some(Duration::from_millis(200))).expect("set");
-        let (mut reader, mut line, mut found) = (BufReader::new(stream), Vec::new(), BTreeMap::new());
-        let until = Instant::now() + DEADLINE + Duration::from_secs(5);
-        while Instant::now() < until && !done(&found) {
-            match reader.read_until(b'\n', &mut line) {
-                Ok(0) => break,
-                Ok(_) if line.ends_with(b"\n") => {
-                    if line.starts_with(b"{") {
-                        let answer: serde_json::Value = serde_json::from_slice(&line).expect("JSON");
-                        let word = |name: &str| answer[name].as_str().expect("text").to_string();
-                        assert!(found.insert(word("id"), word("state")).is_none(), "two answers");
-                    }
-                    line.clear();
-                }
-                _ => {}
-            }
-        }
-        found
-    }
-}
-
-impl Drop for Sidecar {
-    fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
+/// A sidecar with one keyed class and one destination.
+fn started(program: &Path, endpoint: SocketAddr) -> Sidecar {
+    let (http, outcomes) = (free(), free());
+    let text = format!(
+        "name = 'app'\nstate = 'app.state'\n[listen]\nhttp = '{http}'\noutcomes = '{outcomes}'\n\
+         [limits]\ndisk = '60MB'\n\
+         [class.notice]\neffect = 'keyed'\nwindow = '30s'\ndeadline = '20s'\n[destination.one]\nid = 7\n\
+         endpoints = ['{endpoint}']\n"
+    );
+    Sidecar::new(program, &[("app.toml", &text)], http, outcomes)
 }
 
 #[derive(Default)]
@@ -212,7 +139,7 @@
 
 fn through(program: &Path, noise: Noise, share: f64, options: &Options, kills: bool) -> Row {
     let endpoint = endpoint(noise, share, options.seed);
-    let (mut sidecar, _folder) = Sidecar::new(program, endpoint.address);
+    let mut sidecar = started(program, endpoint.address);
     let (counts, stop) = (Arc::new(Counts::default()), Arc::new(AtomicBool::new(false)));
     let (http, seconds, rate, here) = (sidecar.http, options.seconds, options.rate, counts.clone());
     let ends = stop.clone();
@@ -227,7 +154,8 @@
     }
     let taken = loading.join().expect("the load");
     // one that was cut off from its answer may have been taken: it is answered too, and not counted
-    let answers = sidecar.answers(|found| taken.iter().all(|id| found.contains_key(id)));
+    let all = |found: &BTreeMap<String, String>| taken.iter().all(|id| found.contains_key(id));
+    let answers = sidecar.answers(DEADLINE + Duration::from_secs(5), all);
     let delivered =
         taken.iter().filter(|id| answers.get(*id).is_some_and(|state| state == "delivered")).count();
     let refused = counts.refused.load(Ordering::Relaxed);
--- a/crates/dormant/src/packed.rs
+++ b/crates/dormant/src/packed.rs
@@ -103,14 +103,9 @@
         self.wait_until
     }
 
-    /// The end of the wait as it counts from now on: one that is told anew to a destination that sleeps.
-    pub fn wait(&mut self, until: Micros) {
-        self.wait_until = self.wait_until.max(until);
-    }
-
-    /// It was away or on its way back.
-    pub fn is_ill(&self) -> bool {
-        self.condition != Condition::Well
+    /// It was away.
+    pub fn is_away(&self) -> bool {
+        matches!(self.condition, Condition::Sick | Condition::Silent)
     }
 
     /// When the last call went, up to a second later.
--- a/crates/dormant/tests/packed.rs
+++ b/crates/dormant/tests/packed.rs
@@ -43,7 +43,7 @@
         let found = packed.unpack();
         prop_assert_eq!(found.wait_until, known.wait_until);
         prop_assert_eq!(found.state, known.state);
-        prop_assert_eq!(packed.is_ill(), known.state != State::Well);
+        prop_assert_eq!(packed.is_away(), matches!(known.state, State::Sick { .. }));
         for (now, was) in [(found.pace, known.pace), (found.best_rate, known.best_rate)] {
             prop_assert!(now <= was && (now >= was * (1.0 - 2e-7) || was < 1e-30), "{} {}", now, was);
         }
--- a/crates/policy/src/agenda.rs
+++ b/crates/policy/src/agenda.rs
@@ -130,6 +130,11 @@
         until(&self.deadlines, deadline).into_iter().chain(until(&self.spent, now))
     }
 
+    /// True while an open message is for the destination.
+    pub fn holds(&self, destination: DestinationId) -> bool {
+        self.shed.contains_key(&destination)
+    }
+
     /// Destinations with open messages, and these in the order in which they are refused.
     pub fn shed(&self) -> impl Iterator<Item = (&DestinationId, &BTreeSet<Shed>)> {
         self.shed.iter()
--- a/crates/policy/src/books.rs
+++ b/crates/policy/src/books.rs
@@ -2,7 +2,7 @@
 
 use crate::decide::Sender;
 use crate::interface::{EndpointId, MessageId, Micros, NewMessage, PastAttempt, SECOND};
-use crate::state::Attempt;
+use crate::state::{Attempt, UnitId};
 use std::collections::BTreeSet;
 
 /// A destination is known for so long after its last endpoint has gone: longer bridges replacements of all
@@ -21,10 +21,11 @@
         let (now, routes) = (self.now, &self.routes);
         self.listed.iter_mut().filter(|(id, _)| routes.contains_key(id)).for_each(|(_, at)| *at = now);
         self.listed.retain(|_, at| now - *at < LISTED_KEPT);
-        self.units.retain(|(destination, route), unit| {
-            let listed = routes.get(destination).is_some_and(|ids| route.is_none_or(|id| ids.contains(&id)));
-            listed || unit.in_flight > 0 || unit.wait_until > now
-        });
+        let listed = |(destination, route): &UnitId| {
+            routes.get(destination).is_some_and(|ids| route.is_none_or(|id| ids.contains(&id)))
+        };
+        self.units.retain(|id, unit| listed(id) || unit.in_flight > 0 || unit.wait_until > now);
+        self.dormant.retain(|id, packed| listed(id) || packed.wait_until() > now);
         self.keys.retain(|_, line| !line.turn.is_empty() || line.rest_until > now);
     }
 
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -11,6 +11,7 @@
 use crate::state::{
     Attempt, Call, ClassRecord, Endpoint, Flow, Health, Held, KeyLine, Unit, UnitId, seconds, share_of,
 };
+use milletturn_dormant::Packed;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -117,12 +118,15 @@
     pub(crate) settings: Settings,
     random: Pcg32,
     pub(crate) now: Micros,
-    alarm: Micros,
+    pub(crate) alarm: Micros,
     pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     pub(crate) routes: BTreeMap<DestinationId, BTreeSet<EndpointId>>,
     /// When the list last had something at a destination.
     pub(crate) listed: BTreeMap<DestinationId, Micros>,
     pub(crate) units: BTreeMap<UnitId, Unit>,
+    /// Units that have had no call for long, and the last unit that was looked at for that.
+    pub(crate) dormant: BTreeMap<UnitId, Packed>,
+    pub(crate) rested: Option<UnitId>,
     pub(crate) messages: BTreeMap<MessageId, Held>,
     pub(crate) keys: BTreeMap<u64, KeyLine>,
     pub(crate) calls: BTreeMap<u64, Call>,
@@ -131,7 +135,7 @@
     /// For each kind of destination, how often calls lately found no connection.
     crowded: BTreeMap<usize, f64>,
     tenant_tokens: Vec<(f64, Micros)>,
-    list_retry: Option<Micros>,
+    pub(crate) list_retry: Option<Micros>,
     list_rest: Micros,
     /// When the process will end, once that is known.
     ends: Option<Micros>,
@@ -164,6 +168,8 @@
             routes: BTreeMap::new(),
             listed: BTreeMap::new(),
             units: BTreeMap::new(),
+            dormant: BTreeMap::new(),
+            rested: None,
             messages: BTreeMap::new(),
             keys: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -200,6 +206,7 @@
         self.end_hopeless(actions);
         self.send_due(actions);
         self.set_alarm(actions);
+        self.rest_idle();
     }
 
     fn learn(&mut self, event: &Event, actions: &mut Vec<Action>) {
@@ -252,7 +259,7 @@
         }
         for entry in entries {
             let (destination, zone, kind) = (entry.destination, entry.zone, entry.kind);
-            let new = || Endpoint { destination, zone, kind, ..Endpoint::default() };
+            let new = || Endpoint { destination, zone, kind, since: self.now, ..Endpoint::default() };
             let known = self.endpoints.entry(entry.endpoint).or_insert_with(new);
             let moved = (known.destination, known.kind) != (entry.destination, entry.kind);
             if moved && let Some(routes) = self.routes.get_mut(&known.destination) {
@@ -268,9 +275,13 @@
             self.listed.insert(entry.destination, self.now);
             let id = self.unit_of(entry.endpoint);
             let told = self.settings.weight_trust * entry.weight / f64::from(self.settings.senders);
-            let unit = self.unit(id);
-            (unit.share, unit.best_rate) = (told, unit.best_rate.max(told));
-            self.settle(id);
+            self.rouse_held(destination);
+            // of one that is never called there is nothing to know
+            if told > 0.0 || self.units.contains_key(&id) {
+                let unit = self.unit(id);
+                (unit.share, unit.best_rate) = (told, unit.best_rate.max(told));
+                self.settle(id);
+            }
         }
         self.forget_gone();
         self.make_books();
@@ -302,6 +313,7 @@
         (held.later, held.most) = (new.later, self.settings.max_attempts);
         self.messages.insert(new.id, held);
         self.agenda.touch(new.id);
+        self.rouse_all(new.destination);
     }
 
     fn learn_outcome(
@@ -921,26 +933,12 @@
         }
     }
 
-    fn set_alarm(&mut self, actions: &mut Vec<Action>) {
-        let at = self.due.min(self.list_retry.unwrap_or(Micros::MAX)).max(self.now + MILLISECOND);
-        if at < self.alarm {
-            self.alarm = at;
-            actions.push(Action::SetAlarm(at));
-        }
-    }
-
     // ---- small lookups -----------------------------------------------------------------------
 
     fn effect(&self, class: usize) -> Effect {
         self.settings.classes.get(class).map_or(Effect::Unsafe, |class| class.effect)
     }
 
-    pub(crate) fn unit_of(&self, endpoint: EndpointId) -> UnitId {
-        let Some(known) = self.endpoints.get(&endpoint) else { return (0, Some(endpoint)) };
-        let apart = self.settings.kinds.get(known.kind).is_some_and(|kind| kind.separate_routes);
-        (known.destination, apart.then_some(endpoint))
-    }
-
     /// Counts the tokens of a unit's pace up to now, at the rate that is allowed now and from here on.
     pub(crate) fn settle(&mut self, id: UnitId) {
         let (now, senders) = (self.now, f64::from(self.settings.senders));
@@ -956,12 +954,10 @@
     }
 
     fn unit(&mut self, id: UnitId) -> &mut Unit {
-        let (window, now) = (share_of(self.settings.call_slots, WINDOW_START) as f64, self.now);
-        let (pace, tokens, tokens_at, since) = (f64::INFINITY, f64::MAX, now, now);
-        let (flow, burst, succeeded) = (Flow::even(pace), pace, true);
-        let new =
-            || Unit { window, pace, flow, burst, tokens, tokens_at, since, succeeded, ..Unit::default() };
-        self.units.entry(id).or_insert_with(new)
+        let window = share_of(self.settings.call_slots, WINDOW_START) as f64;
+        self.rouse(id, window);
+        let tokens_at = self.now;
+        self.units.entry(id).or_insert_with(|| Unit { tokens_at, ..Unit::fresh(window) })
     }
 }
 
--- /dev/null
+++ b/crates/policy/src/dormancy.rs
@@ -0,0 +1,133 @@
+//! Units that have had no call for long are packed, and unpacked before anything asks for them: one that is packed has
+//! neither a call out nor an open message. How far old knowledge holds is decided in the package `dormant`.
+
+use crate::decide::Sender;
+use crate::interface::{DestinationId, EndpointId, Micros, SECOND};
+use crate::state::{Flow, Health, Unit, UnitId};
+use milletturn_dormant::{Knowledge, Packed, State, trust};
+use std::ops::Bound;
+
+/// A unit is packed when its last call was so long ago: far beyond all spans by which single latencies and times of
+/// service count. Shorter saves memory after a wave of calls, longer keeps their detail.
+const IDLE: Micros = 300 * SECOND;
+/// Units looked at in a turn. Two follow a list that grows by one a turn, and cost no turn a pause.
+const LOOKS: usize = 2;
+
+impl Sender {
+    /// What an endpoint's health, waits and limits belong to.
+    pub(crate) fn unit_of(&self, endpoint: EndpointId) -> UnitId {
+        let Some(known) = self.endpoints.get(&endpoint) else { return (0, Some(endpoint)) };
+        let apart = self.settings.kinds.get(known.kind).is_some_and(|kind| kind.separate_routes);
+        (known.destination, apart.then_some(endpoint))
+    }
+
+    /// Packs units that have been idle for long: a few are looked at in each turn, in a circle.
+    pub(crate) fn rest_idle(&mut self) {
+        for _ in 0..LOOKS {
+            let from = self.rested.map_or(Bound::Unbounded, Bound::Excluded);
+            let Some((&id, unit)) = self.units.range((from, Bound::Unbounded)).next() else {
+                self.rested = None;
+                return;
+            };
+            self.rested = Some(id);
+            let idle = unit.in_flight == 0 && self.now - unit.last_sent.max(unit.since) > IDLE;
+            if idle && !self.agenda.holds(id.0) {
+                self.dormant.insert(id, Packed::from(&knowledge(unit)));
+                self.units.remove(&id);
+            }
+        }
+    }
+
+    /// Makes a unit ready for use, with what was packed or from nothing. `window`: of one that is new.
+    pub(crate) fn rouse(&mut self, id: UnitId, window: f64) {
+        if self.units.contains_key(&id) {
+            return;
+        }
+        let unit = match self.dormant.remove(&id) {
+            Some(packed) => unpacked(&packed.unpack(), self.now),
+            None => Unit { since: self.first_listed(id), tokens_at: self.now, ..Unit::fresh(window) },
+        };
+        self.units.insert(id, unit);
+        self.settle(id);
+    }
+
+    /// Unpacks what is known of a destination, which may be called now.
+    pub(crate) fn rouse_all(&mut self, destination: DestinationId) {
+        let ends = (destination, None)..=(destination, Some(EndpointId(u32::MAX)));
+        let ids: Vec<UnitId> = self.dormant.range(ends).map(|(id, _)| *id).collect();
+        ids.into_iter().for_each(|id| self.rouse(id, 1.0));
+    }
+
+    /// The same, if it has messages.
+    pub(crate) fn rouse_held(&mut self, destination: DestinationId) {
+        if self.agenda.holds(destination) {
+            self.rouse_all(destination);
+        }
+    }
+
+    fn first_listed(&self, (destination, route): UnitId) -> Micros {
+        let since = |id: &EndpointId| self.endpoints.get(id).map(|known| known.since);
+        let first = match route {
+            Some(id) => since(&id),
+            None => self.routes.get(&destination).into_iter().flatten().filter_map(since).min(),
+        };
+        first.unwrap_or(self.now)
+    }
+}
+
+fn knowledge(unit: &Unit) -> Knowledge {
+    Knowledge {
+        wait_until: unit.wait_until,
+        state: match unit.health {
+            Health::Well => State::Well,
+            Health::Sick { silent, since } => State::Sick { silent, since },
+            Health::Returning { since } => State::Returning { since },
+        },
+        ill_since: unit.ill_since,
+        since: unit.since,
+        last_sent: unit.last_sent,
+        sent: unit.sent,
+        told_limit: unit.told_limit,
+        share: unit.share,
+        pace: unit.pace,
+        best_rate: unit.best_rate,
+        window: unit.window,
+        usual: unit.usual,
+        offset: unit.offset,
+        failures: unit.odds.known(),
+        refusals: unit.refusals.known(),
+        evidence: unit.odds.evidence(),
+    }
+}
+
+fn unpacked(known: &Knowledge, now: Micros) -> Unit {
+    let trust = trust(known, now);
+    let mut unit = Unit {
+        health: match known.state {
+            State::Well => Health::Well,
+            State::Sick { silent, since } => Health::Sick { silent, since },
+            State::Returning { since } => Health::Returning { since },
+        },
+        wait_until: known.wait_until,
+        ill_since: known.ill_since,
+        since: known.since,
+        last_sent: known.last_sent,
+        sent: known.sent,
+        told_limit: known.told_limit,
+        share: known.share,
+        pace: trust.pace,
+        // what is old is found again as fast as successes allow
+        limited: trust.fresh && trust.pace.is_finite(),
+        best_rate: known.best_rate,
+        usual: known.usual,
+        offset: known.offset,
+        tokens_at: now,
+        ..Unit::fresh(trust.window.max(1.0))
+    };
+    if trust.pace.is_finite() {
+        (unit.tokens, unit.flow, unit.burst) = (1.0, Flow::even(trust.pace), 1.0);
+    }
+    unit.odds.recalled(known.failures, known.evidence);
+    unit.refusals.recalled(known.refusals);
+    unit
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod agenda;
 mod books;
 mod decide;
+mod dormancy;
 mod interface;
 pub mod odds;
 mod passes;
--- a/crates/policy/src/odds.rs
+++ b/crates/policy/src/odds.rs
@@ -58,6 +58,16 @@
         share.clamp(USUAL_LEAST, USUAL_MOST)
     }
 
+    /// Bad calls among all that are remembered.
+    pub fn known(&self) -> (f64, f64) {
+        (self.bad, self.all)
+    }
+
+    /// Odds as they were: of so many bad calls among so many, with so much evidence.
+    pub fn recalled(&mut self, (bad, all): (f64, f64), evidence: f64) {
+        (self.bad, self.all, self.evidence) = (bad.min(all), all, evidence);
+    }
+
     /// Calls that are remembered.
     pub fn remembered(&self) -> f64 {
         self.all
--- a/crates/policy/src/passes.rs
+++ b/crates/policy/src/passes.rs
@@ -4,7 +4,7 @@
 use crate::agenda::{Head, LATE, Lane, Pass, Place, Stand};
 use crate::decide::{MARGIN, Sender};
 use crate::interface::Action;
-use crate::interface::{DestinationId, Effect, EndpointId, MessageId, Micros};
+use crate::interface::{DestinationId, Effect, EndpointId, MILLISECOND, MessageId, Micros};
 use crate::state::{Held, Unit};
 use std::collections::BTreeMap;
 
@@ -152,6 +152,15 @@
         }
     }
 
+    /// Asks for an alarm when something may be due.
+    pub(crate) fn set_alarm(&mut self, actions: &mut Vec<Action>) {
+        let at = self.due.min(self.list_retry.unwrap_or(Micros::MAX)).max(self.now + MILLISECOND);
+        if at < self.alarm {
+            self.alarm = at;
+            actions.push(Action::SetAlarm(at));
+        }
+    }
+
     fn push(&self, pass: &mut Pass, lane: Lane, after: Option<&Head>) {
         let stage = |born| self.stage(&lane, born);
         let urgency = |id| self.messages.get(&id).map_or(0.0, |held| self.urgency(held));
--- a/crates/policy/src/refusals.rs
+++ b/crates/policy/src/refusals.rs
@@ -90,6 +90,16 @@
 }
 
 impl Refusals {
+    /// Refusals among the answers that are remembered.
+    pub fn known(&self) -> (f64, f64) {
+        self.odds.known()
+    }
+
+    /// What was usual, as it was.
+    pub fn recalled(&mut self, known: (f64, f64)) {
+        self.odds.recalled(known, 0.0);
+    }
+
     /// Share of calls that are refused whatever the load.
     pub fn usual(&self) -> f64 {
         self.odds.usual()
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -16,6 +16,8 @@
     pub destination: DestinationId,
     pub zone: u16,
     pub kind: usize,
+    /// When the list first had it.
+    pub since: Micros,
     /// Listed, neither draining nor gone.
     pub serving: bool,
     /// For each class, by position: failures in a row, until when they count against it, last answer.
@@ -230,6 +232,12 @@
 }
 
 impl Unit {
+    /// One of which nothing is known.
+    pub fn fresh(window: f64) -> Self {
+        let (pace, tokens, succeeded) = (f64::INFINITY, f64::MAX, true);
+        Unit { window, pace, tokens, succeeded, flow: Flow::even(pace), burst: pace, ..Unit::default() }
+    }
+
     /// Forgets what one look at the calls in flight has shown, before the next.
     pub fn look_anew(&mut self) {
         (self.quiet, self.quiet_age, self.lags) = (0, 0, false);
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -16,9 +16,17 @@
         self.agenda.steps
     }
 
+    /// Destinations (routes, where they are apart) that are known in full, and packed.
+    pub fn known(&self) -> (usize, usize) {
+        (self.units.len(), self.dormant.len())
+    }
+
     /// Listed endpoints that take calls, of units that are taken for gone: they get trials only.
     pub fn avoided(&self) -> usize {
-        let sick = |id| self.units.get(&id).is_some_and(|unit| matches!(unit.health, Health::Sick { .. }));
+        let sick = |id| match self.units.get(&id) {
+            Some(unit) => matches!(unit.health, Health::Sick { .. }),
+            None => self.dormant.get(&id).is_some_and(|packed| packed.is_away()),
+        };
         self.endpoints.iter().filter(|(id, known)| known.serving && sick(self.unit_of(**id))).count()
     }
 }
--- /dev/null
+++ b/crates/policy/tests/dormancy.rs
@@ -0,0 +1,97 @@
+//! Destinations that hear from nobody for long: what binds is kept, what is old is trusted less.
+
+mod common;
+
+use common::*;
+use milletturn_policy::*;
+
+const HOUR: Micros = 3_600 * SECOND;
+
+/// One sender, destinations 0 to `count`, an endpoint each.
+fn rig(count: u32) -> Rig {
+    Rig::new(settings(200), (0..count).map(|n| entry(n, u64::from(n))).collect())
+}
+
+/// Hands a message in, and ends its call well after 10 ms.
+fn call(rig: &mut Rig, id: u64, destination: u64) {
+    rig.tell(vec![message(id, FREE, destination)]);
+    rig.run(rig.now + 10 * MILLISECOND);
+    if rig.sends.iter().any(|send| send.1 == id) {
+        rig.end(id, Outcome::Success, 10 * MILLISECOND);
+    }
+}
+
+/// Turns that have nothing to do with it, until all that is idle has been looked at.
+fn idle(rig: &mut Rig, span: Micros, turns: usize) {
+    rig.run(rig.now + span);
+    (0..turns).for_each(|_| _ = rig.tell(vec![Event::Alarm]));
+}
+
+#[test]
+fn one_that_is_never_called_is_only_listed_and_one_that_idles_is_packed() {
+    let mut rig = rig(1_000);
+    assert_eq!(rig.sender.known(), (0, 0));
+    (0..20).for_each(|n| call(&mut rig, n, n));
+    assert_eq!(rig.sender.known(), (20, 0));
+    idle(&mut rig, 299 * SECOND, 30);
+    assert_eq!(rig.sender.known(), (20, 0), "not before its time");
+    idle(&mut rig, 2 * SECOND, 30);
+    assert_eq!(rig.sender.known(), (0, 20));
+    call(&mut rig, 100, 3);
+    assert_eq!(rig.sender.known(), (1, 19));
+}
+
+#[test]
+fn a_told_wait_outlasts_all_that_is_forgotten() {
+    let mut rig = rig(50);
+    (0..50).for_each(|n| call(&mut rig, n, n));
+    let begun = rig.now;
+    rig.tell(vec![Event::ToldWait { endpoint: EndpointId(7), wait: 30 * 24 * HOUR }]);
+    for day in 1..30u64 {
+        let span = begun + day as Micros * 24 * HOUR - rig.now;
+        idle(&mut rig, span, 60);
+        assert!(rig.sender.known().1 >= 49, "packed");
+        call(&mut rig, 1_000 + day, 7);
+        assert!(rig.sends_of(1_000 + day).is_empty(), "sent on day {day} of the wait");
+    }
+    let span = begun + 30 * 24 * HOUR + SECOND - rig.now;
+    idle(&mut rig, span, 60);
+    call(&mut rig, 2_000, 7);
+    rig.run(rig.now + 30 * SECOND);
+    assert_eq!(rig.sends_of(2_000).len(), 1, "after the wait");
+}
+
+#[test]
+fn a_new_limit_behind_weeks_of_quiet_is_met_without_a_burst() {
+    for (quiet, least, most) in [(HOUR / 2, 40, 200), (14 * 24 * HOUR, 1, 8)] {
+        let mut rig = rig(10);
+        (0..50).for_each(|id| call(&mut rig, id, 3));
+        idle(&mut rig, quiet, 60);
+        assert_eq!(rig.sender.known(), (0, 1));
+        let before = rig.sends.len();
+        rig.tell((0..100).map(|id| message(1_000 + id, FREE, 3)).collect());
+        rig.run(rig.now + SECOND);
+        let sent = rig.sends.len() - before;
+        assert!((least..=most).contains(&sent), "{sent} in the first second after {quiet}");
+    }
+}
+
+#[test]
+fn one_that_was_away_is_still_away_when_it_comes_up_again() {
+    let mut rig = rig(10);
+    (0..20).for_each(|id| call(&mut rig, id, 3));
+    for id in 100..106 {
+        rig.tell(vec![message(id, FREE, 3)]);
+        rig.run(rig.now + 10 * MILLISECOND);
+        if rig.sends.iter().any(|send| send.1 == id) {
+            rig.end(id, Outcome::NoConnection, 10 * MILLISECOND);
+        }
+        rig.tell(vec![Event::Dropped(MessageId(id))]);
+    }
+    assert_eq!(rig.sender.avoided(), 1);
+    idle(&mut rig, HOUR / 2, 60);
+    assert_eq!((rig.sender.known(), rig.sender.avoided()), ((0, 1), 1));
+    let before = rig.sends.len();
+    rig.tell((0..50).map(|id| message(1_000 + id, FREE, 3)).collect());
+    assert!(rig.sends.len() - before <= 2, "a trial, not all");
+}
