News of the list cost what they name: no walk over all endpoints and messages

Need: each change of the list walked all endpoints, routes, units, keys and held messages; at 50,000 endpoints that is a pause for all turns.

Change (listing.rs, books only): endpoints that leave, destinations without any, and units that nobody may use stand in small sets; news look at these. A test of 500 replacements, with answers from what has gone, finds at most one unit left.

--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -105,7 +105,7 @@
 /// Share of the held messages above which those that cannot go are refused.
 const HELD_FULL: f64 = 0.85;
 /// Backoff of a failed subscription: first and most.
-const LIST_FIRST: Micros = 300 * MILLISECOND;
+pub(crate) const LIST_FIRST: Micros = 300 * MILLISECOND;
 const LIST_MOST: Micros = 4 * SECOND;
 /// A told limit beyond this, in calls a second, is no report.
 const LIMIT_MOST: f64 = 1e5;
@@ -127,6 +127,10 @@
     /// Units that have had no call for long, and the last unit that was looked at for that.
     pub(crate) dormant: BTreeMap<UnitId, Packed>,
     pub(crate) rested: Option<UnitId>,
+    /// What may be forgotten: endpoints, destinations without any and since when, units.
+    pub(crate) leaving: BTreeSet<EndpointId>,
+    pub(crate) unlisted: BTreeSet<(Micros, DestinationId)>,
+    pub(crate) unused: BTreeSet<UnitId>,
     pub(crate) messages: BTreeMap<MessageId, Held>,
     pub(crate) keys: BTreeMap<u64, KeyLine>,
     pub(crate) calls: BTreeMap<u64, Call>,
@@ -136,7 +140,7 @@
     crowded: BTreeMap<usize, f64>,
     tenant_tokens: Vec<(f64, Micros)>,
     pub(crate) list_retry: Option<Micros>,
-    list_rest: Micros,
+    pub(crate) list_rest: Micros,
     /// When the process will end, once that is known.
     ends: Option<Micros>,
     /// The next time at which something may be due; the alarm is set by it.
@@ -170,6 +174,9 @@
             units: BTreeMap::new(),
             dormant: BTreeMap::new(),
             rested: None,
+            leaving: BTreeSet::new(),
+            unlisted: BTreeSet::new(),
+            unused: BTreeSet::new(),
             messages: BTreeMap::new(),
             keys: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -249,44 +256,6 @@
         }
     }
 
-    fn learn_list(&mut self, listing: Listing, entries: &[Entry]) {
-        if listing != Listing::Old {
-            self.list_rest = LIST_FIRST;
-        }
-        if listing != Listing::Changes {
-            self.agenda.built = false;
-            self.endpoints.values_mut().for_each(|known| known.serving = false);
-        }
-        for entry in entries {
-            let (destination, zone, kind) = (entry.destination, entry.zone, entry.kind);
-            let new = || Endpoint { destination, zone, kind, since: self.now, ..Endpoint::default() };
-            let known = self.endpoints.entry(entry.endpoint).or_insert_with(new);
-            let moved = (known.destination, known.kind) != (entry.destination, entry.kind);
-            if moved && let Some(routes) = self.routes.get_mut(&known.destination) {
-                routes.remove(&entry.endpoint);
-                self.agenda.stir(known.destination);
-            }
-            // what keyed messages are bound to may have changed
-            self.agenda.built &= known.zone == entry.zone;
-            self.agenda.stir(entry.destination);
-            (known.destination, known.zone, known.kind) = (destination, zone, kind);
-            known.serving = entry.status == Status::Serving;
-            self.routes.entry(entry.destination).or_default().insert(entry.endpoint);
-            self.listed.insert(entry.destination, self.now);
-            let id = self.unit_of(entry.endpoint);
-            let told = self.settings.weight_trust * entry.weight / f64::from(self.settings.senders);
-            self.rouse_held(destination);
-            // of one that is never called there is nothing to know
-            if told > 0.0 || self.units.contains_key(&id) {
-                let unit = self.unit(id);
-                (unit.share, unit.best_rate) = (told, unit.best_rate.max(told));
-                self.settle(id);
-            }
-        }
-        self.forget_gone();
-        self.make_books();
-    }
-
     pub(crate) fn accept(&mut self, new: &NewMessage) {
         let deadline = self.now + new.time_left;
         let class = self.settings.classes.get(new.class);
@@ -305,7 +274,7 @@
         if let Some(key) = key {
             self.keys.entry(key).or_default().turn.push_back(new.id);
             if self.keys.len() > 2 * self.settings.max_held {
-                self.forget_gone();
+                self.forget_keys();
             }
         }
         let mut held = Held { key, born, deadline, worth, open: true, ..Held::default() };
@@ -953,7 +922,7 @@
         f64::from(self.random.next_u32()) / f64::from(u32::MAX)
     }
 
-    fn unit(&mut self, id: UnitId) -> &mut Unit {
+    pub(crate) fn unit(&mut self, id: UnitId) -> &mut Unit {
         let window = share_of(self.settings.call_slots, WINDOW_START) as f64;
         self.rouse(id, window);
         let tokens_at = self.now;
--- a/crates/policy/src/dormancy.rs
+++ b/crates/policy/src/dormancy.rs
@@ -45,7 +45,11 @@
         }
         let unit = match self.dormant.remove(&id) {
             Some(packed) => unpacked(&packed.unpack(), self.now),
-            None => Unit { since: self.first_listed(id), tokens_at: self.now, ..Unit::fresh(window) },
+            None => {
+                // an answer may come from what the list has dropped meanwhile
+                self.unused.insert(id);
+                Unit { since: self.first_listed(id), tokens_at: self.now, ..Unit::fresh(window) }
+            }
         };
         self.units.insert(id, unit);
         self.settle(id);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 mod decide;
 mod dormancy;
 mod interface;
+mod listing;
 pub mod odds;
 mod passes;
 pub mod refusals;
--- a/crates/policy/tests/dormancy.rs
+++ b/crates/policy/tests/dormancy.rs
@@ -95,3 +95,39 @@
     rig.tell((0..50).map(|id| message(1_000 + id, FREE, 3)).collect());
     assert!(rig.sends.len() - before <= 2, "a trial, not all");
 }
+
+#[test]
+fn what_the_list_drops_leaves_nothing_behind() {
+    // a day of replacements: each endpoint goes with a call out, half of them with their destination, and late answers
+    // come from those that are gone
+    let mut rig = rig(4);
+    for round in 0..500u64 {
+        let (old, new) = (round as u32 + 3, round as u32 + 4);
+        let destination = if round % 2 == 0 { round + 4 } else { 1 };
+        rig.tell(vec![message(round, FREE, if round % 2 == 0 { 1 } else { round + 3 })]);
+        let gone = Entry { status: Status::Gone, ..entry(old, if round % 2 == 1 { round + 3 } else { 1 }) };
+        let entries = vec![gone, entry(new, destination)];
+        rig.tell(vec![Event::Listed { listing: Listing::Changes, entries }]);
+        rig.run(rig.now + 200 * MILLISECOND);
+        rig.tell(vec![Event::Dropped(MessageId(round))]);
+        let calls = rig.sends.split_off(0);
+        let late = |call: &(Micros, u64, u32, usize)| {
+            ended(call.1, call.3, call.2, Outcome::TimedOut, 200 * MILLISECOND)
+        };
+        rig.tell(calls.iter().map(late).collect());
+        rig.tell(vec![Event::ToldWait { endpoint: EndpointId(old), wait: MILLISECOND }]);
+    }
+    rig.run(rig.now + 61 * SECOND);
+    let entries = vec![entry(0, 0)];
+    rig.tell(vec![Event::Listed { listing: Listing::Full, entries }]);
+    // calls that were never answered end with their time; what they held goes with the next news
+    for _ in 0..3 {
+        rig.run(rig.now + 61 * SECOND);
+        rig.tell(vec![Event::Listed { listing: Listing::Changes, entries: Vec::new() }]);
+    }
+    let (live, packed) = rig.sender.known();
+    assert!(live + packed <= 1, "{live} and {packed} units of destinations that are gone");
+    // a destination that has been gone for a minute is as one that never was
+    rig.tell(vec![message(9_999, FREE, 1)]);
+    assert!(rig.refused(9_999));
+}
