One type says how a destination is, in use or packed

Health of the module and State of the package dormant were twins, with two matches that copied one into the other. The module uses the package's type now.

--- a/crates/dormant/src/packed.rs
+++ b/crates/dormant/src/packed.rs
@@ -4,9 +4,10 @@
 use serde::{Deserialize, Serialize};
 
 /// How a destination was when it was heard of last.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum State {
-    /// It took calls.
+    /// It takes calls.
+    #[default]
     Well,
     /// It was away: since when, and whether by silence alone.
     Sick {
--- a/crates/policy/src/dormancy.rs
+++ b/crates/policy/src/dormancy.rs
@@ -3,8 +3,8 @@
 
 use crate::decide::Sender;
 use crate::interface::{DestinationId, EndpointId, Micros, SECOND};
-use crate::state::{Flow, Health, Unit, UnitId};
-use milletturn_dormant::{Knowledge, Packed, State, trust};
+use crate::state::{Flow, Unit, UnitId};
+use milletturn_dormant::{Knowledge, Packed, trust};
 use std::ops::Bound;
 
 /// A unit is packed when its last call was so long ago: far beyond all spans by which single latencies and times of
@@ -82,11 +82,7 @@
 fn knowledge(unit: &Unit) -> Knowledge {
     Knowledge {
         wait_until: unit.wait_until,
-        state: match unit.health {
-            Health::Well => State::Well,
-            Health::Sick { silent, since } => State::Sick { silent, since },
-            Health::Returning { since } => State::Returning { since },
-        },
+        state: unit.health,
         ill_since: unit.ill_since,
         since: unit.since,
         last_sent: unit.last_sent,
@@ -107,11 +103,7 @@
 fn unpacked(known: &Knowledge, now: Micros) -> Unit {
     let trust = trust(known, now);
     let mut unit = Unit {
-        health: match known.state {
-            State::Well => Health::Well,
-            State::Sick { silent, since } => Health::Sick { silent, since },
-            State::Returning { since } => Health::Returning { since },
-        },
+        health: known.state,
         wait_until: known.wait_until,
         ill_since: known.ill_since,
         since: known.since,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -3,6 +3,8 @@
 use crate::interface::{DestinationId, EndpointId, MessageId, Micros, SECOND};
 use crate::odds::Odds;
 use crate::refusals::Refusals;
+/// How a unit seems to be.
+pub use milletturn_dormant::State as Health;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -123,21 +125,6 @@
     pub rest_until: Micros,
 }
 
-/// How a unit seems to be.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-pub enum Health {
-    #[default]
-    Well,
-    Sick {
-        /// For silence only, no failure or refusal.
-        silent: bool,
-        since: Micros,
-    },
-    Returning {
-        since: Micros,
-    },
-}
-
 /// What is known of a unit.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Unit {
