Pace a told limit by what is left of it: a refusal no longer halves a sender of few calls

A refusal halved each sender's pace (slow_down); from a call in four seconds each success gave back a half at most, so the way back took longer than a message may wait. Change: where answers tell what is left, the pace follows it with each answer and never falls below seven tenths of the even share; refusals cut it to eight tenths. Growth by success stays where only a limit is told.

--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -97,6 +97,11 @@
 const LEFT_SLACK: f64 = 0.2;
 /// Most of a told limit that counts as left: higher lets a lone sender take more at once.
 const LEFT_MOST: f64 = 0.9;
+/// Growth of the pace with each report, by how much more than this is left: higher follows sooner and swings.
+const LEFT_GAIN: f64 = 0.6;
+const LEFT_AIM: f64 = 0.3;
+/// Part of its even share that a sender always has: all together stay below the limit, and none starves.
+const SHARE_LEAST: f64 = 0.7;
 /// Rest before a message is tried again: first, and at most. Longer spares attempts, shorter saves time.
 const RETRY_FIRST: Micros = 150 * MILLISECOND;
 const RETRY_MOST: Micros = 2 * SECOND;
@@ -327,8 +332,8 @@
         if let Outcome::Refused { wait: Some(wait) } = outcome {
             self.heed(unit_id, wait, actions);
         }
-        self.learn_report(unit_id, report);
         if first {
+            self.learn_report(unit_id, report);
             self.learn_call(unit_id, (endpoint_id, class, sent), outcome, latency, actions);
         }
         self.settle(unit_id);
@@ -370,6 +375,7 @@
                 class_fails = if endpoint.classes.iter().any(fares) { fails } else { 0.0 };
             }
         }
+        let tells_left = self.settings.report_left.is_some();
         let tells = self.units.get(&unit_id).is_some_and(|unit| unit.tells(&self.settings, now));
         let unit = self.unit(unit_id);
         if matches!(outcome, Outcome::Success | Outcome::Error | Outcome::Refused { .. }) {
@@ -392,7 +398,7 @@
                     let advice = unit.refusals.answer(false, sent, now, unit.pace, lately);
                     unit.heed_refusals(advice, lately);
                 }
-                if !unit.refusals.looks() {
+                if !(unit.refusals.looks() || tells_left && unit.told_limit.is_some()) {
                     unit.grow();
                 }
                 // what is served while returning must not raise the budget of the return itself
@@ -472,8 +478,8 @@
         self.agenda.stir(id.0);
     }
 
-    /// Bounds the pace by what a unit tells of its shared limit: the even share while nothing is left, more
-    /// by the square of what others leave, the only sign of all senders' load. Guards limits that refused
+    /// Paces by what a unit tells of its shared limit, the only sign of all senders' load: up while much is left,
+    /// down while little is, at most the even share while nothing is, more by the square of what others leave. Guards limits that refused
     /// calls use up; could hold back a sender that has most of the traffic.
     fn learn_report(&mut self, id: UnitId, report: &[f64]) {
         let read = |at: Option<usize>| at.and_then(|index| report.get(index).copied());
@@ -486,10 +492,15 @@
         let unit = self.unit(id);
         (unit.told_limit, unit.share) = (Some(limit), share);
         unit.best_rate = unit.best_rate.max(share);
-        let used = left.map_or(0.0, |left| 1.0 - left.clamp(0.0, LEFT_MOST));
-        let free = share / (used * used);
-        let first = if unit.pace.is_infinite() { share.max(PACE_FIRST) } else { unit.pace };
-        (unit.pace, unit.limited) = (first.min(free).min(limit), true);
+        let paced = match left.map(|left| left.clamp(0.0, 1.0)) {
+            Some(left) => {
+                let used = 1.0 - left.min(LEFT_MOST);
+                (unit.pace * (LEFT_GAIN * (left - LEFT_AIM)).exp()).min(share / (used * used))
+            }
+            None if unit.pace.is_infinite() => share.max(PACE_FIRST),
+            None => unit.pace,
+        };
+        (unit.pace, unit.limited) = (paced.max(share * SHARE_LEAST).min(limit), true);
     }
 
     /// Gives back a connection that would sooner close by itself than be used again.
@@ -958,14 +969,16 @@
         self.told_limit.is_some() || settings.senders > 1 && !busy
     }
 
-    /// A refusal, or a failure with no success since the last cut, slows the pace down.
-    /// The even share of a told limit is left only for demand: other senders may need theirs.
+    /// A refusal, or a failure with no success since the last cut, slows the pace down; below a told limit's
+    /// even share only a little, since it would take a sender of few calls ten of them to come back.
     fn slow_down(&mut self, served: f64, senders: f64, phase: f64) {
         let pace = if self.pace.is_finite() { self.pace } else { self.best_rate.max(PACE_FIRST / PACE_CUT) };
         let factor = if self.succeeded { PACE_CUT } else { PACE_HALVED };
-        let share = self.told_limit.map_or(f64::INFINITY, |_| self.share);
-        let cut = (pace * factor).max(served * PACE_CUT).min(share.max(pace * PACE_HALVED));
-        self.pace = cut.max(PACE_LEAST / senders);
+        let (factor, least) = match self.told_limit {
+            Some(_) => (PACE_CUT, self.share * SHARE_LEAST),
+            None => (factor, PACE_LEAST / senders),
+        };
+        self.pace = (pace * factor).max(served * PACE_CUT).max(least);
         self.tokens =
             if self.tokens < f64::MAX { self.tokens.min(phase.max(self.tokens - 1.0)) } else { phase };
         self.succeeded = false;
--- /dev/null
+++ b/crates/policy/tests/common/limited_fleet.rs
@@ -0,0 +1,160 @@
+//! A hundred senders before one destination with a limit that all share, in virtual time, from a seed.
+
+use super::*;
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+const STEP: Micros = 10 * MILLISECOND;
+const DESTINATION: u64 = 7;
+/// A call takes so long, and reports are this old.
+const CALL: Micros = 60 * MILLISECOND;
+const REPORT_EVERY: Micros = 300 * MILLISECOND;
+
+/// What is asked of the fleet, and what the destination takes.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand {
+    pub senders: usize,
+    /// Messages a second over all senders, each at a random one.
+    pub rate: f64,
+    /// For so long.
+    pub length: Micros,
+    /// Calls a second that are served; refused ones use the limit up too.
+    pub limit: f64,
+    /// Messages that one call may hold.
+    pub bundle: usize,
+    /// From and until when the destination answers nothing but resets.
+    pub down: (Micros, Micros),
+    pub seed: u64,
+}
+
+impl Demand {
+    pub fn new(rate: f64, limit: f64) -> Self {
+        Demand { senders: 100, rate, length: 30 * SECOND, limit, bundle: 1, down: (0, 0), seed: 1 }
+    }
+}
+
+/// What came of it.
+#[derive(Debug, Default)]
+pub struct Served {
+    pub handed_in: usize,
+    /// Delivered within 4 s, and at all.
+    pub in_time: usize,
+    pub delivered: usize,
+    /// Calls that reached the destination, and those that were refused.
+    pub calls: usize,
+    pub refused: usize,
+    /// Calls in each second since the start.
+    pub each_second: Vec<usize>,
+}
+
+/// One call on its way: its messages by number and attempt, and its sender and endpoint.
+struct Out {
+    sender: usize,
+    endpoint: u32,
+    sent: Micros,
+    messages: Vec<(u64, usize)>,
+    outcome: Outcome,
+}
+
+/// Plays the demand and 12 s more; each message has 12 s.
+pub fn play(demand: Demand) -> Served {
+    let mut settings = settings(10);
+    settings.senders = demand.senders as u32;
+    settings.max_attempts = 12;
+    settings.connection_idle = 5 * SECOND;
+    (settings.report_left, settings.report_limit) = (Some(0), Some(1));
+    settings.classes[KEYED].effect = Effect::Keyed { window: 12 * SECOND, zone_only: false };
+    settings.classes[KEYED].aim = 4 * SECOND;
+    settings.kinds[0].bundle_max = demand.bundle;
+    settings.max_held = 40;
+    let listed = Event::Listed { listing: Listing::Full, entries: vec![entry(1, DESTINATION)] };
+    let mut random = Pcg32::seed_from_u64(demand.seed);
+    let mut roll = move || f64::from(random.next_u32()) / f64::from(u32::MAX);
+    let start = |seed| Sender::new(settings.clone(), seed).expect("settings make sense");
+    let mut senders: Vec<Sender> =
+        (0..demand.senders as u64).map(|n| start(n + demand.seed * 1000)).collect();
+    let mut alarms: Vec<BTreeSet<Micros>> = vec![BTreeSet::new(); demand.senders];
+    let mut inbox: Vec<Vec<Event>> = vec![vec![listed]; demand.senders];
+    let mut out: BTreeMap<Micros, Vec<Out>> = BTreeMap::new();
+    let mut attempts: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut born: BTreeMap<u64, Micros> = BTreeMap::new();
+    let mut served = Served::default();
+    let depth = (demand.limit / 2.0).max(1.0);
+    let (mut tokens, mut report, mut reported_at) = (depth, 1.0, T0);
+    let (mut now, mut next, mut id) = (T0, T0, 0);
+    while now < T0 + demand.length + 12 * SECOND {
+        now += STEP;
+        tokens = (tokens + demand.limit * seconds(STEP)).min(depth);
+        if now - reported_at >= REPORT_EVERY {
+            (report, reported_at) = (tokens / depth, now);
+        }
+        while next <= now && now < T0 + demand.length {
+            next += (-roll().max(1e-9).ln() / demand.rate * SECOND as f64) as Micros;
+            let message = NewMessage::new(MessageId(id), KEYED, DESTINATION, 12 * SECOND);
+            inbox[(roll() * demand.senders as f64) as usize % demand.senders].push(Event::Accepted(message));
+            born.insert(id, now);
+            id += 1;
+        }
+        let later = out.split_off(&(now + 1));
+        for call in std::mem::replace(&mut out, later).into_values().flatten() {
+            for (message, attempt) in call.messages {
+                let mut end = ended(message, attempt, call.endpoint, call.outcome, now - call.sent);
+                if let Event::Ended { report: told, .. } = &mut end {
+                    *told = if call.outcome == Outcome::Reset { vec![] } else { vec![report, demand.limit] };
+                }
+                inbox[call.sender].push(end);
+                if let Some(at) = born.remove(&message).filter(|_| call.outcome == Outcome::Success) {
+                    served.delivered += 1;
+                    served.in_time += usize::from(now - at <= 4 * SECOND);
+                } else if call.outcome != Outcome::Success {
+                    born.entry(message).or_insert(now);
+                }
+            }
+        }
+        for index in 0..demand.senders {
+            let events = std::mem::take(&mut inbox[index]);
+            let rings = alarms[index].first().is_some_and(|&at| at <= now);
+            if events.is_empty() && !rings {
+                continue;
+            }
+            alarms[index] = alarms[index].split_off(&(now + 1));
+            let mut actions = Vec::new();
+            senders[index].handle(now, &events, &mut actions);
+            let mut sent: BTreeMap<u32, Vec<(u64, usize)>> = BTreeMap::new();
+            for action in actions {
+                match action {
+                    Action::SetAlarm(at) => drop(alarms[index].insert(at)),
+                    Action::Send { message, endpoint, .. } => {
+                        let attempt = attempts.entry(message.0).or_default();
+                        sent.entry(endpoint.0).or_default().push((message.0, *attempt));
+                        *attempt += 1;
+                    }
+                    _ => {}
+                }
+            }
+            for (endpoint, messages) in sent {
+                let second = ((now - T0) / SECOND) as usize;
+                served.each_second.resize(served.each_second.len().max(second + 1), 0);
+                served.each_second[second] += 1;
+                served.calls += 1;
+                let down = now - T0 >= demand.down.0 && now - T0 < demand.down.1;
+                let outcome = match tokens >= 1.0 {
+                    _ if down => Outcome::Reset,
+                    true => Outcome::Success,
+                    false => Outcome::Refused { wait: None },
+                };
+                served.refused += usize::from(matches!(outcome, Outcome::Refused { .. }));
+                tokens = (tokens - f64::from(u8::from(!down))).max(0.0);
+                let call = Out { sender: index, endpoint, sent: now, messages, outcome };
+                out.entry(now + CALL).or_default().push(call);
+            }
+        }
+    }
+    served.handed_in = id as usize;
+    served
+}
+
+fn seconds(span: Micros) -> f64 {
+    span as f64 / SECOND as f64
+}
--- /dev/null
+++ b/crates/policy/tests/fleet.rs
@@ -0,0 +1,24 @@
+//! What a hundred senders do together that is harmless when one does it alone.
+
+mod common;
+use common::limited_fleet::*;
+
+fn share(part: usize, whole: usize) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
+#[test]
+fn a_hundred_senders_use_a_told_limit_that_few_refusals_have_shown() {
+    // Fleet, first day: each refusal halved a sender's pace, and at a call in four seconds it took ten to come
+    // back: the fleet used a half of the limit while messages waited until their time was up.
+    for seed in 1..=3 {
+        // calls of one message; demand near the limit, then above it
+        let near = play(Demand { seed, ..Demand::new(36.0, 40.0) });
+        assert!(share(near.in_time, near.handed_in) > 0.9, "{near:?}");
+        let above = play(Demand { seed, ..Demand::new(48.0, 40.0) });
+        assert!(share(above.delivered, above.handed_in) > 0.7, "{above:?}");
+        // calls of up to five: alone they are far more than the limit
+        let bundles = play(Demand { seed, bundle: 5, ..Demand::new(140.0, 40.0) });
+        assert!(share(bundles.in_time, bundles.handed_in) > 0.76, "{bundles:?}");
+    }
+}
