Ask discovery again at random rests that grow with the fleet: its watches come back

After the release nobody knew the new endpoints, and calls went to those that are gone. Ruled out: a cap on watches (26 freed by deaths were taken by nobody); plain lists in place of watches (refused alike, 1,957 of 1,957); a time told in the refusal (no header). Change: Asking (platform, free of clock and I/O) spreads the first rests over 80 ms for each sender and later ones over up to four such rounds; one sender among few rests as before. Lines at fault: the doubling in agent::watch.

--- a/crates/platform/src/agent.rs
+++ b/crates/platform/src/agent.rs
@@ -1,5 +1,6 @@
 //! The platform's agent: the watch of the endpoint list, and the notices that end undelivered messages.
 
+use crate::asking::Asking;
 use crate::list::parse_list;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Full};
@@ -58,10 +59,12 @@
 
 /// Watches the list for ever and hands each change on. A new address of the agent counts at once, and its first
 /// list is asked for whole: the versions of another agent say nothing.
+///
+/// `asking` sets the rests between tries.
 pub async fn watch(
-    mut agents: watch::Receiver<SocketAddr>, mut version: u64, inputs: mpsc::UnboundedSender<Input>,
+    mut agents: watch::Receiver<SocketAddr>, mut version: u64, mut asking: Asking,
+    inputs: mpsc::UnboundedSender<Input>,
 ) {
-    let mut rest = RETRY_FIRST;
     let mut told = String::new();
     loop {
         let before = version;
@@ -77,7 +80,8 @@
                 if moved.is_err() {
                     return;
                 }
-                (version, rest, told) = (0, RETRY_FIRST, String::new());
+                (version, told) = (0, String::new());
+                asking.answered();
                 continue;
             }
             failed = failed => match failed {
@@ -90,12 +94,12 @@
             told = error;
         }
         if version != before {
-            (rest, told) = (RETRY_FIRST, String::new());
+            asking.answered();
+            told = String::new();
         }
         // the change itself is seen at the head of the loop
-        let moved = matches!(timeout(rest, agents.changed()).await, Ok(Ok(())));
-        rest = if moved { RETRY_FIRST } else { (rest * 2).min(RETRY_MOST) };
-        if moved {
+        if matches!(timeout(asking.rest(), agents.changed()).await, Ok(Ok(()))) {
+            asking.answered();
             version = 0;
         }
     }
--- /dev/null
+++ b/crates/platform/src/asking.rs
@@ -0,0 +1,109 @@
+//! How long a sender rests before it asks discovery again. It opens no socket and reads no clock.
+//!
+//! A fleet loses its watches together, and one sender's short rest is a storm of all: calls that queue for longer
+//! than a caller waits are answered for nobody, so discovery works at its limit and no one is served (metastable
+//! failure: Bronson and others, Metastable Failures in Distributed Systems, HotOS 2021). So the rests grow with the
+//! number of senders, and each is drawn at random (M. Brooker, Exponential Backoff and Jitter, 2015).
+
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use std::time::Duration;
+
+/// Rest after a first failure where nobody else asks, and the longest one there.
+const FIRST: Duration = Duration::from_millis(50);
+const MOST: Duration = Duration::from_millis(1000);
+/// Time of discovery that a sender leaves to each of the others: all together ask at most so often. Shorter hears
+/// sooner from a discovery with room, longer gets through to one that is short of it.
+const EACH: Duration = Duration::from_millis(80);
+/// Longest rest as a multiple of the time that all senders take to ask once.
+const ROUNDS: u32 = 4;
+
+/// The rests of one sender.
+#[derive(Debug)]
+pub struct Asking {
+    random: Pcg32,
+    round: Duration,
+    failures: u32,
+}
+
+impl Asking {
+    /// Of one among so many senders; each has a seed of its own.
+    pub fn new(senders: u32, seed: u64) -> Self {
+        Asking { random: Pcg32::seed_from_u64(seed), round: EACH * senders, failures: 0 }
+    }
+
+    /// Something came: the next failure is a first one.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    /// The rest after a failure, a second or [`ROUNDS`] rounds of all senders at most.
+    pub fn rest(&mut self) -> Duration {
+        let first = self.failures == 0;
+        let most = FIRST.max(self.round).saturating_mul(1 << self.failures.min(16));
+        let most = most.min(MOST.max(self.round * ROUNDS));
+        self.failures += 1;
+        let part = f64::from(self.random.next_u32()) / f64::from(u32::MAX);
+        // all lose their watches at one moment: the first rests are spread from the start
+        let part = if first && self.round > FIRST { part } else { 0.5 + 0.5 * part };
+        most.mul_f64(part).max(FIRST)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeMap;
+
+    const CALLER_WAITS: f64 = 2.0;
+
+    /// How many of the senders have been answered by a time, after all have lost their watches at once. Discovery
+    /// takes so many calls a second, one after the other; who waits for longer than 2 s is gone when it is served,
+    /// and who would wait for more than that is turned away.
+    fn answered(senders: u32, calls_a_second: f64, until: f64, rest: &mut dyn FnMut(u32) -> f64) -> usize {
+        let mut due: BTreeMap<(u64, u32), ()> = BTreeMap::new();
+        let at = |seconds: f64| (seconds * 1e6) as u64;
+        for sender in 0..senders {
+            due.insert((at(rest(sender)), sender), ());
+        }
+        let (mut free_at, mut served) = (0.0f64, 0);
+        while let Some(((now, sender), ())) = due.pop_first() {
+            let now = now as f64 / 1e6;
+            if now > until {
+                break;
+            }
+            let waits = (free_at - now).max(0.0);
+            if waits > CALLER_WAITS {
+                due.insert((at(now + rest(sender)), sender), ());
+                continue;
+            }
+            free_at = now + waits + 1.0 / calls_a_second;
+            if free_at - now <= CALLER_WAITS {
+                served += 1;
+            } else {
+                due.insert((at(now + CALLER_WAITS + rest(sender)), sender), ());
+            }
+        }
+        served
+    }
+
+    #[test]
+    fn a_fleet_that_lost_its_watches_together_gets_through_to_a_discovery_short_of_room() {
+        for seed in 0..5 {
+            let mut fleet: Vec<Asking> = (0..100).map(|n| Asking::new(100, seed * 1000 + n)).collect();
+            let served = answered(100, 20.0, 20.0, &mut |n| fleet[n as usize].rest().as_secs_f64());
+            assert!(served >= 95, "seed {seed}: {served} of 100 in 20 s");
+        }
+    }
+
+    #[test]
+    fn a_few_senders_ask_again_soon() {
+        let mut alone = Asking::new(2, 7);
+        let first = alone.rest();
+        assert!(first >= FIRST && first <= Duration::from_millis(160), "{first:?}");
+        let rests: Vec<Duration> = (0..10).map(|_| alone.rest()).collect();
+        assert!(rests.iter().all(|&rest| rest <= MOST), "{rests:?}");
+        alone.answered();
+        assert!(alone.rest() <= Duration::from_millis(160), "as at first");
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,6 +2,7 @@
 //! endpoints, the agent that tells the list and takes notices, and the configuration.
 
 pub mod agent;
+mod asking;
 mod budget;
 mod call_text;
 pub mod calls;
@@ -12,5 +13,6 @@
 mod pools;
 mod wire;
 
+pub use asking::Asking;
 pub use budget::Budget;
 pub use gate::Gate;
--- a/src/run.rs
+++ b/src/run.rs
@@ -7,6 +7,7 @@
 use milletturn_log::log;
 use milletturn_management::Figures;
 use milletturn_management::door::DESCRIPTORS;
+use milletturn_platform::Asking;
 use milletturn_platform::agent;
 use milletturn_platform::config::{Config, Reloaded, Shape, reload};
 use milletturn_policy::Class;
@@ -49,7 +50,7 @@
     let known = config.known.as_ref().filter(|known| !known.targets.is_empty());
     let known = known.filter(|_| !matches!(place, Place::Shared(Begun::Over(_))));
     let version = known.map_or(0, |known| known.version);
-    let (name, path) = (config.name.clone(), config.path.clone());
+    let (name, path, senders) = (config.name.clone(), config.path.clone(), config.settings.senders);
     let mut running = assemble(Parts {
         state: config.state,
         listen: config.listen,
@@ -70,8 +71,9 @@
         name: config.name,
     })
     .await?;
+    let asking = Asking::new(senders, config.seed);
     let (agent, agents) = watch::channel(config.discovery);
-    tokio::task::spawn_local(agent::watch(agents.clone(), version, running.inputs.clone()));
+    tokio::task::spawn_local(agent::watch(agents.clone(), version, asking, running.inputs.clone()));
     if let Some(ends) = running.ends.take() {
         tokio::task::spawn_local(agent::post_notices(agents, ends, running.inputs.clone()));
     }
