Date a return between the last failed trial and the first success, not at each sender's own

One of a hundred senders tries a sick destination every 8 s, and each began slow start at its own first success: in Returning { since: now }. Ruled out: the pace (its cap lies above the fail-back budget until late), the limit (0.85 to 0.98 left), the budget itself (0.7 of the rule's multiple of the even share, in line with what was seen served at the true return). Change: since is half way between the last call that failed or was refused and the trial that went well, over all senders the true time. An unsafe message alone waits for the cold time since the last call, as before.

--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -414,7 +414,9 @@
                     Health::Sick { .. } if now < unit.doubt_until => {}
                     Health::Sick { .. } => {
                         unit.odds.set(unit.odds.evidence().min(RETURNING));
-                        unit.health = Health::Returning { since: now };
+                        // between the last trial that failed and this one; seldom tried, it has long begun
+                        let since = sent - (sent - unit.bad_sent).clamp(0, cold) / 2;
+                        unit.health = Health::Returning { since };
                         actions.push(Action::Log(format!("destination {} returns", unit_id.0)));
                     }
                     Health::Returning { since } if now - since > cold => unit.health = Health::Well,
@@ -422,6 +424,7 @@
                 }
             }
             Outcome::Refused { wait } => {
+                unit.bad_sent = unit.bad_sent.max(sent);
                 unit.refused_since = if unit.refused_run == 0 { now } else { unit.refused_since };
                 unit.refused_run += 1;
                 let rate = unit.served_rate(now, span);
@@ -446,6 +449,7 @@
                 }
             }
             _ if outcome.failed() => {
+                unit.bad_sent = unit.bad_sent.max(sent);
                 let reset = outcome == Outcome::Reset;
                 let evidence = unit.odds.bad(if reset { RESET_WEIGHT } else { 1.0 }, class_fails);
                 let (rate, lone) = (unit.served_rate(now, span), !unit.succeeded);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -146,8 +146,9 @@
     pub doubt_until: Micros,
     /// When it was well last.
     pub ill_since: Micros,
-    /// Last answer that shows life.
+    /// Last answer that shows life, and when the last call went that failed or was refused.
     pub alive_at: Micros,
+    pub bad_sent: Micros,
     /// First refusal of the present run, and its length.
     pub refused_since: Micros,
     pub refused_run: u32,
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -2,7 +2,8 @@
 
 mod common;
 use common::limited_fleet::*;
-use milletturn_policy::SECOND;
+use common::*;
+use milletturn_policy::*;
 
 fn share(part: usize, whole: usize) -> f64 {
     part as f64 / whole.max(1) as f64
@@ -34,3 +35,39 @@
         assert!(share(clump.refused, clump.calls) < 0.11, "{clump:?}");
     }
 }
+
+#[test]
+fn a_sender_that_seldom_tries_dates_a_return_before_its_own_first_success() {
+    // Fleet, third day: one of a hundred tries a sick destination every ten seconds. Each began slow start anew at
+    // its own first success, so the fleet was still as slow as at the return when the destination was long warm.
+    let mut sent = 0;
+    for run in 0..20 {
+        let back = T0 + 20 * SECOND + run * 500 * MILLISECOND;
+        let mut told = settings(10);
+        told.senders = 100;
+        (told.report_left, told.report_limit) = (Some(0), Some(1));
+        let mut rig = Rig::new(told, vec![entry(1, 7)]);
+        let (mut answered, mut first) = (0, Micros::MAX);
+        for id in 0..3000 {
+            let out = rig.sends[answered..].to_vec();
+            answered = rig.sends.len();
+            let next = rig.now + 20 * MILLISECOND;
+            rig.run(next);
+            let mut events = if id % 100 == 0 { vec![message(id, FREE, 7)] } else { vec![] };
+            for send in out {
+                let well = !(T0 + 2 * SECOND..back).contains(&send.0);
+                let outcome = if well { Outcome::Success } else { Outcome::Reset };
+                let mut end = ended(send.1, send.3, send.2, outcome, 20 * MILLISECOND);
+                if let Event::Ended { report, .. } = &mut end {
+                    *report = if well { vec![0.9, 40.0] } else { vec![] };
+                }
+                events.push(end);
+                first = if send.0 >= back { first.min(send.0) } else { first };
+                sent += usize::from((0..5 * SECOND).contains(&(send.0 - first.min(send.0 + 1))));
+            }
+            rig.tell(events);
+        }
+        assert!(first < Micros::MAX, "run {run}: the return was never found");
+    }
+    assert!(sent > 50, "{sent} calls in twenty times the 5 s after the first success");
+}
