Begin slowly at a destination that may tell a limit and has not yet: 50 calls a second of all

Change: where answers can tell a limit, a new unit begins at 50 calls a second over the number of senders and grows by its successes; the first report sets the pace, as before. The first call of each sender still goes at once.

--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -41,6 +41,8 @@
 /// Higher retries sooner, lower spares a destination that hundreds of senders share.
 const PACE_FIRST: f64 = 0.35;
 const PACE_LEAST: f64 = 1.5;
+/// Pace of all senders together to one that may tell a limit and has not yet: all may begin at one moment.
+const PACE_START: f64 = 50.0;
 /// Burst of the pace, as a span of it. Longer takes clumps faster, shorter draws fewer refusals.
 const PACE_BURST: f64 = 0.3;
 /// Evidence above which a unit is not trusted, and what is left of it on return.
@@ -494,15 +496,16 @@
             return; // what tells an absurd share tells no limit either
         }
         let unit = self.unit(id);
+        let pace = if unit.told_limit.is_none() && !unit.limited { f64::INFINITY } else { unit.pace };
         (unit.told_limit, unit.share) = (Some(limit), share);
         unit.best_rate = unit.best_rate.max(share);
         let paced = match left.map(|left| left.clamp(0.0, 1.0)) {
             Some(left) => {
                 let used = 1.0 - left.min(LEFT_MOST);
-                (unit.pace * (LEFT_GAIN * (left - LEFT_AIM)).exp()).min(share / (used * used))
+                (pace * (LEFT_GAIN * (left - LEFT_AIM)).exp()).min(share / (used * used))
             }
-            None if unit.pace.is_infinite() => share.max(PACE_FIRST),
-            None => unit.pace,
+            None if pace.is_infinite() => share.max(PACE_FIRST),
+            None => pace,
         };
         (unit.pace, unit.limited) = (paced.max(share * SHARE_LEAST).min(limit), true);
     }
@@ -938,10 +941,14 @@
     }
 
     pub(crate) fn unit(&mut self, id: UnitId) -> &mut Unit {
-        let window = share_of(self.settings.call_slots, WINDOW_START) as f64;
-        self.rouse(id, window);
-        let tokens_at = self.now;
-        self.units.entry(id).or_insert_with(|| Unit { tokens_at, ..Unit::fresh(window) })
+        if !self.units.contains_key(&id) {
+            let mut new = Unit::fresh(share_of(self.settings.call_slots, WINDOW_START) as f64);
+            if self.settings.report_limit.is_some() {
+                (new.pace, new.tokens) = (PACE_START / f64::from(self.settings.senders), 1.0);
+            }
+            self.rouse(id, new);
+        }
+        self.units.entry(id).or_default()
     }
 }
 
--- a/crates/policy/src/dormancy.rs
+++ b/crates/policy/src/dormancy.rs
@@ -38,8 +38,8 @@
         }
     }
 
-    /// Makes a unit ready for use, with what was packed or from nothing. `window`: of one that is new.
-    pub(crate) fn rouse(&mut self, id: UnitId, window: f64) {
+    /// Makes a unit ready for use, with what was packed or as `new`.
+    pub(crate) fn rouse(&mut self, id: UnitId, new: Unit) {
         if self.units.contains_key(&id) {
             return;
         }
@@ -48,7 +48,7 @@
             None => {
                 // an answer may come from what the list has dropped meanwhile
                 self.unused.insert(id);
-                Unit { since: self.first_listed(id), tokens_at: self.now, ..Unit::fresh(window) }
+                Unit { since: self.first_listed(id), tokens_at: self.now, ..new }
             }
         };
         self.units.insert(id, unit);
@@ -59,7 +59,7 @@
     pub(crate) fn rouse_all(&mut self, destination: DestinationId) {
         let ends = (destination, None)..=(destination, Some(EndpointId(u32::MAX)));
         let ids: Vec<UnitId> = self.dormant.range(ends).map(|(id, _)| *id).collect();
-        ids.into_iter().for_each(|id| self.rouse(id, 1.0));
+        ids.into_iter().for_each(|id| self.rouse(id, Unit::fresh(1.0)));
     }
 
     /// The same, if it has messages.
--- a/crates/policy/tests/common/limited_fleet.rs
+++ b/crates/policy/tests/common/limited_fleet.rs
@@ -10,6 +10,8 @@
 const DESTINATION: u64 = 7;
 /// A call takes so long, and reports are this old.
 const CALL: Micros = 60 * MILLISECOND;
+/// The first report comes so long after the start.
+const FIRST_REPORT: Micros = 600 * MILLISECOND;
 const REPORT_EVERY: Micros = 300 * MILLISECOND;
 
 /// What is asked of the fleet, and what the destination takes.
@@ -115,7 +117,11 @@
             for (message, attempt) in call.messages {
                 let mut end = ended(message, attempt, call.endpoint, call.outcome, now - call.sent);
                 if let Event::Ended { report: told, .. } = &mut end {
-                    *told = if call.outcome == Outcome::Reset { vec![] } else { vec![report, demand.limit] };
+                    *told = if call.outcome == Outcome::Reset || now < T0 + FIRST_REPORT {
+                        vec![]
+                    } else {
+                        vec![report, demand.limit]
+                    };
                 }
                 inbox[call.sender].push(end);
                 if let Some(at) = born.remove(&message).filter(|_| call.outcome == Outcome::Success) {
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -71,3 +71,13 @@
     }
     assert!(sent > 50, "{sent} calls in twenty times the 5 s after the first success");
 }
+
+#[test]
+fn a_fleet_that_knows_no_limit_yet_begins_without_a_debt() {
+    // Fleet, fourth day: at a start each sender called as fast as messages came until its first report, and again
+    // after the restart of most. What that used up ahead took three seconds in which nothing was served.
+    for seed in 1..=3 {
+        let start = play(Demand { seed, bundle: 5, length: 4 * SECOND, ..Demand::new(230.0, 60.0) });
+        assert!(share(start.in_time, start.handed_in) > 0.6, "{start:?}");
+    }
+}
