Add milletturn account: what all senders of a fleet did, by destination and second

Need: one sender of a hundred sees a call a second, and each cause of the fleet's losses was found only by summing the logs of all. Bad lines are none of ours (test).

--- /dev/null
+++ b/crates/account/src/trace.rs
@@ -0,0 +1,134 @@
+//! The lines: what a sender did, in its log.
+
+use milletturn_engine::{Fact, Observer};
+use milletturn_policy::Outcome;
+use serde::{Deserialize, Serialize};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// What stands before the object of each line.
+const MARK: &str = "trace ";
+
+/// One line. Times are Unix time in microseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// When.
+    pub at: u64,
+    /// What happened.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// What happened, to which destination.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+pub enum What {
+    /// A message was taken on.
+    Taken {
+        /// Its destination.
+        to: u64,
+    },
+    /// A message was turned away at the door.
+    TurnedAway {
+        /// Its destination.
+        to: u64,
+    },
+    /// An attempt began.
+    Sent {
+        /// Its destination.
+        to: u64,
+        /// Its number among the message's, from 0.
+        attempt: usize,
+    },
+    /// An attempt ended.
+    Ended {
+        /// Its destination.
+        to: u64,
+        /// How.
+        how: How,
+        /// What its answer reported.
+        report: Vec<f64>,
+    },
+    /// A message was delivered.
+    Delivered {
+        /// Its destination.
+        to: u64,
+        /// Microseconds after it was handed in.
+        age: u64,
+    },
+    /// A message was given up.
+    GivenUp {
+        /// Its destination.
+        to: u64,
+        /// Microseconds after it was handed in.
+        age: u64,
+    },
+    /// The decision module has something to say.
+    Remark {
+        /// Its words.
+        text: String,
+    },
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum How {
+    /// Delivered.
+    Ok,
+    /// Turned away.
+    Refused,
+    /// Anything else, but what never left the sender.
+    Failed,
+    /// Called off, or never sent.
+    None,
+}
+
+impl Line {
+    /// The line of a log, if it is one of these; whatever stands before the mark is not looked at. Of bytes from
+    /// anywhere: what is none of ours is nothing.
+    pub fn read(text: &str) -> Option<Self> {
+        let (_, object) = text.split_once(MARK)?;
+        serde_json::from_str(object.trim_end()).ok()
+    }
+}
+
+/// An observer that logs each fact as a line, and hands it on.
+pub struct Trace {
+    /// Hears the same facts.
+    pub next: Box<dyn Observer>,
+}
+
+impl Observer for Trace {
+    fn observe(&mut self, fact: &Fact<'_>) {
+        if let Some(what) = what(fact) {
+            let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            let line = Line { at: u64::try_from(at.as_micros()).unwrap_or(u64::MAX), what };
+            if let Ok(text) = serde_json::to_string(&line) {
+                milletturn_log::log(format_args!("{MARK}{text}"));
+            }
+        }
+        self.next.observe(fact);
+    }
+}
+
+fn what(fact: &Fact<'_>) -> Option<What> {
+    let age = |age: i64| u64::try_from(age).unwrap_or(0);
+    Some(match *fact {
+        Fact::Taken { destination: to, .. } => What::Taken { to },
+        Fact::TurnedAway { destination: to, .. } => What::TurnedAway { to },
+        Fact::Sent { destination: to, attempt, .. } => What::Sent { to, attempt },
+        Fact::AttemptEnded { destination: to, outcome, report, .. } => {
+            let how = match outcome {
+                Outcome::Success => How::Ok,
+                Outcome::Refused { .. } => How::Refused,
+                Outcome::Cancelled | Outcome::Unsent { .. } => How::None,
+                _ => How::Failed,
+            };
+            What::Ended { to, how, report: report.to_vec() }
+        }
+        Fact::Delivered { destination: to, age: after, .. } => What::Delivered { to, age: age(after) },
+        Fact::GivenUp { destination: to, age: after, .. } => What::GivenUp { to, age: age(after) },
+        Fact::Remark(text) => What::Remark { text: text.to_string() },
+        Fact::Classes(_) | Fact::LedgerFault(_) => return None,
+    })
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -431,7 +431,7 @@
         let (endpoint, latency) = (tried.endpoint, now - tried.sent);
         tried.end(ended.outcome, latency);
         let (destination, outcome) = (held.destination, ended.outcome);
-        self.observer.observe(&Fact::AttemptEnded { destination, outcome, latency });
+        self.observer.observe(&Fact::AttemptEnded { destination, outcome, latency, report: &ended.report });
         if ended.outcome.never_ran() && held.open {
             let written = self.ledger.never_ran(message.0, attempt);
             self.check(written);
@@ -648,7 +648,7 @@
         let (uid, most) = route.map(|route| (route.uid.clone(), route.bundle_max)).unwrap_or_default();
         held.attempts.push(Attempt::start(endpoint, uid.clone(), now));
         let size = self.transport.weigh(&held.item);
-        let open = held.open;
+        let (open, destination) = (held.open, held.destination);
         if most == 0 {
             return self.unsent(message, attempt, endpoint);
         }
@@ -661,7 +661,7 @@
         let room = |bundle: &&mut Bundle| {
             bundle.endpoint == endpoint && bundle.sends.len() < most && bundle.size + size <= room_all
         };
-        self.observer.observe(&Fact::Sent { uid: &uid, attempt, at: now });
+        self.observer.observe(&Fact::Sent { destination, uid: &uid, attempt, at: now });
         match bundles.iter_mut().find(room) {
             Some(bundle) => {
                 bundle.sends.push((message, attempt));
--- a/crates/engine/src/observer.rs
+++ b/crates/engine/src/observer.rs
@@ -30,6 +30,8 @@
     },
     /// An attempt started.
     Sent {
+        /// Where it goes.
+        destination: u64,
         /// The endpoint's name.
         uid: &'a str,
         /// Its number among the message's, from 0.
@@ -45,6 +47,8 @@
         outcome: Outcome,
         /// Time since its start.
         latency: Micros,
+        /// What its answer reported of the endpoint's load.
+        report: &'a [f64],
     },
     /// A message was delivered.
     Delivered {
--- a/crates/platform/src/asking.rs
+++ b/crates/platform/src/asking.rs
@@ -37,7 +37,7 @@
         self.failures = 0;
     }
 
-    /// The rest after a failure, a second or [`ROUNDS`] rounds of all senders at most.
+    /// The rest after a failure, a second or four rounds of all senders at most.
     pub fn rest(&mut self) -> Duration {
         let first = self.failures == 0;
         let most = FIRST.max(self.round).saturating_mul(1 << self.failures.min(16));
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -1,8 +1,10 @@
 //! What the platform's sender and the sidecar have in common: the engine with its ledger, store, transport and door,
 //! and the way from SIGTERM to the end.
 
+use crate::account;
 use crate::logger::Logger;
 use crate::timekeeper::module_time;
+use milletturn_account::Trace;
 use milletturn_engine::door::is_own_class;
 use milletturn_engine::{Archive, Clock, Engine, Input, Ledger, ListUpdate, Notice, Observer, Ports};
 use milletturn_engine::{Remote, Restored};
@@ -167,6 +169,7 @@
         Some(keeper) => Box::new(keeper.listener(Logger::default())),
         None => Box::new(Logger::default()),
     };
+    let next = if account::traces() { Box::new(Trace { next }) } else { next };
     let observer = Box::new(Counting { figures: figures.clone(), next });
     if let Some(keeper) = &keeper {
         tokio::task::spawn_local(control::serve(control::listen(&state)?, keeper.jobs.clone()));
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod account;
 mod assemble;
 mod config;
 mod demo;
@@ -47,6 +48,8 @@
         #[arg(long)]
         once: bool,
     },
+    /// What all senders of a fleet did, by destination and second, from their logs.
+    Account(account::Arguments),
     /// Write, check, show and explain configurations of sidecars.
     Config(config::Arguments),
 }
@@ -55,6 +58,7 @@
     let Arguments { undelivered, command } = Arguments::parse();
     match command {
         Some(Command::Undelivered(arguments)) => undelivered::run(&arguments, undelivered.as_deref()),
+        Some(Command::Account(arguments)) => account::run(&arguments),
         Some(Command::Config(arguments)) => config::run(&arguments),
         Some(Command::Demo { once }) => ended(demo::run(once)),
         Some(Command::Sidecar { config }) => ended(sidecar::run(&config)),
