Begin at an unknown destination by the square of the senders: a lone one is not slowed

The test of an upgrade under load failed: one sender, 1,200 messages a second to a destination whose first call was still out, began at 50 calls a second and turned clients away at the door. Ruled out: the machine's load (it fails alone, too). Line at fault: PACE_START / senders in unit(). All that all send before a first report grows with their number, and what each hears falls with it: 5,000 over the square is the same for a hundred senders and no bound for one to ten.

--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -41,8 +41,8 @@
 /// Higher retries sooner, lower spares a destination that hundreds of senders share.
 const PACE_FIRST: f64 = 0.35;
 const PACE_LEAST: f64 = 1.5;
-/// Pace of all senders together to one that may tell a limit and has not yet: all may begin at one moment.
-const PACE_START: f64 = 50.0;
+/// Pace to one that may yet tell a limit, by the square of the senders: all begin at once, each hears less.
+const PACE_START: f64 = 5000.0;
 /// Burst of the pace, as a span of it. Longer takes clumps faster, shorter draws fewer refusals.
 const PACE_BURST: f64 = 0.3;
 /// Evidence above which a unit is not trusted, and what is left of it on return.
@@ -944,7 +944,7 @@
         if !self.units.contains_key(&id) {
             let mut new = Unit::fresh(share_of(self.settings.call_slots, WINDOW_START) as f64);
             if self.settings.report_limit.is_some() {
-                (new.pace, new.tokens) = (PACE_START / f64::from(self.settings.senders), 1.0);
+                (new.pace, new.tokens) = (PACE_START / f64::from(self.settings.senders).powi(2), 1.0);
             }
             self.rouse(id, new);
         }
