Count the fleet test's ages from when messages came; drop what asking and the test did not need

Its outage (down) was set by no test: gone. Asking compared the round with FIRST, which every number of senders exceeds: gone, with the same rests. The notices' rests are the same two figures: one definition now. Decisions are untouched.

--- a/crates/platform/src/agent.rs
+++ b/crates/platform/src/agent.rs
@@ -1,6 +1,6 @@
 //! The platform's agent: the watch of the endpoint list, and the notices that end undelivered messages.
 
-use crate::asking::Asking;
+use crate::asking::{Asking, FIRST, MOST};
 use crate::list::parse_list;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Full};
@@ -24,8 +24,6 @@
 const SILENCE: Duration = Duration::from_millis(3000);
 /// The agent is on this machine and answers at once.
 const ANSWER: Duration = Duration::from_secs(1);
-const RETRY_FIRST: Duration = Duration::from_millis(50);
-const RETRY_MOST: Duration = Duration::from_millis(1000);
 /// A longer line is not kept: read, it takes up several times its size.
 const LONGEST_LINE: usize = 1 << 20;
 /// Notices in one request.
@@ -157,7 +155,7 @@
     inputs: mpsc::UnboundedSender<Input>,
 ) {
     let mut owed: BTreeMap<u64, Notice> = BTreeMap::new();
-    let mut rest = RETRY_FIRST;
+    let mut rest = FIRST;
     let mut failing = false;
     loop {
         if owed.is_empty() {
@@ -181,7 +179,7 @@
                 answer = call(agent, request, ANSWER) => answer.map(|response| response.status()),
                 // a notice twice does no harm
                 Ok(()) = agents.changed() => {
-                    rest = RETRY_FIRST;
+                    rest = FIRST;
                     continue;
                 }
             },
@@ -190,7 +188,7 @@
         match answer {
             Ok(StatusCode::NO_CONTENT) => {
                 owed.retain(|number, _| !batch.contains(number));
-                (rest, failing) = (RETRY_FIRST, false);
+                (rest, failing) = (FIRST, false);
                 if inputs.send(Input::Noticed(batch)).is_err() {
                     return;
                 }
@@ -208,7 +206,7 @@
                     }
                 }
                 let moved = matches!(timeout(rest, agents.changed()).await, Ok(Ok(())));
-                rest = if moved { RETRY_FIRST } else { (rest * 2).min(RETRY_MOST) };
+                rest = if moved { FIRST } else { (rest * 2).min(MOST) };
             }
         }
     }
--- a/crates/platform/src/asking.rs
+++ b/crates/platform/src/asking.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 /// Rest after a first failure where nobody else asks, and the longest one there.
-const FIRST: Duration = Duration::from_millis(50);
-const MOST: Duration = Duration::from_millis(1000);
+pub(crate) const FIRST: Duration = Duration::from_millis(50);
+pub(crate) const MOST: Duration = Duration::from_millis(1000);
 /// Time of discovery that a sender leaves to each of the others: all together ask at most so often. Shorter hears
 /// sooner from a discovery with room, longer gets through to one that is short of it.
 const EACH: Duration = Duration::from_millis(80);
@@ -39,13 +39,11 @@
 
     /// The rest after a failure, a second or four rounds of all senders at most.
     pub fn rest(&mut self) -> Duration {
-        let first = self.failures == 0;
-        let most = FIRST.max(self.round).saturating_mul(1 << self.failures.min(16));
-        let most = most.min(MOST.max(self.round * ROUNDS));
-        self.failures += 1;
+        let most = self.round.saturating_mul(1 << self.failures.min(16)).min(MOST.max(self.round * ROUNDS));
         let part = f64::from(self.random.next_u32()) / f64::from(u32::MAX);
         // all lose their watches at one moment: the first rests are spread from the start
-        let part = if first && self.round > FIRST { part } else { 0.5 + 0.5 * part };
+        let part = if self.failures == 0 { part } else { 0.5 + 0.5 * part };
+        self.failures += 1;
         most.mul_f64(part).max(FIRST)
     }
 }
--- a/crates/policy/tests/common/limited_fleet.rs
+++ b/crates/policy/tests/common/limited_fleet.rs
@@ -28,23 +28,12 @@
     pub bundle: usize,
     /// From when on messages come five times as often, for a second.
     pub clump: Micros,
-    /// From and until when the destination answers nothing but resets.
-    pub down: (Micros, Micros),
     pub seed: u64,
 }
 
 impl Demand {
     pub fn new(rate: f64, limit: f64) -> Self {
-        Demand {
-            senders: 100,
-            rate,
-            length: 30 * SECOND,
-            limit,
-            bundle: 1,
-            clump: Micros::MAX,
-            down: (0, 0),
-            seed: 1,
-        }
+        Demand { senders: 100, rate, length: 30 * SECOND, limit, bundle: 1, clump: Micros::MAX, seed: 1 }
     }
 }
 
@@ -117,18 +106,13 @@
             for (message, attempt) in call.messages {
                 let mut end = ended(message, attempt, call.endpoint, call.outcome, now - call.sent);
                 if let Event::Ended { report: told, .. } = &mut end {
-                    *told = if call.outcome == Outcome::Reset || now < T0 + FIRST_REPORT {
-                        vec![]
-                    } else {
-                        vec![report, demand.limit]
-                    };
+                    *told = if now < T0 + FIRST_REPORT { vec![] } else { vec![report, demand.limit] };
                 }
                 inbox[call.sender].push(end);
-                if let Some(at) = born.remove(&message).filter(|_| call.outcome == Outcome::Success) {
+                let success = call.outcome == Outcome::Success;
+                if let Some(at) = success.then(|| born.remove(&message)).flatten() {
                     served.delivered += 1;
                     served.in_time += usize::from(now - at <= 4 * SECOND);
-                } else if call.outcome != Outcome::Success {
-                    born.entry(message).or_insert(now);
                 }
             }
         }
@@ -158,14 +142,12 @@
                 served.each_second.resize(served.each_second.len().max(second + 1), 0);
                 served.each_second[second] += 1;
                 served.calls += 1;
-                let down = now - T0 >= demand.down.0 && now - T0 < demand.down.1;
                 let outcome = match tokens >= 1.0 {
-                    _ if down => Outcome::Reset,
                     true => Outcome::Success,
                     false => Outcome::Refused { wait: None },
                 };
                 served.refused += usize::from(matches!(outcome, Outcome::Refused { .. }));
-                tokens = (tokens - f64::from(u8::from(!down))).max(-depth);
+                tokens = (tokens - 1.0).max(-depth);
                 let call = Out { sender: index, endpoint, sent: now, messages, outcome };
                 out.entry(now + CALL).or_default().push(call);
             }
