Keep the fleet's book: members, owned work under terms, leases at giver and holder, fences

crates/fleet is a state machine without I/O and clock. The book takes entries and gives answers; each piece of work has a term that only grows, also when the work was forgotten for room; an order asked again is answered as before; an act under a term that is over is refused as `Fenced`. Sessions, work, names, texts and history are bounded.

--- /dev/null
+++ b/crates/fleet/src/book.rs
@@ -0,0 +1,256 @@
+//! The fleet's book: what all stewards agree on.
+//!
+//! The book knows no time. That a lease has run out is an entry like any other, written by the leading steward
+//! after [`Leases`](crate::Leases) has told it so; a replica that applies the same entries has the same book.
+
+use crate::bounds;
+use crate::entry::{About, Answer, Entry, Refusal, Session, Term, named, sized};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// An open session.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Whose it is.
+    pub about: About,
+    /// Drawn by its member; a second request to open with the same one is the same request.
+    pub nonce: u64,
+    /// Its lease in microseconds.
+    pub lease: u64,
+}
+
+/// A piece of work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// The highest term given; stays when the owner goes.
+    pub term: Term,
+    /// Who may act, if anybody.
+    pub owner: Option<Session>,
+    /// Acts done under this term.
+    pub acts: u64,
+    /// What the last act left, of whichever owner.
+    pub cursor: String,
+}
+
+/// What happened, for whoever asks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// Counts all events of the book from 1 on.
+    pub number: u64,
+    /// Which work.
+    pub work: String,
+    /// Under which term.
+    pub term: Term,
+    /// The name of the member that did it.
+    pub member: String,
+    /// What it did.
+    pub what: Happening,
+}
+
+/// The kinds of event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Happening {
+    /// Became the owner.
+    Owned,
+    /// Did the act of this number.
+    Acted(u64),
+    /// Gave it back.
+    Released,
+    /// Lost it: its session ended.
+    Lost,
+    /// Had it taken by an operator.
+    Freed,
+    /// Was refused: its term was over.
+    Fenced,
+}
+
+/// The state.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Book {
+    sessions: BTreeMap<Session, Member>,
+    last_session: Session,
+    works: BTreeMap<String, Work>,
+    /// No term at or below this is given to work that the book doesn't know: where forgotten work leaves its term.
+    floor: Term,
+    history: VecDeque<Event>,
+    events: u64,
+}
+
+impl Book {
+    /// Writes an entry. The answer to one that was written before is that of the first time, as long as what it
+    /// led to still stands.
+    pub fn apply(&mut self, entry: Entry) -> Answer {
+        let answer = match entry {
+            Entry::Open { about, nonce, lease } => self.open(about, nonce, lease),
+            Entry::Close { session } | Entry::Expire { session } => {
+                self.end(session);
+                Ok(Answer::Done)
+            }
+            Entry::Claim { session, work } => self.claim(session, work),
+            Entry::Release { session, work, term } => self.release(session, &work, term),
+            Entry::Free { work, term } => self.free(&work, term),
+            Entry::Act { session, work, term, number, cursor } => {
+                self.act(session, work, term, number, cursor)
+            }
+        };
+        answer.unwrap_or_else(Answer::Refused)
+    }
+
+    /// Open sessions.
+    pub fn sessions(&self) -> &BTreeMap<Session, Member> {
+        &self.sessions
+    }
+
+    /// Pieces of work by name, owned or not.
+    pub fn works(&self) -> &BTreeMap<String, Work> {
+        &self.works
+    }
+
+    /// The last events, oldest first.
+    pub fn history(&self) -> impl Iterator<Item = &Event> {
+        self.history.iter()
+    }
+
+    fn open(&mut self, about: About, nonce: u64, lease: u64) -> Result<Answer, Refusal> {
+        about.check()?;
+        if let Some((&session, member)) =
+            self.sessions.iter().find(|(_, member)| member.about.name == about.name)
+        {
+            if member.nonce == nonce {
+                return Ok(Answer::Opened { session, lease: member.lease });
+            }
+            return Err(Refusal::NameTaken { name: about.name, session });
+        }
+        if self.sessions.len() >= bounds::SESSIONS {
+            return Err(full("sessions", bounds::SESSIONS));
+        }
+        self.last_session += 1;
+        self.sessions.insert(self.last_session, Member { about, nonce, lease });
+        Ok(Answer::Opened { session: self.last_session, lease })
+    }
+
+    fn end(&mut self, session: Session) {
+        let owned: Vec<(String, Term)> = (self.works.iter())
+            .filter(|(_, work)| work.owner == Some(session))
+            .map(|(name, work)| (name.clone(), work.term))
+            .collect();
+        for (name, term) in owned {
+            self.tell(&name, term, session, Happening::Lost);
+            if let Some(work) = self.works.get_mut(&name) {
+                work.owner = None;
+            }
+        }
+        self.sessions.remove(&session);
+    }
+
+    fn claim(&mut self, session: Session, name: String) -> Result<Answer, Refusal> {
+        named("the work's name", &name)?;
+        self.live(session)?;
+        if !self.works.contains_key(&name) {
+            self.make_room()?;
+            let fresh = Work { term: self.floor, owner: None, acts: 0, cursor: String::new() };
+            self.works.insert(name.clone(), fresh);
+        }
+        let Some(work) = self.works.get_mut(&name) else { return Err(full("pieces of work", bounds::WORKS)) };
+        match work.owner {
+            Some(owner) if owner == session => {}
+            Some(owner) => {
+                let owner =
+                    self.sessions.get(&owner).map_or_else(String::new, |member| member.about.name.clone());
+                return Err(Refusal::Taken { work: name, owner, term: work.term });
+            }
+            None => {
+                work.term += 1;
+                work.acts = 0;
+                work.owner = Some(session);
+                let term = work.term;
+                self.tell(&name, term, session, Happening::Owned);
+            }
+        }
+        let work = &self.works[&name];
+        Ok(Answer::Owned { term: work.term, acts: work.acts, cursor: work.cursor.clone() })
+    }
+
+    fn release(&mut self, session: Session, name: &str, term: Term) -> Result<Answer, Refusal> {
+        let Some(work) = self.works.get_mut(name) else { return Ok(Answer::Done) };
+        if work.term == term && work.owner == Some(session) {
+            work.owner = None;
+            self.tell(name, term, session, Happening::Released);
+        }
+        // an earlier term is over already, which is what was asked for
+        Ok(Answer::Done)
+    }
+
+    fn free(&mut self, name: &str, term: Term) -> Result<Answer, Refusal> {
+        let Some(work) = self.works.get_mut(name) else { return Ok(Answer::Done) };
+        if work.term == term
+            && let Some(owner) = work.owner.take()
+        {
+            self.tell(name, term, owner, Happening::Freed);
+        }
+        Ok(Answer::Done)
+    }
+
+    fn act(
+        &mut self, session: Session, name: String, term: Term, number: u64, cursor: String,
+    ) -> Result<Answer, Refusal> {
+        sized("the act's text", &cursor, 0, bounds::CURSOR)?;
+        let floor = self.floor;
+        let Some(work) = self.works.get_mut(&name) else {
+            return Err(Refusal::Fenced { work: name, term, now: floor });
+        };
+        if work.term != term || work.owner != Some(session) {
+            let now = work.term;
+            self.tell(&name, term, session, Happening::Fenced);
+            return Err(Refusal::Fenced { work: name, term, now });
+        }
+        if number == work.acts && number > 0 && cursor == work.cursor {
+            return Ok(Answer::Done);
+        }
+        if number != work.acts + 1 {
+            return Err(Refusal::OutOfOrder { work: name, term, number, last: work.acts });
+        }
+        work.acts = number;
+        work.cursor = cursor;
+        self.tell(&name, term, session, Happening::Acted(number));
+        Ok(Answer::Done)
+    }
+
+    fn live(&self, session: Session) -> Result<(), Refusal> {
+        if self.sessions.contains_key(&session) { Ok(()) } else { Err(Refusal::NoSession { session }) }
+    }
+
+    /// Forgets the piece of work with the lowest term that nobody owns. Its term goes into the floor, so that it
+    /// starts above if it comes back.
+    fn make_room(&mut self) -> Result<(), Refusal> {
+        if self.works.len() < bounds::WORKS {
+            return Ok(());
+        }
+        let idle =
+            (self.works.iter()).filter(|(_, work)| work.owner.is_none()).min_by_key(|(_, work)| work.term);
+        let Some(name) = idle.map(|(name, _)| name.clone()) else {
+            return Err(full("pieces of work", bounds::WORKS));
+        };
+        if let Some(work) = self.works.remove(&name) {
+            self.floor = self.floor.max(work.term);
+        }
+        Ok(())
+    }
+
+    fn tell(&mut self, work: &str, term: Term, session: Session, what: Happening) {
+        let member = self.sessions.get(&session).map_or_else(
+            || format!("session {session}"), // ended; its name is no longer known
+            |member| member.about.name.clone(),
+        );
+        self.events += 1;
+        if self.history.len() >= bounds::HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back(Event { number: self.events, work: work.to_string(), term, member, what });
+    }
+}
+
+fn full(what: &str, most: usize) -> Refusal {
+    Refusal::Full { what: what.to_string(), most: most as u64 }
+}
