Write the reign into a lease's end: one counted under an earlier reign ends nothing

A steward that lost the lead and got it again in between doesn't know what another one confirmed, and may not have noticed yet. The end of a lease carries the reign under which it was counted, and the book refuses it in another. Taken out, never_two_with_leave_at_once fails.

--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -4,7 +4,7 @@
 //! after [`Leases`](crate::Leases) has told it so; a replica that applies the same entries has the same book.
 
 use crate::bounds;
-use crate::entry::{About, Answer, Entry, Refusal, Session, Term, named, sized};
+use crate::entry::{About, Answer, Entry, Refusal, Reign, Session, Term, named, sized};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -78,12 +78,13 @@
 }
 
 impl Book {
-    /// Writes an entry. The answer to one that was written before is that of the first time, as long as what it
+    /// Writes an entry, in the reign in which it was proposed. The answer to one that was written before is that of the first time, as long as what it
     /// led to still stands.
-    pub fn apply(&mut self, entry: Entry) -> Answer {
+    pub fn apply(&mut self, entry: Entry, now: Reign) -> Answer {
         let answer = match entry {
             Entry::Open { about, nonce, lease } => self.open(about, nonce, lease),
-            Entry::Close { session } | Entry::Expire { session } => {
+            Entry::Expire { reign, .. } if reign != now => Err(Refusal::ReignOver { reign, now }),
+            Entry::Close { session } | Entry::Expire { session, .. } => {
                 self.end(session);
                 Ok(Answer::Done)
             }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -11,6 +11,9 @@
 /// A term: grows with each new owner of a piece of work, for ever.
 pub type Term = u64;
 
+/// Counts the times that a steward began to lead: the consensus' own term. It is never one of the terms of work.
+pub type Reign = u64;
+
 /// Who a member is and what it brings.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct About {
@@ -47,6 +50,9 @@
     Expire {
         /// Which.
         session: Session,
+        /// Under which reign the lease was counted; a steward that lost the lead and got it again in between
+        /// doesn't know what another one confirmed.
+        reign: Reign,
     },
     /// Asks for a piece of work. Its owner is answered with the term that it has.
     Claim {
@@ -122,6 +128,14 @@
         /// Which.
         session: Session,
     },
+    /// The lease was counted under a reign that is over.
+    #[error("the lease was counted under reign {reign}, this is reign {now}: it is counted anew")]
+    ReignOver {
+        /// When it was counted.
+        reign: Reign,
+        /// When it was written.
+        now: Reign,
+    },
     /// Another session has this name.
     #[error("{name} has a live session, {session}: end that process, or wait until its lease has run out")]
     NameTaken {
--- a/crates/fleet/src/leases.rs
+++ b/crates/fleet/src/leases.rs
@@ -6,7 +6,7 @@
 //! before confirmed last, so it counts every session from the moment at which it began to lead: it ends none
 //! before the longest lease that an earlier leader may have given is over.
 
-use crate::entry::Session;
+use crate::entry::{Reign, Session};
 use crate::time::{Moment, Span};
 use std::collections::BTreeMap;
 
@@ -14,7 +14,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Leases {
     counted: Option<BTreeMap<Session, Counted>>,
-    stint: u64,
+    reign: Reign,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,19 +25,20 @@
     ending: bool,
 }
 
-/// A renewal whose confirmation is being asked for, under one stint of leading.
+/// A renewal whose confirmation is being asked for, under one reign.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Asked {
     session: Session,
-    stint: u64,
+    reign: Reign,
 }
 
 impl Leases {
-    /// This steward leads from now on, with these sessions in the book and the lease that each was given.
-    pub fn lead(&mut self, now: Moment, sessions: impl IntoIterator<Item = (Session, Span)>) {
-        self.stint += 1;
-        let counted = |(session, lease)| (session, Counted { since: now, lease, ending: false });
-        self.counted = Some(sessions.into_iter().map(counted).collect());
+    /// This steward leads from now on, under this reign, with these sessions in the book and the lease that each
+    /// was given. The book must hold all that earlier leaders wrote.
+    pub fn lead(&mut self, reign: Reign, now: Moment, sessions: impl IntoIterator<Item = (Session, Span)>) {
+        self.reign = reign;
+        self.counted = Some(BTreeMap::new());
+        self.seen(now, sessions);
     }
 
     /// It no longer leads: it knows nothing of leases any more.
@@ -45,22 +46,19 @@
         self.counted = None;
     }
 
-    /// Whether it leads.
-    pub fn leading(&self) -> bool {
-        self.counted.is_some()
+    /// The reign under which it leads, if it does.
+    pub fn reign(&self) -> Option<Reign> {
+        self.counted.as_ref().map(|_| self.reign)
     }
 
-    /// The entry that opened this session has been applied here.
-    pub fn opened(&mut self, now: Moment, session: Session, lease: Span) {
-        if let Some(counted) = &mut self.counted {
-            counted.entry(session).or_insert(Counted { since: now, lease, ending: false });
-        }
-    }
-
-    /// The session is over in the book.
-    pub fn closed(&mut self, session: Session) {
-        if let Some(counted) = &mut self.counted {
-            counted.remove(&session);
+    /// These are the sessions of the book now. One that is new is counted from now on, which is after it was
+    /// opened; one that is gone is forgotten.
+    pub fn seen(&mut self, now: Moment, sessions: impl IntoIterator<Item = (Session, Span)>) {
+        let Some(counted) = &mut self.counted else { return };
+        let mut before = std::mem::take(counted);
+        for (session, lease) in sessions {
+            let known = before.remove(&session);
+            counted.insert(session, known.unwrap_or(Counted { since: now, lease, ending: false }));
         }
     }
 
@@ -68,13 +66,13 @@
     /// steward has to make sure, from now on, that it still leads, and call [`confirmed`](Self::confirmed).
     pub fn asked(&self, session: Session) -> Option<Asked> {
         let counted = self.counted.as_ref()?.get(&session)?;
-        (!counted.ending).then_some(Asked { session, stint: self.stint })
+        (!counted.ending).then_some(Asked { session, reign: self.reign })
     }
 
     /// A majority has said, after the renewal was asked for, that this steward leads. Returns whether the renewal
     /// holds; only then may it be answered.
     pub fn confirmed(&mut self, asked: Asked, now: Moment) -> bool {
-        if asked.stint != self.stint {
+        if asked.reign != self.reign {
             return false;
         }
         match self.counted.as_mut().and_then(|counted| counted.get_mut(&asked.session)) {
--- a/crates/fleet/tests/book.rs
+++ b/crates/fleet/tests/book.rs
@@ -6,20 +6,25 @@
 use milletturn_fleet::{Answer, Book, Entry, Fence, Refusal, bounds};
 
 const LEASE: u64 = 9_000_000;
+const REIGN: u64 = 4;
+
+fn write(book: &mut Book, entry: Entry) -> Answer {
+    book.apply(entry, REIGN)
+}
 
 fn about(name: &str) -> About {
     About { name: name.into(), zone: "a".into(), version: "0.1.0".into(), serves: "sender".into() }
 }
 
 fn open(book: &mut Book, name: &str, nonce: u64) -> Session {
-    match book.apply(Entry::Open { about: about(name), nonce, lease: LEASE }) {
+    match write(book, Entry::Open { about: about(name), nonce, lease: LEASE }) {
         Answer::Opened { session, lease: LEASE } => session,
         other => panic!("{other:?}"),
     }
 }
 
 fn claim(book: &mut Book, session: Session, work: &str) -> Answer {
-    book.apply(Entry::Claim { session, work: work.into() })
+    write(book, Entry::Claim { session, work: work.into() })
 }
 
 fn owned(book: &mut Book, session: Session, work: &str) -> Term {
@@ -30,7 +35,7 @@
 }
 
 fn act(book: &mut Book, session: Session, term: Term, number: u64, cursor: &str) -> Answer {
-    book.apply(Entry::Act { session, work: "w".into(), term, number, cursor: cursor.into() })
+    write(book, Entry::Act { session, work: "w".into(), term, number, cursor: cursor.into() })
 }
 
 #[test]
@@ -39,7 +44,7 @@
     let one = open(&mut book, "n1", 7);
     assert_eq!(open(&mut book, "n1", 7), one);
     assert_eq!(
-        book.apply(Entry::Open { about: about("n1"), nonce: 8, lease: LEASE }),
+        write(&mut book, Entry::Open { about: about("n1"), nonce: 8, lease: LEASE }),
         Answer::Refused(Refusal::NameTaken { name: "n1".into(), session: one }),
         "a second process under the same name, while the old one's session lasts"
     );
@@ -74,7 +79,7 @@
         claim(&mut book, two, "w"),
         Answer::Refused(Refusal::Taken { work: "w".into(), owner: "n1".into(), term: first })
     );
-    book.apply(Entry::Expire { session: one });
+    write(&mut book, Entry::Expire { session: one, reign: REIGN });
     assert_eq!(
         claim(&mut book, two, "w"),
         Answer::Owned { term: first + 1, acts: 0, cursor: "half".into() },
@@ -87,12 +92,12 @@
     // nor under the new term, which is another's
     assert!(matches!(act(&mut book, one, first + 1, 1, "late"), Answer::Refused(Refusal::Fenced { .. })));
     // nor does its wish to give back touch the next one
-    book.apply(Entry::Release { session: one, work: "w".into(), term: first });
-    book.apply(Entry::Free { work: "w".into(), term: first });
+    write(&mut book, Entry::Release { session: one, work: "w".into(), term: first });
+    write(&mut book, Entry::Free { work: "w".into(), term: first });
     assert_eq!(book.works()["w"].owner, Some(two));
     assert_eq!(claim(&mut book, one, "w"), Answer::Refused(Refusal::NoSession { session: one }));
     // an operator frees the term that counts
-    book.apply(Entry::Free { work: "w".into(), term: first + 1 });
+    write(&mut book, Entry::Free { work: "w".into(), term: first + 1 });
     assert_eq!(book.works()["w"].owner, None);
     assert!(matches!(act(&mut book, two, first + 1, 1, "late"), Answer::Refused(Refusal::Fenced { .. })));
     assert_eq!(owned(&mut book, two, "w"), first + 2);
@@ -105,13 +110,13 @@
     let mut highest = 0;
     for _ in 0..5 {
         highest = owned(&mut book, one, "w");
-        book.apply(Entry::Release { session: one, work: "w".into(), term: highest });
+        write(&mut book, Entry::Release { session: one, work: "w".into(), term: highest });
     }
     for number in 0..2 * bounds::WORKS {
         let name = format!("other {number}");
         for _ in 0..6 {
             let term = owned(&mut book, one, &name);
-            book.apply(Entry::Release { session: one, work: name.clone(), term });
+            write(&mut book, Entry::Release { session: one, work: name.clone(), term });
         }
     }
     assert!(!book.works().contains_key("w"));
@@ -126,7 +131,7 @@
     let long = "x".repeat(bounds::NAME + 1);
     for name in ["", &long] {
         assert!(matches!(
-            book.apply(Entry::Open { about: about(name), nonce: 1, lease: LEASE }),
+            write(&mut book, Entry::Open { about: about(name), nonce: 1, lease: LEASE }),
             Answer::Refused(Refusal::BadText { .. })
         ));
     }
@@ -134,7 +139,7 @@
         open(&mut book, &format!("n{number}"), 1);
     }
     assert!(matches!(
-        book.apply(Entry::Open { about: about("more"), nonce: 1, lease: LEASE }),
+        write(&mut book, Entry::Open { about: about("more"), nonce: 1, lease: LEASE }),
         Answer::Refused(Refusal::Full { most: 1_024, .. })
     ));
     assert!(matches!(claim(&mut book, 1, &long), Answer::Refused(Refusal::BadText { .. })));
@@ -153,3 +158,14 @@
     assert_eq!(fence.admit("v", 1), Ok(Passed::New), "each piece of work has terms of its own");
     assert_eq!(fence.highest("w"), 3);
 }
+
+#[test]
+fn a_lease_counted_under_an_earlier_reign_ends_nothing() {
+    let mut book = Book::default();
+    let one = open(&mut book, "n1", 1);
+    assert_eq!(
+        write(&mut book, Entry::Expire { session: one, reign: REIGN - 2 }),
+        Answer::Refused(Refusal::ReignOver { reign: REIGN - 2, now: REIGN })
+    );
+    assert!(book.sessions().contains_key(&one));
+}
--- a/crates/fleet/tests/leases.rs
+++ b/crates/fleet/tests/leases.rs
@@ -1,7 +1,7 @@
 //! Leases under virtual time: givers and holders with clocks of their own, messages that are late, lost or
 //! overtaken, leaders that come and go and that go on believing. At no moment may two members both have leave.
 
-use milletturn_fleet::entry::{About, Session};
+use milletturn_fleet::entry::{About, Reign, Session};
 use milletturn_fleet::{Answer, Book, Entry, Holder, Leases, Moment, Span};
 use proptest::prelude::*;
 
@@ -55,10 +55,14 @@
     /// A proposed end on its way into the book.
     Expire {
         session: Session,
-        elections: u64,
+        reign: Reign,
     },
 }
 
+fn sessions(book: &Book) -> impl Iterator<Item = (Session, Span)> {
+    book.sessions().iter().map(|(&session, member)| (session, Span(member.lease)))
+}
+
 /// How clocks run: parts of a million above or below the true time.
 struct World {
     now: u64,
@@ -101,8 +105,14 @@
         self.leader = steward;
         self.elections += 1;
         let now = at(self.now, self.steward_rates[steward]);
-        let sessions = self.book.sessions().iter().map(|(&session, member)| (session, Span(member.lease)));
-        self.leases[steward].lead(now, sessions);
+        self.leases[steward].lead(self.elections, now, sessions(&self.book));
+    }
+
+    /// A steward that only believes itself the leader sees no book newer than that of its fall; that it sees the
+    /// leader's here makes it end more, not less.
+    fn seen(&mut self, steward: usize) {
+        let now = at(self.now, self.steward_rates[steward]);
+        self.leases[steward].seen(now, sessions(&self.book));
     }
 
     fn step(&mut self, step: &Step) {
@@ -129,11 +139,11 @@
             Step::Arrive(_) | Step::Lose(_) => {}
             Step::Elect(steward) => self.elect(steward),
             Step::Look(steward) => {
+                self.seen(steward);
                 let now = at(self.now, self.steward_rates[steward]);
                 for session in self.leases[steward].run_out(now) {
-                    // a steward that only believes itself the leader gets no entry in
-                    if steward == self.leader {
-                        self.under_way.push(Message::Expire { session, elections: self.elections });
+                    if let Some(reign) = self.leases[steward].reign() {
+                        self.under_way.push(Message::Expire { session, reign });
                     }
                 }
             }
@@ -149,10 +159,9 @@
                     version: String::new(),
                     serves: String::new(),
                 };
-                let now = at(self.now, self.steward_rates[steward]);
-                match self.book.apply(Entry::Open { about, nonce, lease: LEASE.0 }) {
-                    Answer::Opened { session, lease } => {
-                        self.leases[steward].opened(now, session, Span(lease));
+                match self.book.apply(Entry::Open { about, nonce, lease: LEASE.0 }, self.elections) {
+                    Answer::Opened { session, .. } => {
+                        self.seen(steward);
                         self.under_way.push(Message::Opened { to: from, sent, session });
                     }
                     Answer::Refused(_) => {}
@@ -171,10 +180,11 @@
                 if steward != self.leader || !self.leases[steward].confirmed(asked, now) {
                     return;
                 }
-                let claimed = match self.book.apply(Entry::Claim { session, work: "w".into() }) {
-                    Answer::Owned { term, .. } => Some(term),
-                    _ => None,
-                };
+                let claimed =
+                    match self.book.apply(Entry::Claim { session, work: "w".into() }, self.elections) {
+                        Answer::Owned { term, .. } => Some(term),
+                        _ => None,
+                    };
                 self.under_way.push(Message::Renewed { to: from, sent, session, claimed });
             }
             Message::Opened { to, sent, session } => {
@@ -189,12 +199,11 @@
                     self.holders[to].owned(session, "w", term);
                 }
             }
-            // what the leader before had not brought in by the election never comes in
-            Message::Expire { session, elections } if elections == self.elections => {
-                self.book.apply(Entry::Expire { session });
-                self.leases[self.leader].closed(session);
+            // proposed late by one that leads again is written in the present reign, and refused by the book
+            Message::Expire { session, reign } => {
+                self.book.apply(Entry::Expire { session, reign }, self.elections);
             }
-            Message::Open { .. } | Message::Expire { .. } => {}
+            Message::Open { .. } => {}
         }
     }
 
