--- /dev/null
+++ b/crates/fleet-wire/src/words.rs
@@ -0,0 +1,109 @@
+//! What is said on the wire, beside the book's own entries and answers.
+
+use milletturn_fleet::book::{Event, Member, Work};
+use milletturn_fleet::entry::{About, Session, Term};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The wire's version; a steward of another one refuses the call.
+pub const VERSION: &str = "1";
+/// Header with [`VERSION`].
+pub const VERSION_HEADER: &str = "milletturn-wire";
+/// Header with the group's name.
+pub const GROUP_HEADER: &str = "milletturn-group";
+/// Header of a reply: the number of the steward that answers.
+pub const STEWARD_HEADER: &str = "milletturn-steward";
+
+/// Opens a session; `POST`, body [`Opening`], answered with the book's answer.
+pub const OPEN: &str = "/v1/open";
+/// Renews a session; `POST`, body [`Renewal`], answered with [`Renewed`].
+pub const RENEW: &str = "/v1/renew";
+/// Writes an order into the book; `POST`, body an entry, answered with the book's answer.
+pub const ORDER: &str = "/v1/order";
+/// Shows the book as it is now, by the word of a majority; `GET`, answered with [`Look`].
+pub const BOOK: &str = "/v1/book";
+/// Shows what this steward knows by itself; `GET`, answered with [`Status`]. Needs no majority.
+pub const STATUS: &str = "/v1/status";
+/// The consensus' own calls between stewards.
+pub const APPEND: &str = "/consensus/append";
+/// See [`APPEND`].
+pub const VOTE: &str = "/consensus/vote";
+/// See [`APPEND`].
+pub const SNAPSHOT: &str = "/consensus/snapshot";
+
+/// Largest body of a call by a member or an operator: an entry at its bounds takes some 2 KB.
+pub const CALL_MOST: usize = 16 * 1024;
+/// Largest body between stewards, and of an answer: a full book.
+pub const BODY_MOST: usize = 16 * 1024 * 1024;
+
+/// A wish for a session.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Opening {
+    /// Who asks.
+    pub about: About,
+    /// Drawn at random once for each session wanted, and the same when it is asked for again.
+    pub nonce: u64,
+}
+
+/// A renewal of a session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// Which.
+    pub session: Session,
+}
+
+/// A renewal that holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewed {
+    /// The work that the session owns in the book, with its terms.
+    pub owns: Vec<(String, Term)>,
+}
+
+/// The book at one moment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Look {
+    /// The group's name.
+    pub group: String,
+    /// The leading steward's number.
+    pub leader: u64,
+    /// Open sessions.
+    pub sessions: BTreeMap<Session, Member>,
+    /// Pieces of work.
+    pub works: BTreeMap<String, Work>,
+    /// The last events, oldest first.
+    pub history: Vec<Event>,
+}
+
+/// What one steward knows by itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The group's name.
+    pub group: String,
+    /// This steward's number.
+    pub steward: u64,
+    /// The program's version.
+    pub version: String,
+    /// `leader`, `follower`, `candidate` or `learner`.
+    pub role: String,
+    /// The leading steward as far as this one knows.
+    pub leader: Option<u64>,
+    /// Counts the times that a steward began to lead.
+    pub reign: u64,
+    /// The last entry that was applied here.
+    pub applied: u64,
+    /// The voting stewards.
+    pub voters: Vec<u64>,
+    /// Milliseconds since a majority answered, at the leader.
+    pub majority_heard: Option<u64>,
+}
+
+/// Why a call was not done, in the body of every reply but 200.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Trouble {
+    /// What is wrong and what to do.
+    pub why: String,
+    /// The leading steward's number, where the call went to another one that knows it.
+    pub leader: Option<u64>,
+    /// The call may have been done all the same.
+    pub may_have_happened: bool,
+}
--- /dev/null
+++ b/crates/steward/src/reign.rs
@@ -0,0 +1,167 @@
+//! What only the leading steward does: it counts leases, and writes the end of those that have run out.
+
+use crate::clock::now;
+use crate::machine::Machine;
+use crate::{Raft, StewardId};
+use milletturn_fleet::entry::{Reign, Session};
+use milletturn_fleet::{Answer, Book, Entry, Leases, Refusal, Span};
+use milletturn_log::log;
+use openraft::ServerState;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+/// Longest wait for a majority's word; a caller asks another steward then.
+pub const MAJORITY: Duration = Duration::from_millis(2_000);
+/// How often leases are looked at. A lease may end so much later than it could.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// A steward's reign, if it has one.
+pub struct Throne {
+    /// The consensus.
+    pub raft: Raft,
+    /// The book here.
+    pub machine: Machine,
+    leases: RefCell<Leases>,
+}
+
+/// Why the leading steward's work can't be done here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NotHere {
+    /// Another one leads, or nobody does.
+    Leader(Option<StewardId>),
+    /// No majority answered in time.
+    NoMajority,
+}
+
+/// The sessions of a book with their leases.
+fn sessions(book: &Book) -> Vec<(Session, Span)> {
+    book.sessions().iter().map(|(&session, member)| (session, Span(member.lease))).collect()
+}
+
+impl Throne {
+    /// With no reign yet.
+    pub fn new(raft: Raft, machine: Machine) -> Rc<Self> {
+        Rc::new(Self { raft, machine, leases: RefCell::default() })
+    }
+
+    /// The reign that this steward has by its own knowledge, which may be out of date.
+    fn believed(&self) -> Option<Reign> {
+        let metrics = self.raft.metrics().borrow().clone();
+        (metrics.state == ServerState::Leader).then_some(metrics.current_term)
+    }
+
+    /// Makes sure that this steward leads now, and that its book holds all that was agreed before.
+    ///
+    /// # Errors
+    /// If a majority doesn't say so.
+    pub async fn confirm(&self) -> Result<(), NotHere> {
+        if self.believed().is_none() {
+            return Err(NotHere::Leader(self.raft.metrics().borrow().current_leader));
+        }
+        match timeout(MAJORITY, self.raft.ensure_linearizable()).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(error)) => match error.forward_to_leader() {
+                Some(forward) => Err(NotHere::Leader(forward.leader_id)),
+                None => Err(NotHere::NoMajority),
+            },
+            Err(_) => Err(NotHere::NoMajority),
+        }
+    }
+
+    /// Follows the consensus: takes up a reign when it comes, lays it down when it goes, ends what has run out.
+    pub async fn run(self: Rc<Self>) {
+        let mut ticks = interval(LOOK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut metrics = self.raft.metrics();
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                changed = metrics.changed() => if changed.is_err() { return },
+            }
+            let believed = self.believed();
+            let held = self.leases.borrow().reign();
+            match believed {
+                None if held.is_some() => self.leases.borrow_mut().follow(),
+                None => {}
+                Some(reign) if held != Some(reign) => self.take_up(reign).await,
+                Some(_) => self.end_leases().await,
+            }
+        }
+    }
+
+    async fn take_up(&self, reign: Reign) {
+        self.leases.borrow_mut().follow();
+        if self.confirm().await.is_ok() && self.believed() == Some(reign) {
+            let sessions = self.machine.look(sessions);
+            log(format_args!("steward: leads, reign {reign}; {} leases are counted anew", sessions.len()));
+            self.leases.borrow_mut().lead(reign, now(), sessions);
+        }
+    }
+
+    async fn end_leases(&self) {
+        let (over, reign) = {
+            let mut leases = self.leases.borrow_mut();
+            leases.seen(now(), self.machine.look(sessions));
+            let Some(reign) = leases.reign() else { return };
+            (leases.run_out(now()), reign)
+        };
+        for session in over {
+            let name = self.machine.look(|book| {
+                book.sessions().get(&session).map_or_else(String::new, |member| member.about.name.clone())
+            });
+            match self.write(Entry::Expire { session, reign }).await {
+                Ok(Answer::Done) => {
+                    log(format_args!("steward: the lease of {name} (session {session}) has run out"));
+                }
+                // told again at the next look, if it still has to be
+                Ok(_) | Err(_) => return,
+            }
+        }
+    }
+
+    /// Writes an entry, and waits until it is agreed.
+    ///
+    /// # Errors
+    /// If it was not, or nobody can say: it may be agreed later.
+    pub async fn write(&self, entry: Entry) -> Result<Answer, NotHere> {
+        match timeout(MAJORITY, self.raft.client_write(entry)).await {
+            Ok(Ok(written)) => Ok(written.data),
+            Ok(Err(error)) => match error.forward_to_leader() {
+                Some(forward) => Err(NotHere::Leader(forward.leader_id)),
+                None => Err(NotHere::NoMajority),
+            },
+            Err(_) => Err(NotHere::NoMajority),
+        }
+    }
+
+    /// Renews a session, and answers with what it owns.
+    ///
+    /// # Errors
+    /// If this steward can't say; then the session may go on or be over.
+    pub async fn renew(&self, session: Session) -> Result<Result<Vec<(String, u64)>, Refusal>, NotHere> {
+        // what the reign's beginning waits for, a renewal waits for too
+        if self.leases.borrow().reign().is_none() {
+            return Err(NotHere::Leader(self.raft.metrics().borrow().current_leader));
+        }
+        let asked = {
+            let mut leases = self.leases.borrow_mut();
+            leases.seen(now(), self.machine.look(sessions));
+            leases.asked(session)
+        };
+        self.confirm().await?;
+        let held = asked.is_some_and(|asked| self.leases.borrow_mut().confirmed(asked, now()));
+        if held {
+            return Ok(Ok(self.machine.look(|book| {
+                let owns = book.works().iter().filter(|(_, work)| work.owner == Some(session));
+                owns.map(|(name, work)| (name.clone(), work.term)).collect()
+            })));
+        }
+        if self.machine.look(|book| book.sessions().contains_key(&session)) {
+            // ending, or opened since the leases were looked at: the next renewal finds out
+            return Err(NotHere::Leader(None));
+        }
+        Ok(Err(Refusal::NoSession { session }))
+    }
+}
