Join the fleet as a member; milletturn steward and milletturn fleet

crates/member opens a session with whichever steward leads, renews it, claims wanted work and acts under its terms; leave to act is asked of the book's Holder right before each act, and an order goes on being asked with the same number until its last safe moment. milletturn steward keeps the book; milletturn fleet status, members, work, release-work and hold show and change it, with tables, JSON and exit codes.

By hand, three stewards and two holders, lease 2 s: one stopped by SIGSTOP lost its work to the other, and once continued acted no more under its old term.

--- a/crates/fleet-wire/src/lib.rs
+++ b/crates/fleet-wire/src/lib.rs
@@ -6,7 +6,9 @@
 //!
 //! - [`words`]: what is said.
 //! - [`line`]: the calling side.
+//! - [`clock`]: the clock by which both sides count leases.
 
+pub mod clock;
 pub mod line;
 pub mod words;
 
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -57,7 +57,7 @@
     Acted(u64),
     /// Gave it back.
     Released,
-    /// Lost it: its session ended.
+    /// Lost it: its lease ran out.
     Lost,
     /// Had it taken by an operator.
     Freed,
@@ -84,8 +84,12 @@
         let answer = match entry {
             Entry::Open { about, nonce, lease } => self.open(about, nonce, lease),
             Entry::Expire { reign, .. } if reign != now => Err(Refusal::ReignOver { reign, now }),
-            Entry::Close { session } | Entry::Expire { session, .. } => {
-                self.end(session);
+            Entry::Close { session } => {
+                self.end(session, Happening::Released);
+                Ok(Answer::Done)
+            }
+            Entry::Expire { session, .. } => {
+                self.end(session, Happening::Lost);
                 Ok(Answer::Done)
             }
             Entry::Claim { session, work } => self.claim(session, work),
@@ -131,13 +135,13 @@
         Ok(Answer::Opened { session: self.last_session, lease })
     }
 
-    fn end(&mut self, session: Session) {
+    fn end(&mut self, session: Session, how: Happening) {
         let owned: Vec<(String, Term)> = (self.works.iter())
             .filter(|(_, work)| work.owner == Some(session))
             .map(|(name, work)| (name.clone(), work.term))
             .collect();
         for (name, term) in owned {
-            self.tell(&name, term, session, Happening::Lost);
+            self.tell(&name, term, session, how);
             if let Some(work) = self.works.get_mut(&name) {
                 work.owner = None;
             }
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,12 @@
+//! A member of the fleet.
+//!
+//! - [`stewards`]: calls to whichever steward leads, asked again until a time.
+//! - [`member`]: the session, its renewal, owned work, and acts under their terms.
+//!
+//! What may be done and until when is decided in `milletturn-fleet`'s [`Holder`](milletturn_fleet::Holder).
+
+pub mod member;
+pub mod stewards;
+
+pub use member::{Acted, Member, News};
+pub use stewards::{Stewards, Unanswered};
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -8,7 +8,6 @@
 //! - [`door`]: calls by members, operators and other stewards.
 //! - [`service`]: a steward from its start to its end.
 
-pub mod clock;
 pub mod disk;
 pub mod door;
 pub mod log_store;
--- a/crates/steward/src/reign.rs
+++ b/crates/steward/src/reign.rs
@@ -1,10 +1,10 @@
 //! What only the leading steward does: it counts leases, and writes the end of those that have run out.
 
-use crate::clock::now;
 use crate::machine::Machine;
 use crate::{Raft, StewardId};
 use milletturn_fleet::entry::{Reign, Session};
 use milletturn_fleet::{Answer, Book, Entry, Leases, Refusal, Span};
+use milletturn_fleet_wire::clock::now;
 use milletturn_log::log;
 use openraft::ServerState;
 use std::cell::RefCell;
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -52,6 +52,16 @@
     pub fn new() -> std::io::Result<Self> {
         Ok(Signals { terminate: signal(SignalKind::terminate())?, hangup: signal(SignalKind::hangup())? })
     }
+
+    /// Waits for SIGTERM; a process that has nothing to read anew does not end by SIGHUP.
+    pub async fn until_terminated(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                Some(()) = self.hangup.recv() => {}
+            }
+        }
+    }
 }
 
 /// What a sender is put together from.
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,12 +2,15 @@
 
 mod account;
 mod assemble;
+mod columns;
 mod config;
 mod demo;
+mod fleet;
 mod logger;
 mod operators;
 mod run;
 mod sidecar;
+mod steward;
 mod timekeeper;
 mod undelivered;
 
@@ -50,6 +53,10 @@
     },
     /// What all senders of a fleet did, by destination and second, from their logs.
     Account(account::Arguments),
+    /// Keep the fleet's book, together with the other stewards of the group.
+    Steward(steward::Arguments),
+    /// Look at the fleet's stewards, members and owned work, and change who owns it.
+    Fleet(fleet::Arguments),
     /// Write, check, show and explain configurations of sidecars.
     Config(config::Arguments),
 }
@@ -60,6 +67,8 @@
         Some(Command::Undelivered(arguments)) => undelivered::run(&arguments, undelivered.as_deref()),
         Some(Command::Account(arguments)) => account::run(&arguments),
         Some(Command::Config(arguments)) => config::run(&arguments),
+        Some(Command::Steward(arguments)) => ended(steward::run(&arguments)),
+        Some(Command::Fleet(arguments)) => fleet::run(&arguments),
         Some(Command::Demo { once }) => ended(demo::run(once)),
         Some(Command::Sidecar { config }) => ended(sidecar::run(&config)),
         None => ended(run::run(undelivered.as_deref())),
--- /dev/null
+++ b/src/steward.rs
@@ -0,0 +1,65 @@
+//! `milletturn steward`: keeps the fleet's book, together with the other stewards of the group.
+
+use crate::assemble::{Signals, block_on};
+use clap::Args;
+use milletturn_log::log;
+use milletturn_steward::service;
+use milletturn_steward::settings::Settings;
+use std::error::Error;
+use std::path::PathBuf;
+
+/// Keep the fleet's book: who is a member, who owns which piece of work, under which term.
+///
+/// Three stewards go on without one, five without two. All talk plain HTTP without sign-in: keep them on loopback
+/// or private addresses. A new group: `--found` once on each machine, then start all. The file:
+///
+///   group = "harbour"            # the same for all; guards against mixing two groups
+///   id = 1                       # each steward its own
+///   listen = "10.0.0.1:7301"
+///   state = "steward"            # folder of its disk, relative to this file
+///   lease = "9s"                 # a member that is not heard for so long loses what it owns
+///   clock_error = 0.02           # by which share two machines' clocks may run apart
+///   heartbeat = "200ms"          # the others elect a new leader after 5 to 10 without one
+///   [[steward]]                  # all of them, this one too
+///   id = 1
+///   address = "10.0.0.1:7301"
+#[derive(Debug, Args)]
+#[command(verbatim_doc_comment)]
+pub struct Arguments {
+    /// Its file (TOML).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// Make the disk of a steward of a new group, and end. Never for a steward that lost its disk: an empty one has
+    /// forgotten its votes.
+    #[arg(long)]
+    found: bool,
+}
+
+/// Runs until SIGTERM, or makes a disk.
+///
+/// # Errors
+/// Why it can't.
+pub fn run(arguments: &Arguments) -> Result<(), Box<dyn Error>> {
+    let settings = Settings::read(&arguments.config)?;
+    if arguments.found {
+        service::found(&settings)?;
+        println!(
+            "steward {} of {}: its disk is in {}",
+            settings.id,
+            settings.group,
+            settings.state.display()
+        );
+        return Ok(());
+    }
+    block_on(async move {
+        let mut signals = Signals::new()?;
+        let name = format!("steward {} of {}", settings.id, settings.group);
+        tokio::select! {
+            ended = service::run(settings) => Ok(ended?),
+            () = signals.until_terminated() => {
+                log(format_args!("{name}: SIGTERM, ends"));
+                Ok(())
+            }
+        }
+    })
+}
--- a/src/undelivered/table.rs
+++ b/src/undelivered/table.rs
@@ -1,5 +1,6 @@
 //! Tables for people.
 
+use crate::columns::columns;
 use milletturn_undelivered::control::Line;
 use milletturn_undelivered::record::{Record, State, Stats, Summary};
 use std::io::{self, Write};
@@ -131,18 +132,3 @@
         _ => format!("{:.0}d", seconds / 86_400.0),
     }
 }
-
-fn columns(rows: &[Vec<String>]) -> String {
-    let mut widths: Vec<usize> = Vec::new();
-    for row in rows {
-        widths.resize(widths.len().max(row.len()), 0);
-        row.iter().zip(&mut widths).for_each(|(cell, width)| *width = (*width).max(cell.chars().count()));
-    }
-    let mut text = String::new();
-    for row in rows {
-        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
-        text.push_str(cells.collect::<Vec<_>>().join("  ").trim_end());
-        text.push('\n');
-    }
-    text
-}
