Prove by processes that an owner which wakes up late does no harm

crates/trials is the rig: processes that are stopped, continued and killed by pid; links with a switch (hold, one way, cut) between each two stewards and from each member to each steward (stand-ins' link.rs moved here); checkers over the book's history and over what processes say they did. Two trials: an owner stopped and continued three times, each way; an act that passed its check, left its process and is held by its link until another owns.

Seen to fail with the book's check of the term taken out: an_act_that_comes_late_by_its_link_is_refused_by_its_term ("never: the late act is refused").

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -4,7 +4,6 @@
 mod effects;
 mod handed;
 pub mod limited_fleet;
-mod link;
 mod memory_ledger;
 mod power;
 mod variants;
@@ -12,7 +11,6 @@
 
 pub use effects::Effects;
 pub use handed::{Caught, START, arrival, listed, ports};
-pub use link::{Line, link};
 pub use memory_ledger::MemoryLedger;
 pub use power::Power;
 pub use variants::variants;
--- /dev/null
+++ b/crates/trials/src/history.rs
@@ -0,0 +1,107 @@
+//! What was done in the fleet's name, and what must hold of it.
+
+use crate::process::Process;
+use milletturn_fleet::book;
+use milletturn_fleet::book::Happening;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// An event of the book.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Its place in the order of all.
+    pub number: u64,
+    /// Under which term.
+    pub term: u64,
+    /// Whose it is.
+    pub member: String,
+    /// What happened.
+    pub what: Happening,
+}
+
+impl Event {
+    /// From a line of `milletturn fleet work --format json`.
+    pub fn read(line: &Value) -> Option<Self> {
+        let event: book::Event = serde_json::from_value(line.get("event")?.clone()).ok()?;
+        Some(Self { number: event.number, term: event.term, member: event.member, what: event.what })
+    }
+}
+
+/// That the history of one piece of work has one owner at a time: events in order; a term has one owner and begins
+/// once; terms only grow; every act was done by the owner of the highest term until then, each number once and in
+/// order, none after that owner lost it.
+///
+/// # Errors
+/// What does not hold.
+pub fn one_owner_at_a_time(events: &[Event]) -> Result<(), String> {
+    let mut last = 0;
+    // who may act: term, member, acts done
+    let mut owner: Option<(u64, &str, u64)> = None;
+    let mut highest = 0;
+    for event in events {
+        if event.number <= last {
+            return Err(format!("out of order: {event:?}"));
+        }
+        last = event.number;
+        match event.what {
+            Happening::Owned => {
+                if owner.is_some() || event.term <= highest {
+                    return Err(format!("owned under {owner:?}, highest term {highest}: {event:?}"));
+                }
+                highest = event.term;
+                owner = Some((event.term, &event.member, 0));
+            }
+            Happening::Acted(number) => match &mut owner {
+                Some((term, member, acts))
+                    if *term == event.term && *member == event.member && number == *acts + 1 =>
+                {
+                    *acts = number;
+                }
+                _ => return Err(format!("acted while {owner:?} owned: {event:?}")),
+            },
+            Happening::Released | Happening::Lost | Happening::Freed => owner = None,
+            Happening::Fenced => {}
+        }
+    }
+    Ok(())
+}
+
+/// That what processes said they did is what the book has, once each: no act that its process took for done is
+/// missing, and none is another's.
+///
+/// # Errors
+/// What does not hold.
+pub fn said_and_done(events: &[Event], processes: &[&Process]) -> Result<(), String> {
+    let mut done = BTreeMap::new();
+    for event in events {
+        if let Happening::Acted(number) = event.what
+            && done.insert((event.term, number), event.member.as_str()).is_some()
+        {
+            return Err(format!("done twice: {event:?}"));
+        }
+    }
+    for process in processes {
+        for (term, number) in acts(process) {
+            match done.get(&(term, number)) {
+                Some(member) if *member == process.name => {}
+                other => {
+                    return Err(format!(
+                        "{} did act {number} of term {term}; the book: {other:?}",
+                        process.name
+                    ));
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// The acts that a process said it did: terms and numbers.
+pub fn acts(process: &Process) -> BTreeSet<(u64, u64)> {
+    let lines = process.lines();
+    let read = |line: &String| {
+        let line: Value = serde_json::from_str(line).ok()?;
+        Some((line["term"].as_u64()?, line["acted"].as_u64()?))
+    };
+    lines.iter().filter_map(read).collect()
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,84 @@
+//! Processes of the program with faults between them: one owner at a time for work on behalf of the fleet, and an
+//! owner that wakes up late does no harm.
+
+use milletturn_fleet::book::Happening;
+use milletturn_trials::history::{Event, acts, one_owner_at_a_time, said_and_done};
+use milletturn_trials::process::until;
+use milletturn_trials::{Group, Process, Way};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_milletturn");
+
+fn acted(line: &str) -> bool {
+    line.contains("\"acted\"")
+}
+
+fn joined(line: &str) -> bool {
+    line.contains("\"joined\"")
+}
+
+fn check(group: &Group, processes: &[&Process]) -> Vec<Event> {
+    let events = group.history("w");
+    let told = format!("{events:#?}");
+    one_owner_at_a_time(&events).unwrap_or_else(|why| panic!("{why}\n{told}"));
+    said_and_done(&events, processes).unwrap_or_else(|why| panic!("{why}\n{told}"));
+    events
+}
+
+fn joins(process: &Process) -> usize {
+    process.lines().iter().filter(|line| joined(line)).count()
+}
+
+/// How many acts the process did under this term.
+fn acts_under(process: &Process, term: u64) -> usize {
+    acts(process).iter().filter(|(under, _)| *under == term).count()
+}
+
+#[test]
+fn an_owner_stopped_and_continued_does_no_act_once_another_owns() {
+    let mut group = Group::start(PROGRAM, 3);
+    let (way_a, way_b) = (group.way(), group.way());
+    let a = group.hold(&way_a, "w", "a");
+    a.until_said(3, acted);
+    let b = group.hold(&way_b, "w", "b");
+    b.until_said(1, joined);
+    // each in turn owns, is stopped, loses to the other, and wakes up
+    for (round, (owner, next)) in [(&a, &b), (&b, &a), (&a, &b)].into_iter().enumerate() {
+        let term = round as u64 + 1;
+        until("it acts under its term", || acts_under(owner, term) >= 3);
+        owner.stop();
+        let done = acts_under(owner, term);
+        until("the other one acts", || acts_under(next, term + 1) >= 3);
+        owner.go_on();
+        until("it has joined anew", || joins(owner) == 2 + round / 2);
+        // one act may have been on its way when it stopped: done then, told now
+        let late = acts_under(owner, term) - done;
+        assert!(late <= 1, "{late} acts under term {term} after it was over");
+        check(&group, &[&a, &b]);
+    }
+}
+
+#[test]
+fn an_act_that_comes_late_by_its_link_is_refused_by_its_term() {
+    let mut group = Group::start(PROGRAM, 3);
+    let (way_a, way_b) = (group.way(), group.way());
+    let a = group.hold(&way_a, "w", "a");
+    a.until_said(3, acted);
+    let b = group.hold(&way_b, "w", "b");
+    b.until_said(1, joined);
+    // the act has passed its check and left its process, and hangs on the way: the link holds it and a renewal
+    way_a.links.iter().for_each(|link| link.set_each(Way::Hold, Way::Pass));
+    until("an act and a renewal are on their way", || {
+        way_a.links.iter().map(|link| link.held()).sum::<usize>() >= 2
+    });
+    a.stop();
+    until("the other one acts", || acts_under(&b, 2) >= 3);
+    way_a.links.iter().for_each(|link| link.set(Way::Pass));
+    let refused = |event: &Event| event.what == Happening::Fenced && event.term == 1;
+    until("the late act is refused", || group.history("w").iter().any(refused));
+    a.go_on();
+    until("it has joined anew", || a.lines().iter().filter(|line| joined(line)).count() == 2);
+    let events = check(&group, &[&a, &b]);
+    assert!(
+        events.iter().all(|event| event.member != "a" || event.term == 1 || event.what != Happening::Owned)
+    );
+}
