Let an owner that is heard but hears nothing lose its work; three more trials by processes

Seen while writing the trial of a link that passes one way only: an owner whose renewals arrive and whose answers don't was renewed for ever by the leading steward (leases.rs, confirmed), while its own count had run out: nobody did the work. It showed only where the owner reached the leader alone; with three stewards to ask it came round to the leader once in three seconds, later than its lease. Now a renewal says whether its holder's count has run out, and one such counts until the holder has heard.

New trials: that link; the leading steward cut off with clients on its side (error 3, nothing of its book, `cut off` in status, and its clients go on with the next); all stewards killed at once, twice, started in any order. Each act's check is on record (acting, at_us, last_safe_us) and none may lie behind its last safe moment.

--- a/crates/fleet-wire/src/words.rs
+++ b/crates/fleet-wire/src/words.rs
@@ -50,6 +50,8 @@
 pub struct Renewal {
     /// Which.
     pub session: Session,
+    /// The last safe moment is over at the holder: it has not heard for long, or never hears.
+    pub run_out: bool,
 }
 
 /// A renewal that holds.
@@ -83,7 +85,7 @@
     pub steward: u64,
     /// The program's version.
     pub version: String,
-    /// `leader`, `follower`, `candidate` or `learner`.
+    /// `leader`, `follower`, `candidate` or `learner`; `cut off`: a leader without a majority.
     pub role: String,
     /// The leading steward as far as this one knows.
     pub leader: Option<u64>,
--- a/crates/fleet/src/leases.rs
+++ b/crates/fleet/src/leases.rs
@@ -5,6 +5,10 @@
 //! sent it; the holder counts from before it sent. A steward that becomes the leader doesn't know what the one
 //! before confirmed last, so it counts every session from the moment at which it began to lead: it ends none
 //! before the longest lease that an earlier leader may have given is over.
+//!
+//! A holder that is heard but hears nothing must not keep its work for ever without being able to act: a renewal
+//! says whether its holder's own count has run out, and of such renewals one is counted, until the holder has
+//! heard again.
 
 use crate::entry::{Reign, Session};
 use crate::time::{Moment, Span};
@@ -21,15 +25,25 @@
 struct Counted {
     since: Moment,
     lease: Span,
+    /// The last renewal that was counted came from a holder whose own count had run out.
+    deaf: bool,
     /// The end has been proposed: no renewal is confirmed any more, whatever becomes of the proposal here.
     ending: bool,
 }
 
+impl Counted {
+    /// Whether a renewal counts whose holder's own count has run out, or not.
+    fn counts(&self, run_out: bool) -> bool {
+        !(self.ending || run_out && self.deaf)
+    }
+}
+
 /// A renewal whose confirmation is being asked for, under one reign.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Asked {
     session: Session,
     reign: Reign,
+    run_out: bool,
 }
 
 impl Leases {
@@ -58,15 +72,18 @@
         let mut before = std::mem::take(counted);
         for (session, lease) in sessions {
             let known = before.remove(&session);
-            counted.insert(session, known.unwrap_or(Counted { since: now, lease, ending: false }));
+            counted
+                .insert(session, known.unwrap_or(Counted { since: now, lease, deaf: false, ending: false }));
         }
     }
 
-    /// A renewal has come. `None`: the session is over or ending, or this steward doesn't lead. Otherwise the
+    /// A renewal has come, from a holder whose own count has run out or not. `None`: the session is over or ending, this steward
+    /// doesn't lead, or the renewal doesn't count. Otherwise the
     /// steward has to make sure, from now on, that it still leads, and call [`confirmed`](Self::confirmed).
-    pub fn asked(&self, session: Session) -> Option<Asked> {
+    pub fn asked(&self, session: Session, run_out: bool) -> Option<Asked> {
         let counted = self.counted.as_ref()?.get(&session)?;
-        (!counted.ending).then_some(Asked { session, reign: self.reign })
+        let counts = counted.counts(run_out);
+        counts.then_some(Asked { session, reign: self.reign, run_out })
     }
 
     /// A majority has said, after the renewal was asked for, that this steward leads. Returns whether the renewal
@@ -76,7 +93,8 @@
             return false;
         }
         match self.counted.as_mut().and_then(|counted| counted.get_mut(&asked.session)) {
-            Some(counted) if !counted.ending => {
+            Some(counted) if counted.counts(asked.run_out) => {
+                counted.deaf = asked.run_out;
                 counted.since = counted.since.max(now);
                 true
             }
--- a/crates/fleet/tests/leases.rs
+++ b/crates/fleet/tests/leases.rs
@@ -40,6 +40,7 @@
         steward: usize,
         sent: Moment,
         session: Session,
+        run_out: bool,
     },
     Opened {
         to: usize,
@@ -121,7 +122,10 @@
             Step::Send(from, steward) => {
                 let sent = at(self.now, self.member_rates[from]);
                 let message = match self.holders[from].known_session() {
-                    Some(session) => Message::Renew { from, steward, sent, session },
+                    Some(session) => {
+                        let run_out = self.holders[from].session(sent).is_none();
+                        Message::Renew { from, steward, sent, session, run_out }
+                    }
                     None => {
                         self.nonce += 1;
                         Message::Open { from, steward, sent, nonce: self.nonce }
@@ -168,8 +172,8 @@
                     other => panic!("{other:?}"),
                 }
             }
-            Message::Renew { from, steward, sent, session } => {
-                let Some(asked) = self.leases[steward].asked(session) else {
+            Message::Renew { from, steward, sent, session, run_out } => {
+                let Some(asked) = self.leases[steward].asked(session, run_out) else {
                     if steward == self.leader && !self.book.sessions().contains_key(&session) {
                         self.holders[from].ended(session);
                     }
@@ -309,3 +313,41 @@
     let now = at(world.now, world.member_rates[0]);
     assert_eq!(world.holders[0].may("w", now), None);
 }
+
+#[test]
+fn a_holder_that_is_heard_but_hears_nothing_loses_its_work_to_one_that_does() {
+    let mut world = World::new(&[0; MEMBERS + STEWARDS]);
+    for _ in 0..2 {
+        world.step(&Step::Send(0, 0));
+        world.step(&Step::Arrive(0));
+        world.step(&Step::Arrive(0));
+    }
+    assert_eq!(world.allowed(), 1);
+    let mut rounds = 0;
+    while world.book.works()["w"].owner.is_some() {
+        rounds += 1;
+        assert!(rounds < 40, "it is renewed for ever");
+        world.step(&Step::Pass(100_000));
+        world.step(&Step::Send(0, 0));
+        world.step(&Step::Arrive(0));
+        // every answer is lost
+        world.under_way.clear();
+        world.step(&Step::Look(0));
+        if let Some(end) = world.under_way.pop() {
+            world.arrive(end);
+        }
+    }
+    // a holder that only missed some answers goes on
+    let mut world = World::new(&[0; MEMBERS + STEWARDS]);
+    for round in 0..60 {
+        world.step(&Step::Send(0, 0));
+        world.step(&Step::Arrive(0));
+        if round < 2 || round % 8 == 0 {
+            world.step(&Step::Arrive(0));
+        }
+        world.under_way.clear();
+        world.step(&Step::Pass(100_000));
+        world.step(&Step::Look(0));
+        assert!(world.under_way.is_empty(), "ended in round {round}");
+    }
+}
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -36,6 +36,8 @@
     Owned(String, Term),
     /// A piece of work is no longer this member's.
     Lost(String, Term),
+    /// An act goes out now.
+    Acting(Acting),
     /// The stewards say no.
     Refused(Refusal),
     /// The stewards don't answer; said once, until they do.
@@ -44,6 +46,19 @@
     Found,
 }
 
+/// An act that goes out: the record by which it can be told afterwards that none went out too late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Acting {
+    /// Under which term.
+    pub term: Term,
+    /// The act's number.
+    pub number: u64,
+    /// When the check was made, right before.
+    pub at: Moment,
+    /// The last safe moment as the check found it.
+    pub last_safe: Moment,
+}
+
 /// What became of an act.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Acted {
@@ -156,7 +171,7 @@
     async fn renew(&self, stewards: &mut Stewards, session: Session) {
         let sent = now();
         let period = Duration::from_micros(self.span.get().0) / RENEWALS;
-        let renewal = Renewal { session };
+        let renewal = Renewal { session, run_out: self.holder.borrow().session(sent).is_none() };
         match stewards
             .ask::<Result<Renewed, Refusal>>(RENEW, Some(&renewal), Instant::now() + 2 * period)
             .await
@@ -243,8 +258,10 @@
             },
         };
         // right before the act: the claim may have taken any time
-        let Some(leave) = self.may(work) else { return Acted::NotOwner };
-        let Leave { session, term, last_safe } = leave;
+        let at = now();
+        let leave = self.holder.borrow().may(work, at);
+        let Some(Leave { session, term, last_safe }) = leave else { return Acted::NotOwner };
+        let _ = self.news.send(News::Acting(Acting { term, number, at, last_safe }));
         let entry = Entry::Act { session, work: work.to_string(), term, number, cursor: cursor.to_string() };
         self.stands.borrow_mut().remove(work);
         match stewards.order(&entry, Instant::now() + left(last_safe)).await {
--- a/crates/steward/src/door.rs
+++ b/crates/steward/src/door.rs
@@ -14,6 +14,7 @@
 use milletturn_fleet::Entry;
 use milletturn_fleet_wire::words::{self, Look, Opening, Renewal, Renewed, Status, Trouble};
 use milletturn_log::Seldom;
+use openraft::ServerState;
 use openraft::raft::{AppendEntriesRequest, InstallSnapshotRequest, VoteRequest};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -130,8 +131,8 @@
                 self.write(Entry::Open { about, nonce, lease: self.settings.lease.lease.0 }).await
             }
             words::RENEW => {
-                let Renewal { session } = read(request, words::CALL_MOST).await?;
-                let renewed = self.throne.renew(session).await;
+                let Renewal { session, run_out } = read(request, words::CALL_MOST).await?;
+                let renewed = self.throne.renew(session, run_out).await;
                 let renewed = renewed.map_err(|not_here| elsewhere(&not_here, false))?;
                 told(&renewed.map(|owns| Renewed { owns }))
             }
@@ -164,16 +165,23 @@
 
     fn status(&self) -> Status {
         let metrics = self.throne.raft.metrics().borrow().clone();
+        // it goes on taking itself for the leader until it hears of another: without a majority's word it says so
+        let silent = self.settings.heartbeat * 10;
+        let heard = metrics.millis_since_quorum_ack;
+        let cut_off = metrics.state == ServerState::Leader
+            && heard.is_none_or(|heard| u128::from(heard) > silent.as_millis());
+        let role =
+            if cut_off { "cut off".to_string() } else { format!("{:?}", metrics.state).to_lowercase() };
         Status {
             group: self.settings.group.clone(),
             steward: self.settings.id,
             version: env!("CARGO_PKG_VERSION").to_string(),
-            role: format!("{:?}", metrics.state).to_lowercase(),
+            role,
             leader: metrics.current_leader,
             reign: metrics.current_term,
             applied: metrics.last_applied.map_or(0, |applied| applied.index),
             voters: metrics.membership_config.voter_ids().collect(),
-            majority_heard: metrics.millis_since_quorum_ack,
+            majority_heard: heard,
         }
     }
 
--- a/crates/steward/src/reign.rs
+++ b/crates/steward/src/reign.rs
@@ -140,7 +140,9 @@
     ///
     /// # Errors
     /// If this steward can't say; then the session may go on or be over.
-    pub async fn renew(&self, session: Session) -> Result<Result<Vec<(String, u64)>, Refusal>, NotHere> {
+    pub async fn renew(
+        &self, session: Session, run_out: bool,
+    ) -> Result<Result<Vec<(String, u64)>, Refusal>, NotHere> {
         // what the reign's beginning waits for, a renewal waits for too
         if self.leases.borrow().reign().is_none() {
             return Err(NotHere::Leader(self.raft.metrics().borrow().current_leader));
@@ -148,7 +150,7 @@
         let asked = {
             let mut leases = self.leases.borrow_mut();
             leases.seen(now(), self.machine.look(sessions));
-            leases.asked(session)
+            leases.asked(session, run_out)
         };
         self.confirm().await?;
         let held = asked.is_some_and(|asked| self.leases.borrow_mut().confirmed(asked, now()));
@@ -159,7 +161,7 @@
             })));
         }
         if self.machine.look(|book| book.sessions().contains_key(&session)) {
-            // ending, or opened since the leases were looked at: the next renewal finds out
+            // ending, not counted, or opened since the leases were looked at: a later renewal finds out
             return Err(NotHere::Leader(None));
         }
         Ok(Err(Refusal::NoSession { session }))
--- a/crates/trials/src/group.rs
+++ b/crates/trials/src/group.rs
@@ -59,8 +59,8 @@
             std::fs::write(group.file(place), group.settings(place)).expect("written");
             let words = ["steward", "--found", "--config"].map(String::from);
             let founded =
-                Command::new(program).args(words).arg(group.file(place)).status().expect("it starts");
-            assert!(founded.success());
+                Command::new(program).args(words).arg(group.file(place)).output().expect("it starts");
+            assert!(founded.status.success(), "{founded:?}");
         }
         for place in 0..count {
             group.start_steward(place);
--- a/crates/trials/src/history.rs
+++ b/crates/trials/src/history.rs
@@ -66,36 +66,46 @@
     Ok(())
 }
 
-/// That what processes said they did is what the book has, once each: no act that its process took for done is
-/// missing, and none is another's.
+/// That what processes said they did, by name, is what the book has, once each: no act that its process took for
+/// done is missing, and none is another's.
 ///
 /// # Errors
 /// What does not hold.
-pub fn said_and_done(events: &[Event], processes: &[&Process]) -> Result<(), String> {
+pub fn said_and_done(events: &[Event], said: &[(String, BTreeSet<(u64, u64)>)]) -> Result<(), String> {
     let mut done = BTreeMap::new();
     for event in events {
         if let Happening::Acted(number) = event.what
-            && done.insert((event.term, number), event.member.as_str()).is_some()
+            && done.insert((event.term, number), &event.member).is_some()
         {
             return Err(format!("done twice: {event:?}"));
         }
     }
-    for process in processes {
-        for (term, number) in acts(process) {
-            match done.get(&(term, number)) {
-                Some(member) if *member == process.name => {}
-                other => {
-                    return Err(format!(
-                        "{} did act {number} of term {term}; the book: {other:?}",
-                        process.name
-                    ));
-                }
+    for (name, acts) in said {
+        for act in acts {
+            if done.get(act) != Some(&name) {
+                return Err(format!("{name} did act {act:?}; the book has {:?}", done.get(act)));
             }
         }
     }
     Ok(())
 }
 
+/// That each act of a process went out before its last safe moment, by the clock and the check of its own.
+///
+/// # Errors
+/// What does not hold.
+pub fn none_too_late(process: &Process) -> Result<(), String> {
+    for line in process.lines() {
+        let Ok(line) = serde_json::from_str::<Value>(&line) else { continue };
+        if let (Some(at), Some(last_safe)) = (line["at_us"].as_u64(), line["last_safe_us"].as_u64())
+            && at >= last_safe
+        {
+            return Err(format!("{}: {line}", process.name));
+        }
+    }
+    Ok(())
+}
+
 /// The acts that a process said it did: terms and numbers.
 pub fn acts(process: &Process) -> BTreeSet<(u64, u64)> {
     let lines = process.lines();
--- a/src/fleet/hold.rs
+++ b/src/fleet/hold.rs
@@ -4,6 +4,7 @@
 use crate::assemble::Signals;
 use clap::Args;
 use milletturn_fleet::entry::About;
+use milletturn_member::member::Acting;
 use milletturn_member::{Acted, Member, News, Stewards};
 use serde_json::json;
 use std::error::Error;
@@ -77,29 +78,30 @@
 
 fn tell(news: &News, json: bool) {
     if json {
-        say(&match news {
+        return say(&match news {
             News::Joined(session) => json!({"joined": session}),
             News::Left(session) => json!({"left": session}),
             News::Owned(work, term) => json!({"owned": work, "term": term}),
             News::Lost(work, term) => json!({"lost": work, "term": term}),
+            News::Acting(Acting { term, number, at, last_safe }) => {
+                json!({"acting": number, "under": term, "at_us": at.0, "last_safe_us": last_safe.0})
+            }
             News::Refused(refusal) => json!({"refused": refusal, "why": refusal.to_string()}),
             News::Alone(why) => json!({"alone": why}),
             News::Found => json!({"found": true}),
         });
-        return;
     }
-    println!(
-        "{}",
-        match news {
-            News::Joined(session) => format!("joined, session {session}"),
-            News::Left(session) => format!("session {session} is over"),
-            News::Owned(work, term) => format!("owns {work}, term {term}"),
-            News::Lost(work, term) => format!("{work} is lost, term {term} is over"),
-            News::Refused(refusal) => refusal.to_string(),
-            News::Alone(why) => format!("the stewards don't answer: {why}"),
-            News::Found => "the stewards answer again".to_string(),
-        }
-    );
+    let text = match news {
+        News::Joined(session) => format!("joined, session {session}"),
+        News::Left(session) => format!("session {session} is over"),
+        News::Owned(work, term) => format!("owns {work}, term {term}"),
+        News::Lost(work, term) => format!("{work} is lost, term {term} is over"),
+        News::Acting(_) => return, // one of many; the book counts them
+        News::Refused(refusal) => refusal.to_string(),
+        News::Alone(why) => format!("the stewards don't answer: {why}"),
+        News::Found => "the stewards answer again".to_string(),
+    };
+    println!("{text}");
 }
 
 fn say(value: &serde_json::Value) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 //! owner that wakes up late does no harm.
 
 use milletturn_fleet::book::Happening;
-use milletturn_trials::history::{Event, acts, one_owner_at_a_time, said_and_done};
+use milletturn_trials::history::{Event, acts, none_too_late, one_owner_at_a_time, said_and_done};
 use milletturn_trials::process::until;
 use milletturn_trials::{Group, Process, Way};
 
@@ -17,10 +17,15 @@
 }
 
 fn check(group: &Group, processes: &[&Process]) -> Vec<Event> {
+    // what they said before the book is looked at: what they do meanwhile is not yet in what it shows
+    let said: Vec<_> = processes.iter().map(|process| (process.name.clone(), acts(process))).collect();
     let events = group.history("w");
     let told = format!("{events:#?}");
     one_owner_at_a_time(&events).unwrap_or_else(|why| panic!("{why}\n{told}"));
-    said_and_done(&events, processes).unwrap_or_else(|why| panic!("{why}\n{told}"));
+    said_and_done(&events, &said).unwrap_or_else(|why| panic!("{why}\n{told}"));
+    for process in processes {
+        none_too_late(process).unwrap_or_else(|why| panic!("{why}"));
+    }
     events
 }
 
@@ -82,3 +87,71 @@
         events.iter().all(|event| event.member != "a" || event.term == 1 || event.what != Happening::Owned)
     );
 }
+
+#[test]
+fn an_owner_that_is_heard_but_hears_nothing_stops_by_itself() {
+    let mut group = Group::start(PROGRAM, 3);
+    let (way_a, way_b) = (group.way(), group.way());
+    let a = group.hold(&way_a, "w", "a");
+    a.until_said(3, acted);
+    let b = group.hold(&way_b, "w", "b");
+    b.until_said(1, joined);
+    // it reaches the leader and no other one: its renewals and acts arrive, and no answer comes back
+    let leader = group.leader(&group.places());
+    for (place, link) in way_a.links.iter().enumerate() {
+        if place == leader { link.set_each(Way::Pass, Way::Hold) } else { link.cut() }
+    }
+    a.until_said(1, |line| line.contains("\"alone\""));
+    until("the other one acts", || acts_under(&b, 2) >= 3);
+    way_a.links.iter().for_each(|link| link.set(Way::Pass));
+    until("it has joined anew", || joins(&a) == 2);
+    check(&group, &[&a, &b]);
+}
+
+#[test]
+fn a_leader_cut_off_answers_nobody_from_the_past_and_its_clients_go_to_the_next() {
+    let mut group = Group::start(PROGRAM, 3);
+    let all = group.places();
+    let way = group.way();
+    let a = group.hold(&way, "w", "a");
+    a.until_said(3, acted);
+    let old = group.leader(&all);
+    let others: Vec<usize> = all.iter().copied().filter(|place| *place != old).collect();
+    group.around(old).for_each(|link| link.cut());
+    let new = group.leader(&others);
+    assert_ne!(old, new);
+    // whoever asks the one that was cut off gets an error and nothing of its book
+    let (code, lines) = group.fleet(&[old], &["work"]);
+    assert_eq!((code, lines), (3, Vec::new()));
+    let (code, lines) = group.fleet(&[old], &["status"]);
+    assert_eq!((code, lines[0]["status"]["role"].as_str()), (3, Some("cut off")));
+    let (code, lines) = group.fleet(&[old], &["release-work", "w"]);
+    assert_eq!((code, lines), (3, Vec::new()));
+    let done = acts(&a).len();
+    until("the owner acts on", || acts(&a).len() >= done + 3);
+    group.around(old).for_each(|link| link.set(Way::Pass));
+    group.leader(&all);
+    check(&group, &[&a]);
+}
+
+#[test]
+fn all_stewards_killed_at_once_come_back_in_any_order_with_all_that_they_said() {
+    let mut group = Group::start(PROGRAM, 3);
+    let way = group.way();
+    let a = group.hold(&way, "w", "a");
+    a.until_said(3, acted);
+    for (round, order) in [[2, 0, 1], [1, 2, 0]].into_iter().enumerate() {
+        group.places().into_iter().for_each(|place| group.kill_steward(place));
+        let alone = |line: &str| line.contains("\"alone\"");
+        a.until_said(round + 1, alone);
+        let done = acts(&a).len();
+        // one alone is no majority
+        group.start_steward(order[0]);
+        assert_eq!(group.fleet(&order[..1], &["work"]).0, 3);
+        group.start_steward(order[1]);
+        group.start_steward(order[2]);
+        until("the owner acts on", || acts(&a).len() >= done + 3);
+        assert_eq!(a.lines().iter().filter(|line| alone(line)).count(), round + 1, "said once for each time");
+        check(&group, &[&a]);
+    }
+}
