--- a/crates/fleet-wire/src/lib.rs
+++ b/crates/fleet-wire/src/lib.rs
@@ -5,7 +5,7 @@
 //! have to be private.
 //!
 //! - [`words`]: what is said.
-//! - [`line`]: the calling side.
+//! - [`mod@line`]: the calling side.
 //! - [`clock`]: the clock by which both sides count leases.
 
 pub mod clock;
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -1,6 +1,6 @@
 //! Processes of the program, faults between them, and checks over what they did.
 //!
-//! - [`link`]: a TCP link with faults between any two.
+//! - [`mod@link`]: a TCP link with faults between any two.
 //! - [`process`]: a process that is started, stopped, continued and killed by its pid; what it printed.
 //! - [`group`]: stewards with a link between each two, and members with a link to each steward.
 //! - [`history`]: what was done in the fleet's name, and what must hold of it.
