--- a/src/steward.rs
+++ b/src/steward.rs
@@ -8,23 +8,24 @@
 use std::error::Error;
 use std::path::PathBuf;
 
+const FILE: &str = r#"The file:
+  group = "harbour"            # the same for all; guards against mixing two groups
+  id = 1                       # each steward its own
+  listen = "10.0.0.1:7301"
+  state = "steward"            # folder of its disk, relative to this file
+  lease = "9s"                 # a member that is not heard for so long loses what it owns
+  clock_error = 0.02           # by which share two machines' clocks may run apart
+  heartbeat = "200ms"          # the others elect a new leader after 5 to 10 without one
+  [[steward]]                  # all of them, this one too
+  id = 1
+  address = "10.0.0.1:7301""#;
+
 /// Keep the fleet's book: who is a member, who owns which piece of work, under which term.
 ///
 /// Three stewards go on without one, five without two. All talk plain HTTP without sign-in: keep them on loopback
-/// or private addresses. A new group: `--found` once on each machine, then start all. The file:
-///
-///   group = "harbour"            # the same for all; guards against mixing two groups
-///   id = 1                       # each steward its own
-///   listen = "10.0.0.1:7301"
-///   state = "steward"            # folder of its disk, relative to this file
-///   lease = "9s"                 # a member that is not heard for so long loses what it owns
-///   clock_error = 0.02           # by which share two machines' clocks may run apart
-///   heartbeat = "200ms"          # the others elect a new leader after 5 to 10 without one
-///   [[steward]]                  # all of them, this one too
-///   id = 1
-///   address = "10.0.0.1:7301"
+/// or private addresses. A new group: `--found` once on each machine, then start all.
 #[derive(Debug, Args)]
-#[command(verbatim_doc_comment)]
+#[command(after_long_help = FILE)]
 pub struct Arguments {
     /// Its file (TOML).
     #[arg(long, value_name = "FILE")]
