Restore a book above all that the lost one gave: terms jump, leases from before are waited for

Terms, sessions and events jump by a generation of 2^40 each; nothing is owned and nothing given until the longest lease under the lost book has run out, which the leading steward counts like any other. No command yet.

--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -4,7 +4,8 @@
 //! after [`Leases`](crate::Leases) has told it so; a replica that applies the same entries has the same book.
 
 use crate::bounds;
-use crate::entry::{About, Answer, Entry, Refusal, Reign, Session, Term, named, sized};
+use crate::entry::{About, Answer, BEFORE, Entry, Refusal, Reign, Session, Term, named, sized};
+use crate::time::Span;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -75,6 +76,24 @@
     floor: Term,
     history: VecDeque<Event>,
     events: u64,
+    /// Counts restores.
+    generation: u64,
+    /// The longest lease in microseconds that somebody may have under the book before the restore.
+    resting: Option<u64>,
+}
+
+/// Why a book can't be restored.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "the backup is of generation {of}: a restore needs a higher one than any before, below {most}, not {wanted}"
+)]
+pub struct RestoreError {
+    /// The backup's own generation.
+    pub of: u64,
+    /// The one asked for.
+    pub wanted: u64,
+    /// All are below this.
+    pub most: u64,
 }
 
 impl Book {
@@ -88,6 +107,10 @@
                 self.end(session, Happening::Released);
                 Ok(Answer::Done)
             }
+            Entry::Expire { session: BEFORE, .. } => {
+                self.resting = None;
+                Ok(Answer::Done)
+            }
             Entry::Expire { session, .. } => {
                 self.end(session, Happening::Lost);
                 Ok(Answer::Done)
@@ -102,6 +125,46 @@
         answer.unwrap_or_else(Answer::Refused)
     }
 
+    /// The book as it goes on after everything behind this backup was lost. What happened since is unknown, so
+    /// nothing is kept that somebody could hold: no session, no owner. All terms jump above any that the lost book
+    /// can have given, and nothing is given out until leases of the lost book have run out, the longest of which is
+    /// `lease` microseconds. `generation` is higher than that of any restore before, of this backup or another.
+    ///
+    /// # Errors
+    /// If the generation is not above the backup's.
+    pub fn restored(&self, generation: u64, lease: u64) -> Result<Self, RestoreError> {
+        if generation <= self.generation || generation >= bounds::GENERATIONS {
+            return Err(RestoreError { of: self.generation, wanted: generation, most: bounds::GENERATIONS });
+        }
+        let floor = generation * bounds::GENERATION;
+        let works = self.works.iter().map(|(name, work)| {
+            let work = Work { term: floor, owner: None, acts: 0, cursor: work.cursor.clone() };
+            (name.clone(), work)
+        });
+        let longest = self.sessions.values().map(|member| member.lease).max().unwrap_or(0);
+        Ok(Self {
+            sessions: BTreeMap::new(),
+            last_session: floor,
+            works: works.collect(),
+            floor,
+            history: self.history.clone(),
+            events: floor,
+            generation,
+            resting: Some(longest.max(lease).max(self.resting.unwrap_or(0))),
+        })
+    }
+
+    /// Counts restores.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// All that a leading steward has to wait for, with its lease: open sessions, and those of before a restore.
+    pub fn leases(&self) -> impl Iterator<Item = (Session, Span)> {
+        let before = self.resting.map(|lease| (BEFORE, Span(lease)));
+        before.into_iter().chain(self.sessions.iter().map(|(&session, member)| (session, Span(member.lease))))
+    }
+
     /// Open sessions.
     pub fn sessions(&self) -> &BTreeMap<Session, Member> {
         &self.sessions
@@ -152,6 +215,9 @@
     fn claim(&mut self, session: Session, name: String) -> Result<Answer, Refusal> {
         named("the work's name", &name)?;
         self.live(session)?;
+        if self.resting.is_some() {
+            return Err(Refusal::Resting);
+        }
         if !self.works.contains_key(&name) {
             self.make_room()?;
             let fresh = Work { term: self.floor, owner: None, acts: 0, cursor: String::new() };
--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -9,5 +9,10 @@
 pub const NAME: usize = 128;
 /// Longest text that an owner leaves for the next one, in bytes.
 pub const CURSOR: usize = 512;
+/// Terms, sessions and events that a book gives out from one restore to the next: so far do all of them jump. A
+/// thousand a second reach it after thirty years.
+pub const GENERATION: u64 = 1 << 40;
+/// Restores in the life of a group.
+pub const GENERATIONS: u64 = 1 << 20;
 /// Events that the book remembers for whoever asks what happened; older ones are forgotten.
 pub const HISTORY: usize = 1_024;
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -8,6 +8,9 @@
 
 /// A session's number; never used twice in one book.
 pub type Session = u64;
+/// Stands for all who held something under a book that was lost and restored: their leases are waited for together.
+/// Real sessions begin at 1.
+pub const BEFORE: Session = 0;
 /// A term: grows with each new owner of a piece of work, for ever.
 pub type Term = u64;
 
@@ -136,6 +139,9 @@
         /// When it was written.
         now: Reign,
     },
+    /// The book was restored, and whoever held something under the lost one may still act.
+    #[error("the book was restored: nothing is given to anybody until leases from before have run out")]
+    Resting,
     /// Another session has this name.
     #[error("{name} has a live session, {session}: end that process, or wait until its lease has run out")]
     NameTaken {
--- a/crates/fleet/src/leases.rs
+++ b/crates/fleet/src/leases.rs
@@ -10,7 +10,7 @@
 //! says whether its holder's own count has run out, and of such renewals one is counted, until the holder has
 //! heard again.
 
-use crate::entry::{Reign, Session};
+use crate::entry::{BEFORE, Reign, Session};
 use crate::time::{Moment, Span};
 use std::collections::BTreeMap;
 
@@ -81,7 +81,7 @@
     /// doesn't lead, or the renewal doesn't count. Otherwise the
     /// steward has to make sure, from now on, that it still leads, and call [`confirmed`](Self::confirmed).
     pub fn asked(&self, session: Session, run_out: bool) -> Option<Asked> {
-        let counted = self.counted.as_ref()?.get(&session)?;
+        let counted = self.counted.as_ref()?.get(&session).filter(|_| session != BEFORE)?;
         let counts = counted.counts(run_out);
         counts.then_some(Asked { session, reign: self.reign, run_out })
     }
--- a/crates/fleet/tests/book.rs
+++ b/crates/fleet/tests/book.rs
@@ -3,7 +3,7 @@
 use milletturn_fleet::book::Happening;
 use milletturn_fleet::entry::{About, Session, Term};
 use milletturn_fleet::fence::Passed;
-use milletturn_fleet::{Answer, Book, Entry, Fence, Refusal, bounds};
+use milletturn_fleet::{Answer, Book, Entry, Fence, Refusal, Span, bounds};
 
 const LEASE: u64 = 9_000_000;
 const REIGN: u64 = 4;
@@ -169,3 +169,37 @@
     );
     assert!(book.sessions().contains_key(&one));
 }
+
+#[test]
+fn a_restored_book_stands_above_all_that_was_given_since_the_backup() {
+    let mut book = Book::default();
+    let one = open(&mut book, "n1", 1);
+    let first = owned(&mut book, one, "w");
+    let backup = book.clone();
+    // what the lost book gave out behind the backup
+    for _ in 0..10 {
+        let term = owned(&mut book, one, "w");
+        write(&mut book, Entry::Release { session: one, work: "w".into(), term });
+    }
+    let lost = owned(&mut book, one, "w");
+    assert!(lost > first);
+    assert!(backup.restored(0, LEASE).is_err(), "a generation twice");
+    let mut restored = backup.restored(1, LEASE).expect("restored");
+    // the old owner is nobody here, whatever it shows
+    assert!(matches!(act(&mut restored, one, lost, 1, "late"), Answer::Refused(Refusal::Fenced { .. })));
+    let two = open(&mut restored, "n1", 9);
+    assert!(two > one, "nor is its session another's");
+    assert_eq!(claim(&mut restored, two, "w"), Answer::Refused(Refusal::Resting));
+    assert_eq!(restored.leases().next(), Some((milletturn_fleet::entry::BEFORE, Span(LEASE))));
+    write(&mut restored, Entry::Expire { session: milletturn_fleet::entry::BEFORE, reign: REIGN });
+    let again = owned(&mut restored, two, "w");
+    assert!(again > lost);
+    let unknown = owned(&mut restored, two, "made behind the backup");
+    assert!(unknown > lost);
+    // the same backup once more, since the restored group was lost too
+    assert!(restored.restored(1, LEASE).is_err());
+    let mut twice = backup.restored(2, LEASE).expect("restored");
+    let three = open(&mut twice, "n1", 10);
+    write(&mut twice, Entry::Expire { session: milletturn_fleet::entry::BEFORE, reign: REIGN });
+    assert!(owned(&mut twice, three, "w") > unknown.max(again));
+}
--- a/crates/fleet/tests/leases.rs
+++ b/crates/fleet/tests/leases.rs
@@ -60,10 +60,6 @@
     },
 }
 
-fn sessions(book: &Book) -> impl Iterator<Item = (Session, Span)> {
-    book.sessions().iter().map(|(&session, member)| (session, Span(member.lease)))
-}
-
 /// How clocks run: parts of a million above or below the true time.
 struct World {
     now: u64,
@@ -106,14 +102,14 @@
         self.leader = steward;
         self.elections += 1;
         let now = at(self.now, self.steward_rates[steward]);
-        self.leases[steward].lead(self.elections, now, sessions(&self.book));
+        self.leases[steward].lead(self.elections, now, self.book.leases());
     }
 
     /// A steward that only believes itself the leader sees no book newer than that of its fall; that it sees the
     /// leader's here makes it end more, not less.
     fn seen(&mut self, steward: usize) {
         let now = at(self.now, self.steward_rates[steward]);
-        self.leases[steward].seen(now, sessions(&self.book));
+        self.leases[steward].seen(now, self.book.leases());
     }
 
     fn step(&mut self, step: &Step) {
--- a/crates/steward/src/reign.rs
+++ b/crates/steward/src/reign.rs
@@ -35,9 +35,9 @@
     NoMajority,
 }
 
-/// The sessions of a book with their leases.
-fn sessions(book: &Book) -> Vec<(Session, Span)> {
-    book.sessions().iter().map(|(&session, member)| (session, Span(member.lease))).collect()
+/// What a leading steward waits for.
+fn waited_for(book: &Book) -> Vec<(Session, Span)> {
+    book.leases().collect()
 }
 
 impl Throne {
@@ -94,22 +94,25 @@
     async fn take_up(&self, reign: Reign) {
         self.leases.borrow_mut().follow();
         if self.confirm().await.is_ok() && self.believed() == Some(reign) {
-            let sessions = self.machine.look(sessions);
-            log(format_args!("steward: leads, reign {reign}; {} leases are counted anew", sessions.len()));
-            self.leases.borrow_mut().lead(reign, now(), sessions);
+            let counted = self.machine.look(waited_for);
+            log(format_args!("steward: leads, reign {reign}; {} leases are counted anew", counted.len()));
+            self.leases.borrow_mut().lead(reign, now(), counted);
         }
     }
 
     async fn end_leases(&self) {
         let (over, reign) = {
             let mut leases = self.leases.borrow_mut();
-            leases.seen(now(), self.machine.look(sessions));
+            leases.seen(now(), self.machine.look(waited_for));
             let Some(reign) = leases.reign() else { return };
             (leases.run_out(now()), reign)
         };
         for session in over {
             let name = self.machine.look(|book| {
-                book.sessions().get(&session).map_or_else(String::new, |member| member.about.name.clone())
+                let known = book.sessions().get(&session);
+                known.map_or("whoever held it before the restore".to_string(), |member| {
+                    member.about.name.clone()
+                })
             });
             match self.write(Entry::Expire { session, reign }).await {
                 Ok(Answer::Done) => {
@@ -149,7 +152,7 @@
         }
         let asked = {
             let mut leases = self.leases.borrow_mut();
-            leases.seen(now(), self.machine.look(sessions));
+            leases.seen(now(), self.machine.look(waited_for));
             leases.asked(session, run_out)
         };
         self.confirm().await?;
