Check leases, fences and restores in every order of a small world; six broken variants are found

It is the code: stateright runs Book, Leases, Holder and Fence themselves, with two members whose clocks run apart by the whole stated error, two stewards, late messages, an election, a steward that goes on believing, a store that restarts, a book restored from a backup.

Found: a new leader that does not wait, a lease counted from the answer, clocks taken for equal, a fence that is not durable, a restore without the jump, a restore that gives work at once.

--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// An open session.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Member {
     /// Whose it is.
     pub about: About,
@@ -21,7 +21,7 @@
 }
 
 /// A piece of work.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Work {
     /// The highest term given; stays when the owner goes.
     pub term: Term,
@@ -34,7 +34,7 @@
 }
 
 /// What happened, for whoever asks.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Event {
     /// Counts all events of the book from 1 on.
     pub number: u64,
@@ -49,7 +49,7 @@
 }
 
 /// The kinds of event.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Happening {
     /// Became the owner.
@@ -67,7 +67,7 @@
 }
 
 /// The state.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Book {
     sessions: BTreeMap<Session, Member>,
     last_session: Session,
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -18,7 +18,7 @@
 pub type Reign = u64;
 
 /// Who a member is and what it brings.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct About {
     /// Its name, one live session for each.
     pub name: String,
--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 
 /// Highest terms by piece of work.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Fence {
     highest: BTreeMap<String, Term>,
 }
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -5,14 +5,14 @@
 use std::collections::BTreeMap;
 
 /// What a member holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Holder {
     clock_error: u32,
     session: Option<Held>,
     works: BTreeMap<String, Term>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Held {
     session: Session,
     span: Span,
--- a/crates/fleet/src/leases.rs
+++ b/crates/fleet/src/leases.rs
@@ -15,13 +15,13 @@
 use std::collections::BTreeMap;
 
 /// Leases by session, while this steward leads.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Leases {
     counted: Option<BTreeMap<Session, Counted>>,
     reign: Reign,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Counted {
     since: Moment,
     lease: Span,
--- /dev/null
+++ b/crates/fleet/tests/model.rs
@@ -0,0 +1,378 @@
+//! The book, leases, holders and fences as they are, checked in every order of events that a small world allows:
+//! two members, two stewards, one piece of work, a store where acts land, clocks that run apart, an election, a
+//! steward that goes on believing, a store that restarts, a book that is restored from a backup.
+
+use milletturn_fleet::entry::{About, BEFORE, Reign, Session, Term};
+use milletturn_fleet::fence::Passed;
+use milletturn_fleet::{Answer, Book, Entry, Fence, Holder, Leases, Moment, Span};
+use stateright::{Checker, HasDiscoveries, Model, Property};
+use std::collections::BTreeSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// A tick is 1 on the first member's slow clock and 2 on a right one: the error that holders are told.
+const RATES: [u64; 2] = [1, 2];
+const CLOCK_ERROR: u32 = 1_000_000;
+/// Two ticks of a right clock.
+const LEASE: Span = Span(4);
+
+/// What is left out, to see that it is missed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Broken {
+    Nothing,
+    /// A new leader takes leases for as old as its clock.
+    NoWaitAfterElection,
+    /// A holder counts from the answer.
+    CountedFromAnswer,
+    /// A holder takes clocks for equal.
+    ClockErrorIgnored,
+    /// The store's fence is forgotten with its process.
+    FenceNotDurable,
+    /// A restored book goes on where the backup stood.
+    RestoreWithoutJump,
+    /// A restored book gives work at once.
+    RestoreWithoutWait,
+}
+
+/// The small world and how far it is looked at.
+#[derive(Debug, Clone, Copy)]
+struct World {
+    broken: Broken,
+    ticks: u64,
+    elections: Reign,
+    restores: bool,
+    acts: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Message {
+    Open { from: usize, sent: Moment, nonce: u64 },
+    Opened { to: usize, sent: Moment, session: Session },
+    Renew { from: usize, sent: Moment, session: Session, run_out: bool },
+    Renewed { to: usize, sent: Moment, session: Session, claimed: Option<Term> },
+    Expire { session: Session, reign: Reign },
+    Act { from: usize, term: Term },
+}
+
+#[derive(Debug, Clone)]
+struct State {
+    now: u64,
+    book: Book,
+    backup: Option<Book>,
+    restored: bool,
+    leases: [Leases; 2],
+    leader: usize,
+    reign: Reign,
+    holders: [Holder; 2],
+    under_way: BTreeSet<Message>,
+    store: Fence,
+    disk: Fence,
+    /// The last act that the store took, and whether each term had one owner and none came after a higher.
+    last: (Term, usize),
+    crossed: bool,
+    restarts: u8,
+}
+
+/// What happened tells nothing of what may happen: the book's history is left out.
+impl Hash for State {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        let at = |book: &Book, hasher: &mut H| {
+            (book.sessions(), book.works(), book.generation()).hash(hasher);
+            book.leases().for_each(|lease| lease.hash(hasher));
+        };
+        at(&self.book, hasher);
+        self.backup.iter().for_each(|book| at(book, hasher));
+        (self.now, self.backup.is_some(), self.restored, &self.leases, self.leader, self.reign).hash(hasher);
+        (&self.holders, &self.under_way, &self.store, &self.disk, self.last, self.crossed).hash(hasher);
+        self.restarts.hash(hasher);
+    }
+}
+
+/// As the checker takes states for the same.
+impl PartialEq for State {
+    fn eq(&self, other: &Self) -> bool {
+        let digest = |state: &Self| {
+            let mut hasher = DefaultHasher::new();
+            state.hash(&mut hasher);
+            hasher.finish()
+        };
+        digest(self) == digest(other)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Step {
+    Tick,
+    Ask(usize),
+    Arrive(Message),
+    Elect(usize),
+    Look(usize),
+    Act(usize),
+    RestartStore,
+    Backup,
+    Restore,
+}
+
+impl State {
+    fn at_member(&self, member: usize) -> Moment {
+        Moment(100 + self.now * RATES[member])
+    }
+
+    fn at_steward(&self) -> Moment {
+        Moment(100 + self.now * RATES[1])
+    }
+
+    fn may(&self, member: usize) -> Option<Term> {
+        self.holders[member].may("w", self.at_member(member)).map(|leave| leave.term)
+    }
+}
+
+impl World {
+    fn elect(&self, state: &mut State, steward: usize) {
+        state.leader = steward;
+        state.reign += 1;
+        let now = if self.broken == Broken::NoWaitAfterElection { Moment(0) } else { state.at_steward() };
+        state.leases[steward].lead(state.reign, now, state.book.leases());
+    }
+
+    fn arrive(&self, state: &mut State, message: &Message) {
+        let (now, leader) = (state.at_steward(), state.leader);
+        match *message {
+            Message::Open { from, sent, nonce } => {
+                let about = About {
+                    name: format!("n{from}"),
+                    zone: String::new(),
+                    version: String::new(),
+                    serves: String::new(),
+                };
+                let opened = state.book.apply(Entry::Open { about, nonce, lease: LEASE.0 }, state.reign);
+                if let Answer::Opened { session, .. } = opened {
+                    state.leases[leader].seen(now, state.book.leases());
+                    state.under_way.insert(Message::Opened { to: from, sent, session });
+                }
+            }
+            Message::Opened { to, sent, session } => state.holders[to].opened(sent, session, LEASE),
+            Message::Renew { from, sent, session, run_out } => {
+                state.leases[leader].seen(now, state.book.leases());
+                let asked = state.leases[leader].asked(session, run_out);
+                if asked.is_some_and(|asked| state.leases[leader].confirmed(asked, now)) {
+                    let claim = Entry::Claim { session, work: "w".into() };
+                    let claimed = match state.book.apply(claim, state.reign) {
+                        Answer::Owned { term, .. } => Some(term),
+                        _ => None,
+                    };
+                    state.under_way.insert(Message::Renewed { to: from, sent, session, claimed });
+                } else if !state.book.sessions().contains_key(&session) {
+                    state.holders[from].ended(session);
+                }
+            }
+            Message::Renewed { to, sent, session, claimed } => {
+                let counted =
+                    if self.broken == Broken::CountedFromAnswer { state.at_member(to) } else { sent };
+                state.holders[to].renewed(counted, session);
+                if let Some(term) = claimed {
+                    state.holders[to].owned(session, "w", term);
+                }
+            }
+            Message::Expire { session, reign } => {
+                state.book.apply(Entry::Expire { session, reign }, state.reign);
+            }
+            Message::Act { from, term } => {
+                let Ok(passed) = state.store.admit("w", term) else { return };
+                if passed == Passed::New && self.broken != Broken::FenceNotDurable {
+                    state.disk = state.store.clone();
+                }
+                let (last, owner) = state.last;
+                state.crossed |= term < last || term == last && from != owner;
+                state.last = (term.max(last), from);
+            }
+        }
+    }
+}
+
+impl Model for World {
+    type State = State;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<State> {
+        let error = if self.broken == Broken::ClockErrorIgnored { 0 } else { CLOCK_ERROR };
+        let mut state = State {
+            now: 0,
+            book: Book::default(),
+            backup: None,
+            restored: false,
+            leases: [Leases::default(), Leases::default()],
+            leader: 0,
+            reign: 0,
+            holders: [Holder::new(error), Holder::new(error)],
+            under_way: BTreeSet::new(),
+            store: Fence::default(),
+            disk: Fence::default(),
+            last: (0, 0),
+            crossed: false,
+            restarts: 0,
+        };
+        self.elect(&mut state, 0);
+        // both have a session, the first one is the owner: how that came to be is the other runs' concern
+        for member in 0..2 {
+            let sent = state.at_member(member);
+            for message in [
+                Message::Open { from: member, sent, nonce: 0 },
+                Message::Opened { to: member, sent, session: member as u64 + 1 },
+                Message::Renew { from: member, sent, session: member as u64 + 1, run_out: false },
+            ] {
+                self.arrive(&mut state, &message);
+            }
+        }
+        for message in std::mem::take(&mut state.under_way) {
+            if matches!(message, Message::Renewed { .. }) {
+                self.arrive(&mut state, &message);
+            }
+        }
+        vec![state]
+    }
+
+    fn actions(&self, state: &State, steps: &mut Vec<Step>) {
+        if state.now < self.ticks {
+            steps.push(Step::Tick);
+        }
+        for member in 0..2 {
+            let asks = |message: &Message| match message {
+                Message::Open { from, .. } | Message::Renew { from, .. } => *from == member,
+                Message::Opened { to, .. } | Message::Renewed { to, .. } => *to == member,
+                Message::Expire { .. } | Message::Act { .. } => false,
+            };
+            if !state.under_way.iter().any(asks) {
+                steps.push(Step::Ask(member));
+            }
+            let acts = |message: &Message| matches!(message, Message::Act { from, .. } if *from == member);
+            if self.acts && state.may(member).is_some() && !state.under_way.iter().any(acts) {
+                steps.push(Step::Act(member));
+            }
+        }
+        steps.extend(state.under_way.iter().cloned().map(Step::Arrive));
+        for steward in 0..2 {
+            if state.reign <= self.elections {
+                steps.push(Step::Elect(steward));
+            }
+            if state.leases[steward].reign().is_some() {
+                steps.push(Step::Look(steward));
+            }
+        }
+        if self.acts && state.restarts == 0 {
+            steps.push(Step::RestartStore);
+        }
+        if self.restores {
+            steps.push(if state.backup.is_none() { Step::Backup } else { Step::Restore });
+        }
+    }
+
+    fn next_state(&self, before: &State, step: Step) -> Option<State> {
+        let mut state = before.clone();
+        match step {
+            Step::Tick => state.now += 1,
+            Step::Ask(from) => {
+                let sent = state.at_member(from);
+                let holder = &state.holders[from];
+                let message = match holder.known_session() {
+                    Some(session) => {
+                        Message::Renew { from, sent, session, run_out: holder.session(sent).is_none() }
+                    }
+                    None => Message::Open { from, sent, nonce: state.now },
+                };
+                state.under_way.insert(message);
+            }
+            Step::Arrive(message) => {
+                state.under_way.remove(&message);
+                self.arrive(&mut state, &message);
+            }
+            Step::Elect(steward) => self.elect(&mut state, steward),
+            Step::Look(steward) => {
+                let now = state.at_steward();
+                state.leases[steward].seen(now, state.book.leases());
+                let over = state.leases[steward].run_out(now);
+                let reign = state.leases[steward].reign()?;
+                state.under_way.extend(over.into_iter().map(|session| Message::Expire { session, reign }));
+            }
+            Step::Act(from) => {
+                let term = state.may(from)?;
+                state.under_way.insert(Message::Act { from, term });
+            }
+            Step::RestartStore => {
+                state.restarts += 1;
+                state.store = state.disk.clone();
+            }
+            Step::Backup => state.backup = Some(state.book.clone()),
+            Step::Restore => {
+                let backup = state.backup.clone().filter(|_| !state.restored)?;
+                state.restored = true;
+                let mut restored = backup.restored(1, LEASE.0).ok()?;
+                if self.broken == Broken::RestoreWithoutWait {
+                    restored.apply(Entry::Expire { session: BEFORE, reign: 0 }, 0);
+                }
+                state.book = if self.broken == Broken::RestoreWithoutJump { backup } else { restored };
+                // the lost stewards' calls and proposals are gone with them; acts go elsewhere
+                state.under_way.retain(|message| matches!(message, Message::Act { .. }));
+                state.leases = [Leases::default(), Leases::default()];
+                self.elect(&mut state, 0);
+            }
+        }
+        Some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("never two with leave", |_, state: &State| {
+                state.may(0).is_none() || state.may(1).is_none()
+            }),
+            Property::always("acts are taken in the order of terms", |_, state: &State| !state.crossed),
+            Property::sometimes("the other one owns", |_, state: &State| state.may(1).is_some()),
+        ]
+    }
+}
+
+fn found(world: World) -> BTreeSet<&'static str> {
+    let checker = world.checker().threads(2).finish_when(HasDiscoveries::AnyFailures).spawn_bfs().join();
+    println!("{world:?}: {} states", checker.unique_state_count());
+    checker.discoveries().into_keys().collect()
+}
+
+/// Elections, late messages and clocks; acts are the fence's concern.
+fn leases(broken: Broken) -> World {
+    World { broken, ticks: 3, elections: 1, restores: false, acts: false }
+}
+
+/// Acts that land late, and a store that restarts.
+fn fences(broken: Broken) -> World {
+    World { broken, ticks: 3, elections: 0, restores: false, acts: true }
+}
+
+/// A backup, and a restore after everything behind it was lost.
+fn restores(broken: Broken) -> World {
+    World { broken, ticks: 3, elections: 0, restores: true, acts: false }
+}
+
+const WELL: &str = "the other one owns";
+const TWO: &str = "never two with leave";
+const CROSSED: &str = "acts are taken in the order of terms";
+
+#[test]
+fn leases_hold_in_every_order() {
+    assert_eq!(found(leases(Broken::Nothing)), BTreeSet::from([WELL]));
+    for broken in [Broken::NoWaitAfterElection, Broken::CountedFromAnswer, Broken::ClockErrorIgnored] {
+        assert!(found(leases(broken)).contains(TWO), "{broken:?}");
+    }
+}
+
+#[test]
+fn fences_hold_in_every_order() {
+    assert_eq!(found(fences(Broken::Nothing)), BTreeSet::from([WELL]));
+    assert!(found(fences(Broken::FenceNotDurable)).contains(CROSSED));
+}
+
+#[test]
+fn restores_hold_in_every_order() {
+    assert_eq!(found(restores(Broken::Nothing)), BTreeSet::from([WELL]));
+    for broken in [Broken::RestoreWithoutJump, Broken::RestoreWithoutWait] {
+        assert!(found(restores(broken)).contains(TWO), "{broken:?}");
+    }
+}
