Back the fleet's book up and restore it after the majority is gone for good

Terms, sessions and events jump, nothing is given until leases of the lost group have run out. Stewards name the book that their group began with in each call to each other: two that were restored from different backups, or under different generations, refuse each other.

By processes: a backup, four more terms, all disks lost under a stopped owner, a restore; the next owner's term is above 2^40, and nothing of the lost term 4 is taken. release-work answers in JSON where it is asked to.

--- a/crates/fleet-wire/src/line.rs
+++ b/crates/fleet-wire/src/line.rs
@@ -1,6 +1,8 @@
 //! The calling side: one connection to one steward, opened when it is needed.
 
-use crate::words::{BODY_MOST, GROUP_HEADER, STEWARD_HEADER, Trouble, VERSION, VERSION_HEADER};
+use crate::words::{
+    BODY_MOST, GROUP_HEADER, ORIGIN_HEADER, STEWARD_HEADER, Trouble, VERSION, VERSION_HEADER,
+};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -18,6 +20,7 @@
 pub struct Line {
     address: String,
     group: String,
+    origin: Option<String>,
     open: Option<SendRequest<Full<Bytes>>>,
 }
 
@@ -54,7 +57,12 @@
 impl Line {
     /// To a steward at this address, for this group. Nothing is opened yet.
     pub fn new(address: impl Into<String>, group: impl Into<String>) -> Self {
-        Self { address: address.into(), group: group.into(), open: None }
+        Self { address: address.into(), group: group.into(), origin: None, open: None }
+    }
+
+    /// Between stewards: says which first book this one's group began with.
+    pub fn with_origin(self, origin: impl Into<String>) -> Self {
+        Self { origin: Some(origin.into()), ..self }
     }
 
     /// Where it goes to.
@@ -94,6 +102,7 @@
             .header(HOST, &self.address)
             .header(GROUP_HEADER, &self.group)
             .header(VERSION_HEADER, VERSION)
+            .header(ORIGIN_HEADER, self.origin.as_deref().unwrap_or_default())
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(text)))
             .map_err(|error| error.to_string())?;
--- a/crates/fleet-wire/src/words.rs
+++ b/crates/fleet-wire/src/words.rs
@@ -1,5 +1,6 @@
 //! What is said on the wire, beside the book's own entries and answers.
 
+use milletturn_fleet::Book;
 use milletturn_fleet::book::{Event, Member, Work};
 use milletturn_fleet::entry::{About, Session, Term};
 use serde::{Deserialize, Serialize};
@@ -11,6 +12,9 @@
 pub const VERSION_HEADER: &str = "milletturn-wire";
 /// Header with the group's name.
 pub const GROUP_HEADER: &str = "milletturn-group";
+/// Header of the stewards' own calls: which first book the caller's group began with. Stewards that began with
+/// different ones would make different books of the same entries.
+pub const ORIGIN_HEADER: &str = "milletturn-origin";
 /// Header of a reply: the number of the steward that answers.
 pub const STEWARD_HEADER: &str = "milletturn-steward";
 
@@ -24,6 +28,8 @@
 pub const BOOK: &str = "/v1/book";
 /// Shows what this steward knows by itself; `GET`, answered with [`Status`]. Needs no majority.
 pub const STATUS: &str = "/v1/status";
+/// The whole book as it is now, by the word of a majority; `GET`, answered with [`Backup`].
+pub const BACKUP: &str = "/v1/backup";
 /// The consensus' own calls between stewards.
 pub const APPEND: &str = "/consensus/append";
 /// See [`APPEND`].
@@ -76,6 +82,20 @@
     pub history: Vec<Event>,
 }
 
+/// All that a restore needs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Backup {
+    /// The version of this form.
+    pub form: u32,
+    /// The group's name.
+    pub group: String,
+    /// The book.
+    pub book: Book,
+}
+
+/// [`Backup::form`] of this version.
+pub const BACKUP_FORM: u32 = 1;
+
 /// What one steward knows by itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -136,22 +136,18 @@
         if generation <= self.generation || generation >= bounds::GENERATIONS {
             return Err(RestoreError { of: self.generation, wanted: generation, most: bounds::GENERATIONS });
         }
-        let floor = generation * bounds::GENERATION;
-        let works = self.works.iter().map(|(name, work)| {
-            let work = Work { term: floor, owner: None, acts: 0, cursor: work.cursor.clone() };
-            (name.clone(), work)
-        });
         let longest = self.sessions.values().map(|member| member.lease).max().unwrap_or(0);
-        Ok(Self {
-            sessions: BTreeMap::new(),
-            last_session: floor,
-            works: works.collect(),
-            floor,
-            history: self.history.clone(),
-            events: floor,
-            generation,
-            resting: Some(longest.max(lease).max(self.resting.unwrap_or(0))),
-        })
+        let mut book = self.clone();
+        // whoever owned loses it by name, and by the history
+        self.sessions.keys().for_each(|&session| book.end(session, Happening::Lost));
+        let floor = generation * bounds::GENERATION;
+        (book.last_session, book.floor, book.events) = (floor, floor, floor);
+        for work in book.works.values_mut() {
+            (work.term, work.acts) = (floor, 0);
+        }
+        (book.generation, book.resting) =
+            (generation, Some(longest.max(lease).max(self.resting.unwrap_or(0))));
+        Ok(book)
     }
 
     /// Counts restores.
--- a/crates/steward/src/disk.rs
+++ b/crates/steward/src/disk.rs
@@ -4,6 +4,7 @@
 //! fails ends the steward: what a failed sync left on the disk can't be told, so nothing may be built on it.
 
 use crate::{Group, StewardId};
+use milletturn_fleet::Book;
 use openraft::{Entry, LogId, SnapshotMeta, Vote};
 use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
 use serde::de::DeserializeOwned;
@@ -15,6 +16,7 @@
 const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
 const ONE: TableDefinition<&str, &[u8]> = TableDefinition::new("one of each");
 
+const FIRST: &str = "first book";
 const IDENTITY: &str = "identity";
 const VOTE: &str = "vote";
 const COMMITTED: &str = "committed";
@@ -33,6 +35,8 @@
     pub id: StewardId,
     /// The group's stewards when it was founded, if this disk is one of its first.
     pub founders: Vec<StewardId>,
+    /// Names the book that the group began with: all of its stewards have the same.
+    pub origin: String,
 }
 
 /// A snapshot as it is kept.
@@ -112,11 +116,11 @@
 type LogIdOf = LogId<StewardId>;
 
 impl Disk {
-    /// Makes the disk of a founder. The folder must not have one.
+    /// Makes the disk of a founder, which begins with this book. The folder must not have one.
     ///
     /// # Errors
     /// If it has, or it can't be written.
-    pub fn found(folder: &Path, identity: &Identity) -> Result<(), DiskError> {
+    pub fn found(folder: &Path, identity: &Identity, first: &Book) -> Result<(), DiskError> {
         let path = folder.join(FILE);
         if path.exists() {
             let Identity { group, id, .. } = Self::at(&path)?.identity()?;
@@ -132,7 +136,10 @@
             _ => {}
         }
         let disk = Self { store: Arc::new(Database::create(&new)?) };
-        disk.write(|one| put(one, IDENTITY, identity))?;
+        disk.write(|one| {
+            put(one, FIRST, first)?;
+            put(one, IDENTITY, identity)
+        })?;
         drop(disk);
         let renamed = std::fs::rename(&new, &path).and_then(|()| std::fs::File::open(folder)?.sync_all());
         renamed.map_err(|error| DiskError::Folder { path, error })
@@ -173,6 +180,14 @@
         self.get(IDENTITY)?.ok_or_else(|| DiskError::Form(missing()))
     }
 
+    /// The book that the group began with.
+    ///
+    /// # Errors
+    /// If it can't be read.
+    pub fn first_book(&self) -> Result<Book, DiskError> {
+        Ok(self.get(FIRST)?.unwrap_or_default())
+    }
+
     /// The vote that was given last.
     ///
     /// # Errors
--- a/crates/steward/src/door.rs
+++ b/crates/steward/src/door.rs
@@ -11,8 +11,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use milletturn_fleet::Entry;
-use milletturn_fleet_wire::words::{self, Look, Opening, Renewal, Renewed, Status, Trouble};
+use milletturn_fleet::{Book, Entry};
+use milletturn_fleet_wire::words::{self, Backup, Look, Opening, Renewal, Renewed, Status, Trouble};
 use milletturn_log::Seldom;
 use openraft::ServerState;
 use openraft::raft::{AppendEntriesRequest, InstallSnapshotRequest, VoteRequest};
@@ -36,6 +36,8 @@
 pub struct Door {
     /// The steward's file.
     pub settings: Settings,
+    /// Names the book that the group began with.
+    pub origin: String,
     /// The steward itself.
     pub throne: Rc<Throne>,
 }
@@ -115,7 +117,11 @@
             return Err(refused(StatusCode::CONFLICT, why));
         }
         let path = request.uri().path().to_string();
-        let get = matches!(path.as_str(), words::BOOK | words::STATUS);
+        if path.starts_with("/consensus/") && header(words::ORIGIN_HEADER) != Some(&self.origin) {
+            let why = format!("this group began with book {}, the caller's with another", self.origin);
+            return Err(refused(StatusCode::CONFLICT, why));
+        }
+        let get = matches!(path.as_str(), words::BOOK | words::STATUS | words::BACKUP);
         if request.method() != if get { Method::GET } else { Method::POST } {
             return Err(refused(StatusCode::METHOD_NOT_ALLOWED, "another method"));
         }
@@ -126,6 +132,11 @@
                 self.throne.confirm().await.map_err(|not_here| elsewhere(&not_here, false))?;
                 told(&self.look())
             }
+            words::BACKUP => {
+                self.throne.confirm().await.map_err(|not_here| elsewhere(&not_here, false))?;
+                let book = self.throne.machine.look(Book::clone);
+                told(&Backup { form: words::BACKUP_FORM, group: self.settings.group.clone(), book })
+            }
             words::OPEN => {
                 let Opening { about, nonce } = read(request, words::CALL_MOST).await?;
                 self.write(Entry::Open { about, nonce, lease: self.settings.lease.lease.0 }).await
--- a/crates/steward/src/machine.rs
+++ b/crates/steward/src/machine.rs
@@ -39,7 +39,7 @@
                 applied: meta.last_log_id,
                 membership: meta.last_membership,
             },
-            None => State::default(),
+            None => State { book: disk.first_book()?, ..State::default() },
         };
         Ok(Self { disk, state: Arc::new(Mutex::new(state)) })
     }
--- a/crates/steward/src/peers.rs
+++ b/crates/steward/src/peers.rs
@@ -23,6 +23,8 @@
 pub struct Peers {
     /// The group's name.
     pub group: String,
+    /// Names the first book of this steward's group.
+    pub origin: String,
     /// Addresses as this steward's file has them; one that it lacks is called where the group's own list says.
     pub addresses: BTreeMap<StewardId, String>,
 }
@@ -39,7 +41,7 @@
 
     async fn new_client(&mut self, target: StewardId, node: &BasicNode) -> Peer {
         let address = self.addresses.get(&target).unwrap_or(&node.addr);
-        Peer { id: target, line: Line::new(address, &self.group) }
+        Peer { id: target, line: Line::new(address, &self.group).with_origin(&self.origin) }
     }
 }
 
--- a/crates/steward/src/service.rs
+++ b/crates/steward/src/service.rs
@@ -7,6 +7,9 @@
 use crate::peers::Peers;
 use crate::reign::Throne;
 use crate::settings::Settings;
+use milletturn_fleet::Book;
+use milletturn_fleet::book::RestoreError;
+use milletturn_fleet_wire::words::{BACKUP_FORM, Backup};
 use milletturn_log::log;
 use openraft::error::{InitializeError, RaftError};
 use openraft::{BasicNode, Config, SnapshotPolicy};
@@ -26,6 +29,20 @@
     /// Its disk can't be used.
     #[error(transparent)]
     Disk(#[from] DiskError),
+    /// A backup can't be read.
+    #[error("the backup can't be read, and nothing was made of it: {0}")]
+    Backup(serde_json::Error),
+    /// A backup is another group's, or of another version.
+    #[error("the backup is of group {group:?}, form {form}; nothing was made of it")]
+    OtherBackup {
+        /// Whose.
+        group: String,
+        /// Its form.
+        form: u32,
+    },
+    /// A backup's generation does not fit.
+    #[error(transparent)]
+    Generation(#[from] RestoreError),
     /// Its address can't be had.
     #[error("{address}: {error}")]
     Listen {
@@ -41,14 +58,28 @@
     Stopped(String),
 }
 
-/// Makes a steward's disk for a new group.
+/// Makes a steward's disk for a new group, or for one that goes on from a backup under a generation that no restore
+/// had before. Each founder has to be made from the same backup and with the same generation.
 ///
 /// # Errors
-/// If the folder has one, or can't be written.
-pub fn found(settings: &Settings) -> Result<(), StewardError> {
+/// If the folder has one, or can't be written, or the backup doesn't fit.
+pub fn found(settings: &Settings, from: Option<(&[u8], u64)>) -> Result<Identity, StewardError> {
+    let (first, origin) = match from {
+        None => (Book::default(), "new".to_string()),
+        Some((backup, generation)) => {
+            let digest = crc32fast::hash(backup);
+            let backup: Backup = serde_json::from_slice(backup).map_err(StewardError::Backup)?;
+            if backup.form != BACKUP_FORM || backup.group != settings.group {
+                return Err(StewardError::OtherBackup { group: backup.group, form: backup.form });
+            }
+            let book = backup.book.restored(generation, settings.lease.lease.0)?;
+            (book, format!("{generation}-{digest:08x}"))
+        }
+    };
     let founders = settings.stewards.keys().copied().collect();
-    Disk::found(&settings.state, &Identity { group: settings.group.clone(), id: settings.id, founders })?;
-    Ok(())
+    let identity = Identity { group: settings.group.clone(), id: settings.id, founders, origin };
+    Disk::found(&settings.state, &identity, &first)?;
+    Ok(identity)
 }
 
 /// Runs a steward until its disk fails; has to run on a `LocalSet`. Whoever wants to end it drops it: nothing that
@@ -58,7 +89,7 @@
 /// Why it can't begin, or can't go on.
 pub async fn run(settings: Settings) -> Result<(), StewardError> {
     let disk = Disk::open(&settings.state, &settings.group, settings.id)?;
-    let founders = disk.identity()?.founders;
+    let Identity { founders, origin, .. } = disk.identity()?;
     let machine = Machine::open(disk.clone())?;
     let listening = |error| StewardError::Listen { address: settings.listen.clone(), error };
     let listener = TcpListener::bind(&settings.listen).await.map_err(listening)?;
@@ -77,7 +108,8 @@
     };
     let stopped = |error: &dyn std::fmt::Display| StewardError::Stopped(error.to_string());
     let config = Arc::new(config.validate().map_err(|error| stopped(&error))?);
-    let peers = Peers { group: settings.group.clone(), addresses: settings.stewards.clone() };
+    let peers =
+        Peers { group: settings.group.clone(), origin: origin.clone(), addresses: settings.stewards.clone() };
     let raft = crate::Raft::new(settings.id, config, peers, LogStore { disk }, machine.clone()).await;
     let raft = raft.map_err(|error| stopped(&error))?;
     if !founders.is_empty() {
@@ -95,7 +127,7 @@
         Err(error) => return Err(listening(error)),
     }
     tokio::task::spawn_local(throne.clone().run());
-    tokio::task::spawn_local(serve(listener, Rc::new(Door { settings, throne })));
+    tokio::task::spawn_local(serve(listener, Rc::new(Door { settings, origin, throne })));
     let mut metrics = raft.metrics();
     loop {
         if let Err(fatal) = &metrics.borrow().running_state {
--- a/crates/trials/src/group.rs
+++ b/crates/trials/src/group.rs
@@ -57,17 +57,32 @@
         };
         for place in 0..count {
             std::fs::write(group.file(place), group.settings(place)).expect("written");
-            let words = ["steward", "--found", "--config"].map(String::from);
-            let founded =
-                Command::new(program).args(words).arg(group.file(place)).output().expect("it starts");
-            assert!(founded.status.success(), "{founded:?}");
         }
+        group.found(&[]);
         for place in 0..count {
             group.start_steward(place);
         }
         group
     }
 
+    /// Makes the disk of each steward, with these words besides.
+    ///
+    /// # Panics
+    /// If it can't be made.
+    pub fn found(&self, words: &[&str]) {
+        for place in self.places() {
+            let mut command = Command::new(&self.program);
+            command.args(["steward", "--found", "--config"]).arg(self.file(place)).args(words);
+            let founded = command.output().expect("it starts");
+            assert!(founded.status.success(), "{founded:?}");
+        }
+    }
+
+    /// Where a steward has its disk.
+    pub fn disk(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("disk{place}"))
+    }
+
     fn file(&self, place: usize) -> PathBuf {
         self.folder.path().join(format!("steward{place}.toml"))
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,12 +7,13 @@
 use clap::{Args, Subcommand, ValueEnum};
 use milletturn_fleet::{Answer, Entry};
 use milletturn_fleet_wire::Line;
-use milletturn_fleet_wire::words::{BOOK, Look, STATUS, Status};
+use milletturn_fleet_wire::words::{BACKUP, BOOK, Backup, Look, STATUS, Status};
 use milletturn_member::Stewards;
 use milletturn_steward::settings::Settings;
 use serde_json::json;
 use std::error::Error;
-use std::path::PathBuf;
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -66,6 +67,11 @@
         /// Which piece.
         name: String,
     },
+    /// Write the whole book to a file, for `milletturn steward --found --restore`.
+    Backup {
+        /// Where to.
+        file: PathBuf,
+    },
     /// Own a piece of work while this command runs, so that nobody else does it.
     Hold(hold::Arguments),
 }
@@ -138,7 +144,8 @@
         Command::Work { name } => {
             look(&mut stewards, most).await.and_then(|look| work(&look, name.as_deref(), json))
         }
-        Command::ReleaseWork { name } => release(&mut stewards, name, most).await,
+        Command::ReleaseWork { name } => release(&mut stewards, name, most, json).await,
+        Command::Backup { file } => backup(&mut stewards, file, most).await?,
         Command::Hold(hold) => hold::run(hold, &group, json).await?,
     })
 }
@@ -196,7 +203,26 @@
     Ok(())
 }
 
-async fn release(stewards: &mut Stewards, name: &str, most: Duration) -> Result<(), Failed> {
+async fn backup(
+    stewards: &mut Stewards, file: &Path, most: Duration,
+) -> Result<Result<(), Failed>, Box<dyn Error>> {
+    let asked = stewards.ask::<Backup>(BACKUP, None::<&()>, Instant::now() + most).await;
+    let backup = match asked {
+        Ok(backup) => backup,
+        Err(unanswered) => return Ok(Err(Failed::Unanswered(unanswered.to_string()))),
+    };
+    // an earlier backup stays until this one is whole
+    let new = file.with_extension("new");
+    let mut written = std::fs::File::create(&new)?;
+    serde_json::to_writer(&written, &backup)?;
+    written.flush()?;
+    written.sync_all()?;
+    std::fs::rename(&new, file)?;
+    eprintln!("{}: generation {}", file.display(), backup.book.generation());
+    Ok(Ok(()))
+}
+
+async fn release(stewards: &mut Stewards, name: &str, most: Duration, json: bool) -> Result<(), Failed> {
     let look = look(stewards, most).await?;
     let Some(work) = look.works.get(name).filter(|work| work.owner.is_some()) else {
         return Err(Failed::Refused(format!("nobody owns {name:?}")));
@@ -205,7 +231,11 @@
     match stewards.order(&entry, Instant::now() + most).await {
         Ok(Answer::Refused(refusal)) => Err(Failed::Refused(refusal.to_string())),
         Ok(_) => {
-            println!("{name}: term {} is over", work.term);
+            if json {
+                println!("{}", json!({"freed": name, "term": work.term}));
+            } else {
+                println!("{name}: term {} is over", work.term);
+            }
             Ok(())
         }
         Err(unanswered) => Err(Failed::Unanswered(unanswered.to_string())),
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -34,6 +34,13 @@
     /// forgotten its votes.
     #[arg(long)]
     found: bool,
+    /// With --found: the group goes on from this backup, since its majority is gone for good. The same file for each
+    /// steward. Whatever the lost group gave out is refused from then on.
+    #[arg(long, value_name = "FILE", requires_all = ["found", "generation"])]
+    restore: Option<PathBuf>,
+    /// With --restore: higher than at any restore before, from 1 on; the same for each steward.
+    #[arg(long, value_name = "NUMBER", requires = "restore")]
+    generation: Option<u64>,
 }
 
 /// Runs until SIGTERM, or makes a disk.
@@ -43,13 +50,11 @@
 pub fn run(arguments: &Arguments) -> Result<(), Box<dyn Error>> {
     let settings = Settings::read(&arguments.config)?;
     if arguments.found {
-        service::found(&settings)?;
-        println!(
-            "steward {} of {}: its disk is in {}",
-            settings.id,
-            settings.group,
-            settings.state.display()
-        );
+        let backup = arguments.restore.as_ref().map(std::fs::read).transpose()?;
+        let from = backup.as_deref().zip(arguments.generation);
+        let origin = service::found(&settings, from)?.origin;
+        let (id, group, folder) = (settings.id, &settings.group, settings.state.display());
+        println!("steward {id} of {group}: its disk is in {folder}, first book {origin}");
         return Ok(());
     }
     block_on(async move {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -155,3 +155,44 @@
         check(&group, &[&a]);
     }
 }
+
+#[test]
+fn a_group_restored_from_a_backup_takes_no_act_of_the_lost_one() {
+    let mut group = Group::start(PROGRAM, 3);
+    let (way_a, way_b) = (group.way(), group.way());
+    let a = group.hold(&way_a, "w", "a");
+    a.until_said(3, acted);
+    let backup = group.folder().join("backup.json");
+    let (code, _) = group.fleet(&group.places(), &["backup", backup.to_str().expect("text")]);
+    assert_eq!(code, 0);
+    // what is given out behind the backup is lost with the disks
+    for term in 1..4 {
+        assert_eq!(group.fleet(&group.places(), &["release-work", "w"]).0, 0);
+        until("it owns anew", || acts_under(&a, term + 1) >= 3);
+    }
+    // an act of the lost group's owner is on its way
+    way_a.links.iter().for_each(|link| link.set_each(Way::Hold, Way::Pass));
+    until("an act and a renewal are on their way", || {
+        way_a.links.iter().map(|link| link.held()).sum::<usize>() >= 2
+    });
+    a.stop();
+    for place in group.places() {
+        group.kill_steward(place);
+        std::fs::remove_dir_all(group.disk(place)).expect("a lost disk");
+    }
+    group.found(&["--restore", backup.to_str().expect("text"), "--generation", "1"]);
+    group.places().into_iter().for_each(|place| group.start_steward(place));
+    let b = group.hold(&way_b, "w", "b");
+    b.until_said(3, acted);
+    let (term, _) = *acts(&b).first().expect("an act");
+    assert!(term > 1 << 40, "above all that can have been given: {term}");
+    // the connections of the lost stewards are gone: it asks the new ones
+    way_a.links.iter().for_each(|link| link.set(Way::Pass));
+    a.go_on();
+    until("it has joined anew", || joins(&a) == 2);
+    let events = group.history("w");
+    let told = format!("{events:#?}");
+    one_owner_at_a_time(&events).unwrap_or_else(|why| panic!("{why}\n{told}"));
+    none_too_late(&a).unwrap_or_else(|why| panic!("{why}"));
+    assert!(events.iter().all(|event| event.term != 4 || event.what == Happening::Fenced), "{told}");
+}
