--- a/crates/trials/src/group.rs
+++ b/crates/trials/src/group.rs
@@ -9,9 +9,10 @@
 use std::process::Command;
 use tempfile::TempDir;
 
-const NAME: &str = "trial";
+/// The group's name.
+pub const NAME: &str = "trial";
 /// A member that is not heard for so long loses what it owns.
-const LEASE: &str = "2s";
+pub const LEASE: &str = "2s";
 const HEARTBEAT: &str = "60ms";
 
 /// A group of stewards.
@@ -188,6 +189,14 @@
         (output.status.code().expect("not killed"), lines)
     }
 
+    /// Where the stewards listen, without links.
+    ///
+    /// # Panics
+    /// If one has never run.
+    pub fn addresses(&self) -> Vec<String> {
+        self.listens.iter().map(|address| address.expect("it runs").to_string()).collect()
+    }
+
     /// All places.
     pub fn places(&self) -> Vec<usize> {
         (0..self.stewards.len()).collect()
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -55,6 +55,11 @@
         Self { name: name.to_string(), child, lines }
     }
 
+    /// Its number, for proc(5).
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// All that it printed so far, on both outputs.
     pub fn lines(&self) -> Vec<String> {
         self.lines.0.lock().expect("no reader panics").clone()
