--- a/crates/steward/src/door.rs
+++ b/crates/steward/src/door.rs
@@ -129,11 +129,11 @@
         match path.as_str() {
             words::STATUS => told(&self.status()),
             words::BOOK => {
-                self.throne.confirm_together().await.map_err(|not_here| elsewhere(&not_here, false))?;
+                self.throne.confirm().await.map_err(|not_here| elsewhere(&not_here, false))?;
                 told(&self.look())
             }
             words::BACKUP => {
-                self.throne.confirm_together().await.map_err(|not_here| elsewhere(&not_here, false))?;
+                self.throne.confirm().await.map_err(|not_here| elsewhere(&not_here, false))?;
                 let book = self.throne.machine.look(Book::clone);
                 told(&Backup { form: words::BACKUP_FORM, group: self.settings.group.clone(), book })
             }
--- a/crates/steward/src/reign.rs
+++ b/crates/steward/src/reign.rs
@@ -7,10 +7,9 @@
 use milletturn_fleet_wire::clock::now;
 use milletturn_log::log;
 use openraft::ServerState;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 /// Longest wait for a majority's word; a caller asks another steward then.
@@ -25,9 +24,6 @@
     /// The book here.
     pub machine: Machine,
     leases: RefCell<Leases>,
-    /// Who waits for a majority's word that was not asked for yet; as many as there are connections at most.
-    waiting: RefCell<Vec<oneshot::Sender<Result<(), NotHere>>>>,
-    asking: Cell<bool>,
 }
 
 /// Why the leading steward's work can't be done here.
@@ -47,13 +43,7 @@
 impl Throne {
     /// With no reign yet.
     pub fn new(raft: Raft, machine: Machine) -> Rc<Self> {
-        Rc::new(Self {
-            raft,
-            machine,
-            leases: RefCell::default(),
-            waiting: RefCell::default(),
-            asking: Cell::new(false),
-        })
+        Rc::new(Self { raft, machine, leases: RefCell::default() })
     }
 
     /// The reign that this steward has by its own knowledge, which may be out of date.
@@ -80,35 +70,6 @@
         }
     }
 
-    /// As [`confirm`](Self::confirm), for all that wait at once: a majority is asked anew for those who come while
-    /// it is being asked, since its word has to be younger than what it is for.
-    ///
-    /// # Errors
-    /// If a majority doesn't say so.
-    pub async fn confirm_together(self: &Rc<Self>) -> Result<(), NotHere> {
-        let (answer, answered) = oneshot::channel();
-        self.waiting.borrow_mut().push(answer);
-        if !self.asking.replace(true) {
-            let throne = self.clone();
-            tokio::task::spawn_local(async move { throne.ask_for_all().await });
-        }
-        answered.await.unwrap_or(Err(NotHere::NoMajority))
-    }
-
-    async fn ask_for_all(&self) {
-        loop {
-            let waiting = self.waiting.take();
-            if waiting.is_empty() {
-                self.asking.set(false);
-                return;
-            }
-            let said = self.confirm().await;
-            for answer in waiting {
-                let _ = answer.send(said.clone()); // whoever has gone needs none
-            }
-        }
-    }
-
     /// Follows the consensus: takes up a reign when it comes, lays it down when it goes, ends what has run out.
     pub async fn run(self: Rc<Self>) {
         let mut ticks = interval(LOOK);
@@ -183,7 +144,7 @@
     /// # Errors
     /// If this steward can't say; then the session may go on or be over.
     pub async fn renew(
-        self: &Rc<Self>, session: Session, run_out: bool,
+        &self, session: Session, run_out: bool,
     ) -> Result<Result<Vec<(String, u64)>, Refusal>, NotHere> {
         // what the reign's beginning waits for, a renewal waits for too
         if self.leases.borrow().reign().is_none() {
@@ -194,7 +155,7 @@
             leases.seen(now(), self.machine.look(waited_for));
             leases.asked(session, run_out)
         };
-        self.confirm_together().await?;
+        self.confirm().await?;
         let held = asked.is_some_and(|asked| self.leases.borrow_mut().confirmed(asked, now()));
         if held {
             return Ok(Ok(self.machine.look(|book| {
--- a/crates/trials/src/link.rs
+++ b/crates/trials/src/link.rs
@@ -1,5 +1,6 @@
 //! TCP links between processes: one that cuts, stalls or delays by script, and one with a switch.
 
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -107,7 +108,8 @@
     there: Way,
     back: Way,
     cut: bool,
-    open: Vec<TcpStream>,
+    /// Both ends of each connection, and how many of its directions have ended.
+    open: BTreeMap<usize, ([TcpStream; 2], u8)>,
     /// Connections on whose way there bytes are held.
     held: usize,
 }
@@ -117,23 +119,25 @@
 pub fn switched() -> (SocketAddr, Switch) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
-    let state = State { to: None, there: Way::Pass, back: Way::Pass, cut: false, open: Vec::new(), held: 0 };
+    let state =
+        State { to: None, there: Way::Pass, back: Way::Pass, cut: false, open: BTreeMap::new(), held: 0 };
     let switch = Switch { shared: Arc::new(Shared { state: Mutex::new(state), changed: Condvar::new() }) };
     let switch_too = switch.clone();
     thread::spawn(move || {
-        for near in listener.incoming().flatten() {
+        for (number, near) in listener.incoming().flatten().enumerate() {
             let mut state = switch_too.state();
             let Some(to) = state.to.filter(|_| !state.cut) else { continue };
             let Ok(far) = TcpStream::connect(to) else { continue };
             for stream in [&near, &far] {
                 let _ = stream.set_nodelay(true);
-                state.open.push(stream.try_clone().expect("cloned"));
             }
+            let ends = [near.try_clone().expect("cloned"), far.try_clone().expect("cloned")];
+            state.open.insert(number, (ends, 0));
             drop(state);
             let (near_too, far_too) = (near.try_clone().expect("cloned"), far.try_clone().expect("cloned"));
             let (there, back) = (switch_too.clone(), switch_too.clone());
-            thread::spawn(move || there.pump(near, far, true));
-            thread::spawn(move || back.pump(far_too, near_too, false));
+            thread::spawn(move || there.pump(number, near, far, true));
+            thread::spawn(move || back.pump(number, far_too, near_too, false));
         }
     });
     (address, switch)
@@ -159,7 +163,7 @@
     pub fn cut(&self) {
         self.change(|state| {
             state.cut = true;
-            for stream in state.open.drain(..) {
+            for stream in std::mem::take(&mut state.open).into_values().flat_map(|(ends, _)| ends) {
                 let _ = stream.shutdown(Shutdown::Both);
             }
         });
@@ -179,7 +183,18 @@
         self.shared.state.lock().expect("no holder panics")
     }
 
-    fn pump(&self, mut from: TcpStream, mut to: TcpStream, there: bool) {
+    /// A direction of a connection has ended; with the second one its descriptors go.
+    fn ended(&self, number: usize) {
+        let mut state = self.state();
+        if let Some((_, ended)) = state.open.get_mut(&number) {
+            *ended += 1;
+            if *ended == 2 {
+                state.open.remove(&number);
+            }
+        }
+    }
+
+    fn pump(&self, number: usize, mut from: TcpStream, mut to: TcpStream, there: bool) {
         let mut buffer = [0; 16 * 1024];
         loop {
             let count = match from.read(&mut buffer) {
@@ -203,7 +218,7 @@
             if count == 0 || cut || to.write_all(&buffer[..count]).is_err() {
                 // an end passes on as an end
                 let _ = to.shutdown(if cut { Shutdown::Both } else { Shutdown::Write });
-                return;
+                return self.ended(number);
             }
         }
     }
