Follow the terms that trials find instead of counting on theirs: a slow machine may cost an owner its lease

On a machine that stands still for a lease an owner loses its work with no fault of the trial's, and terms differ from 1, 2, 3. What is asserted is unchanged: the history has one owner at a time, and no act comes under an old term.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -38,6 +38,16 @@
     acts(process).iter().filter(|(under, _)| *under == term).count()
 }
 
+/// The highest term under which the process acted; 0 if it never did.
+fn highest(process: &Process) -> u64 {
+    acts(process).last().map_or(0, |(term, _)| *term)
+}
+
+/// How many acts the process did under terms above this one.
+fn acts_above(process: &Process, term: u64) -> usize {
+    acts(process).iter().filter(|(under, _)| *under > term).count()
+}
+
 #[test]
 fn an_owner_stopped_and_continued_does_no_act_once_another_owns() {
     let mut group = Group::start(PROGRAM, 3);
@@ -46,15 +56,16 @@
     a.until_said(3, acted);
     let b = group.hold(&way_b, "w", "b");
     b.until_said(1, joined);
-    // each in turn owns, is stopped, loses to the other, and wakes up
-    for (round, (owner, next)) in [(&a, &b), (&b, &a), (&a, &b)].into_iter().enumerate() {
-        let term = round as u64 + 1;
-        until("it acts under its term", || acts_under(owner, term) >= 3);
+    // one owns, is stopped, loses to the other, and wakes up
+    for _ in 0..3 {
+        let (owner, next) = if highest(&a) > highest(&b) { (&a, &b) } else { (&b, &a) };
+        until("it acts under its term", || acts_under(owner, highest(owner)) >= 3);
         owner.stop();
+        let (term, joined) = (highest(owner), joins(owner));
         let done = acts_under(owner, term);
-        until("the other one acts", || acts_under(next, term + 1) >= 3);
+        until("the other one acts", || acts_above(next, term) >= 3);
         owner.go_on();
-        until("it has joined anew", || joins(owner) == 2 + round / 2);
+        until("it has joined anew", || joins(owner) > joined);
         // one act may have been on its way when it stopped: done then, told now
         let late = acts_under(owner, term) - done;
         assert!(late <= 1, "{late} acts under term {term} after it was over");
@@ -76,12 +87,13 @@
         way_a.links.iter().map(|link| link.held()).sum::<usize>() >= 2
     });
     a.stop();
-    until("the other one acts", || acts_under(&b, 2) >= 3);
+    let (term, joined) = (highest(&a), joins(&a));
+    until("the other one acts", || acts_above(&b, term) >= 3);
     way_a.links.iter().for_each(|link| link.set(Way::Pass));
-    let refused = |event: &Event| event.what == Happening::Fenced && event.term == 1;
+    let refused = |event: &Event| event.what == Happening::Fenced && event.term == term;
     until("the late act is refused", || group.history("w").iter().any(refused));
     a.go_on();
-    until("it has joined anew", || a.lines().iter().filter(|line| joined(line)).count() == 2);
+    until("it has joined anew", || joins(&a) > joined);
     let events = check(&group, &[&a, &b]);
     assert!(
         events.iter().all(|event| event.member != "a" || event.term == 1 || event.what != Happening::Owned)
@@ -102,9 +114,10 @@
         if place == leader { link.set_each(Way::Pass, Way::Hold) } else { link.cut() }
     }
     a.until_said(1, |line| line.contains("\"alone\""));
-    until("the other one acts", || acts_under(&b, 2) >= 3);
+    let (term, joined) = (highest(&a), joins(&a));
+    until("the other one acts", || acts_above(&b, term) >= 3);
     way_a.links.iter().for_each(|link| link.set(Way::Pass));
-    until("it has joined anew", || joins(&a) == 2);
+    until("it has joined anew", || joins(&a) > joined);
     check(&group, &[&a, &b]);
 }
 
@@ -168,9 +181,10 @@
     let (code, _) = group.fleet(&group.places(), &["backup", backup.to_str().expect("text")]);
     assert_eq!(code, 0);
     // what is given out behind the backup is lost with the disks
-    for term in 1..4 {
+    for _ in 0..3 {
+        let term = highest(&a);
         assert_eq!(group.fleet(&group.places(), &["release-work", "w"]).0, 0);
-        until("it owns anew", || acts_under(&a, term + 1) >= 3);
+        until("it owns anew", || acts_above(&a, term) >= 3);
     }
     // an act of the lost group's owner is on its way
     way_a.links.iter().for_each(|link| link.set_each(Way::Hold, Way::Pass));
@@ -178,6 +192,7 @@
         way_a.links.iter().map(|link| link.held()).sum::<usize>() >= 2
     });
     a.stop();
+    let (lost, joined) = (highest(&a), joins(&a));
     for place in group.places() {
         group.kill_steward(place);
         std::fs::remove_dir_all(group.disk(place)).expect("a lost disk");
@@ -191,10 +206,10 @@
     // the connections of the lost stewards are gone: it asks the new ones
     way_a.links.iter().for_each(|link| link.set(Way::Pass));
     a.go_on();
-    until("it has joined anew", || joins(&a) == 2);
+    until("it has joined anew", || joins(&a) > joined);
     let events = group.history("w");
     let told = format!("{events:#?}");
     one_owner_at_a_time(&events).unwrap_or_else(|why| panic!("{why}\n{told}"));
     none_too_late(&a).unwrap_or_else(|why| panic!("{why}"));
-    assert!(events.iter().all(|event| event.term != 4 || event.what == Happening::Fenced), "{told}");
+    assert!(events.iter().all(|event| event.term != lost || event.what == Happening::Fenced), "{told}");
 }
