Say once how trials begin, how a steward names the leader, and how a member says that it is alone

Three trials by processes set up the same owner and next one, two held its links alike: one function each. Two places turned the consensus' errors into NotHere, two told that the stewards are gone. Two public methods that nobody calls are out (Stewards::address, Group::between). No behaviour and no assertion is changed.

--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -137,9 +137,8 @@
 
     /// A session whose last safe moment is over is still asked for: the stewards may not have ended it.
     fn tell_if_run_out(&self, session: Session) {
-        let over = self.holder.borrow().session(now()).is_none();
-        if over && !self.alone.replace(true) {
-            let _ = self.news.send(News::Alone(format!("session {session} has run out here, unrenewed")));
+        if self.holder.borrow().session(now()).is_none() {
+            self.unanswered(&format!("session {session} has run out here, unrenewed"));
         }
     }
 
@@ -308,9 +307,9 @@
         }
     }
 
-    fn unanswered(&self, unanswered: &Unanswered) {
+    fn unanswered(&self, why: &impl ToString) {
         if !self.alone.replace(true) {
-            let _ = self.news.send(News::Alone(unanswered.to_string()));
+            let _ = self.news.send(News::Alone(why.to_string()));
         }
     }
 }
--- a/crates/member/src/stewards.rs
+++ b/crates/member/src/stewards.rs
@@ -37,11 +37,6 @@
         Self { lines: addresses.iter().map(|address| (Line::new(address, group), None)).collect(), at: 0 }
     }
 
-    /// The address that is asked next.
-    pub fn address(&self) -> &str {
-        self.lines.get(self.at).map_or("", |(line, _)| line.address())
-    }
-
     /// Asks until one answers or the time is over. What is asked must be such that asking again is safe.
     ///
     /// # Errors
--- a/crates/steward/src/reign.rs
+++ b/crates/steward/src/reign.rs
@@ -6,7 +6,8 @@
 use milletturn_fleet::{Answer, Book, Entry, Leases, Refusal, Span};
 use milletturn_fleet_wire::clock::now;
 use milletturn_log::log;
-use openraft::ServerState;
+use openraft::error::ForwardToLeader;
+use openraft::{BasicNode, ServerState};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,6 +36,11 @@
     NoMajority,
 }
 
+/// What the consensus' error says: who leads, if it knows.
+fn not_here(forward: Option<&ForwardToLeader<StewardId, BasicNode>>) -> NotHere {
+    forward.map_or(NotHere::NoMajority, |forward| NotHere::Leader(forward.leader_id))
+}
+
 /// What a leading steward waits for.
 fn waited_for(book: &Book) -> Vec<(Session, Span)> {
     book.leases().collect()
@@ -62,10 +68,7 @@
         }
         match timeout(MAJORITY, self.raft.ensure_linearizable()).await {
             Ok(Ok(_)) => Ok(()),
-            Ok(Err(error)) => match error.forward_to_leader() {
-                Some(forward) => Err(NotHere::Leader(forward.leader_id)),
-                None => Err(NotHere::NoMajority),
-            },
+            Ok(Err(error)) => Err(not_here(error.forward_to_leader())),
             Err(_) => Err(NotHere::NoMajority),
         }
     }
@@ -131,10 +134,7 @@
     pub async fn write(&self, entry: Entry) -> Result<Answer, NotHere> {
         match timeout(MAJORITY, self.raft.client_write(entry)).await {
             Ok(Ok(written)) => Ok(written.data),
-            Ok(Err(error)) => match error.forward_to_leader() {
-                Some(forward) => Err(NotHere::Leader(forward.leader_id)),
-                None => Err(NotHere::NoMajority),
-            },
+            Ok(Err(error)) => Err(not_here(error.forward_to_leader())),
             Err(_) => Err(NotHere::NoMajority),
         }
     }
--- a/crates/trials/src/group.rs
+++ b/crates/trials/src/group.rs
@@ -137,11 +137,6 @@
         self.stewards[place] = None;
     }
 
-    /// The link from one steward to another, by their places.
-    pub fn between(&self, from: usize, to: usize) -> &Switch {
-        &self.between[&(from, to)].1
-    }
-
     /// All links from and to a steward.
     pub fn around(&self, place: usize) -> impl Iterator<Item = &Switch> {
         let touches = move |(from, to): &(usize, usize)| *from == place || *to == place;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,7 +4,7 @@
 use milletturn_fleet::book::Happening;
 use milletturn_trials::history::{Event, acts, none_too_late, one_owner_at_a_time, said_and_done};
 use milletturn_trials::process::until;
-use milletturn_trials::{Group, Process, Way};
+use milletturn_trials::{Group, Process, Reach, Way};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_milletturn");
 
@@ -48,14 +48,28 @@
     acts(process).iter().filter(|(under, _)| *under > term).count()
 }
 
-#[test]
-fn an_owner_stopped_and_continued_does_no_act_once_another_owns() {
+/// Holds what leaves a member by its links, until an act and a renewal are on their way.
+fn hold_what_leaves(reach: &Reach) {
+    reach.links.iter().for_each(|link| link.set_each(Way::Hold, Way::Pass));
+    until("an act and a renewal are on their way", || {
+        reach.links.iter().map(|link| link.held()).sum::<usize>() >= 2
+    });
+}
+
+/// A group of three, an owner that acts with its reach, and another member that waits for the work.
+fn owner_and_next() -> (Group, Reach, Process, Process) {
     let mut group = Group::start(PROGRAM, 3);
     let (way_a, way_b) = (group.way(), group.way());
     let a = group.hold(&way_a, "w", "a");
     a.until_said(3, acted);
     let b = group.hold(&way_b, "w", "b");
     b.until_said(1, joined);
+    (group, way_a, a, b)
+}
+
+#[test]
+fn an_owner_stopped_and_continued_does_no_act_once_another_owns() {
+    let (group, _way, a, b) = owner_and_next();
     // one owns, is stopped, loses to the other, and wakes up
     for _ in 0..3 {
         let (owner, next) = if highest(&a) > highest(&b) { (&a, &b) } else { (&b, &a) };
@@ -75,17 +89,9 @@
 
 #[test]
 fn an_act_that_comes_late_by_its_link_is_refused_by_its_term() {
-    let mut group = Group::start(PROGRAM, 3);
-    let (way_a, way_b) = (group.way(), group.way());
-    let a = group.hold(&way_a, "w", "a");
-    a.until_said(3, acted);
-    let b = group.hold(&way_b, "w", "b");
-    b.until_said(1, joined);
+    let (group, way_a, a, b) = owner_and_next();
     // the act has passed its check and left its process, and hangs on the way: the link holds it and a renewal
-    way_a.links.iter().for_each(|link| link.set_each(Way::Hold, Way::Pass));
-    until("an act and a renewal are on their way", || {
-        way_a.links.iter().map(|link| link.held()).sum::<usize>() >= 2
-    });
+    hold_what_leaves(&way_a);
     a.stop();
     let (term, joined) = (highest(&a), joins(&a));
     until("the other one acts", || acts_above(&b, term) >= 3);
@@ -102,12 +108,7 @@
 
 #[test]
 fn an_owner_that_is_heard_but_hears_nothing_stops_by_itself() {
-    let mut group = Group::start(PROGRAM, 3);
-    let (way_a, way_b) = (group.way(), group.way());
-    let a = group.hold(&way_a, "w", "a");
-    a.until_said(3, acted);
-    let b = group.hold(&way_b, "w", "b");
-    b.until_said(1, joined);
+    let (group, way_a, a, b) = owner_and_next();
     // it reaches the leader and no other one: its renewals and acts arrive, and no answer comes back
     let leader = group.leader(&group.places());
     for (place, link) in way_a.links.iter().enumerate() {
@@ -187,10 +188,7 @@
         until("it owns anew", || acts_above(&a, term) >= 3);
     }
     // an act of the lost group's owner is on its way
-    way_a.links.iter().for_each(|link| link.set_each(Way::Hold, Way::Pass));
-    until("an act and a renewal are on their way", || {
-        way_a.links.iter().map(|link| link.held()).sum::<usize>() >= 2
-    });
+    hold_what_leaves(&way_a);
     a.stop();
     let (lost, joined) = (highest(&a), joins(&a));
     for place in group.places() {
