Keep order by the subject clients name; end a bulk call with its first message's time

The next of a key went out in the turn that gave the one before up; the platform knew of that end only with the notice. A call's time was that of its last message (engine.rs, Bundle::expires); now of its first.

--- a/crates/engine/src/door.rs
+++ b/crates/engine/src/door.rs
@@ -30,6 +30,10 @@
     pub key: Option<Word>,
     /// Position of its class in the settings.
     pub class: usize,
+    /// What it is about: messages of one subject go one at a time, where their class keeps order.
+    pub subject: Option<Word>,
+    /// Whose it is, by name; one that the settings don't have counts as none.
+    pub tenant: Option<Word>,
     /// Its destination.
     pub destination: u64,
     /// How long it may still be delivered, counted from `began`.
--- a/crates/engine/src/endings.rs
+++ b/crates/engine/src/endings.rs
@@ -21,6 +21,10 @@
     /// A message of an earlier life that had ended: its notice is owed again, and its place in the archive.
     pub(crate) fn owe_end(&mut self, number: u64, class: String, held: Message, end: End) {
         if !held.resend && (end.ending != Ending::Delivered || self.tell_delivered) {
+            if let Some(key) = held.line {
+                self.untold.insert(number, key);
+                self.events.push(Event::Notice { message: MessageId(number), key, taken: false });
+            }
             self.notify(number, held.item.id.clone(), held.class, end.ending);
         }
         self.archive_ended(number, class, held);
@@ -94,6 +98,9 @@
     /// The notice of a message has been taken.
     pub(crate) fn noticed(&mut self, number: u64) {
         let archived = self.archive.is_some();
+        if let Some(key) = self.untold.remove(&number) {
+            self.events.push(Event::Notice { message: MessageId(number), key, taken: true });
+        }
         if let Some(closing) = self.closing.get_mut(&number) {
             closing.noticed = true;
             self.settle(number);
@@ -159,6 +166,9 @@
             key: key.as_ref().map(ToString::to_string),
             class: name,
             effect: self.classes.effect(class),
+            // sent again by hand or rule long after its turn: it stands in nobody's way
+            subject: None,
+            tenant: None,
             destination,
             taken_at: now,
             deadline,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -126,6 +126,7 @@
 /// A turn's sends to one endpoint that travel together.
 struct Bundle {
     endpoint: EndpointId,
+    /// When the first of them does: they share one fate, and an answer that comes behind that counts for none.
     expires: Micros,
     sends: Vec<(MessageId, usize)>,
     size: usize,
@@ -154,6 +155,8 @@
     /// Messages that have ended and are still owed something, where there is an archive: all are in the ledger,
     /// whose room bounds them.
     pub(crate) closing: BTreeMap<u64, Closing>,
+    /// What messages are about that ended by a notice which has not been taken: as many as the ledger owes.
+    pub(crate) untold: BTreeMap<u64, u64>,
     /// Messages without a final answer.
     pub(crate) open: usize,
     pub(crate) next_message: u64,
@@ -212,6 +215,7 @@
             archive,
             tell_delivered: ports.tell_delivered,
             closing: BTreeMap::new(),
+            untold: BTreeMap::new(),
             transport,
             observer,
             notices,
@@ -298,18 +302,23 @@
             let with_names = past.iter().zip(&owed.attempts);
             let attempts = with_names
                 .map(|(past, sent)| Attempt::past(past.endpoint, &sent.uid, past.sent, past.may_have_run));
+            let line = line_of(&owed.taken);
             let item = Item { id: id.clone(), key, body: owed.taken.body.into() };
             let mut held = Message::new(item, class, destination, born, owed.taken.deadline);
             held.attempts.extend(attempts);
-            (held.resend, held.past) = (owed.resend, owed.past);
+            (held.resend, held.past, held.line) = (owed.resend, owed.past, line);
             if let Some(end) = owed.end {
                 (held.open, held.end) = (false, Some(end));
                 self.owe_end(number, owed.taken.class, held, end);
                 continue;
             }
             let message = MessageId(number);
-            let new = NewMessage::new(message, class, destination, owed.taken.deadline - now);
-            let new = NewMessage { later: owed.resend, ..new };
+            let new = NewMessage {
+                key: held.line,
+                tenant: owed.taken.tenant.as_deref().and_then(|name| self.sender.tenant(name)),
+                later: owed.resend,
+                ..NewMessage::new(message, class, destination, owed.taken.deadline - now)
+            };
             self.events.push(Event::Resumed { message: new, attempts: past });
             self.messages.insert(message, held);
             if !owed.resend {
@@ -329,7 +338,8 @@
         else {
             return position;
         };
-        let gone = || Class::new(&taken.class, effect, GONE_TIME, GONE_TIME);
+        let ordered = taken.subject.is_some();
+        let gone = || Class { ordered, ..Class::new(&taken.class, effect, GONE_TIME, GONE_TIME) };
         let class = Class { effect, ..present.unwrap_or_else(gone) };
         let (position, new) = self.classes.hold(&class);
         if new {
@@ -421,7 +431,10 @@
             self.next_message += 1;
             let began = self.clock.at(arrival.began);
             let left = began + arrival.time - self.clock.now();
+            let line = arrival.subject.as_ref().map(Word::number);
             let new = NewMessage {
+                key: line,
+                tenant: arrival.tenant.as_ref().and_then(|name| self.sender.tenant(name.as_str())),
                 again: arrival.again,
                 orphan: arrival.orphan,
                 ..NewMessage::new(message, arrival.class, arrival.destination, left)
@@ -429,7 +442,8 @@
             self.events.push(Event::Accepted(new));
             let item = Item { id: arrival.id.clone(), key: arrival.key.clone(), body: arrival.body.clone() };
             let (class, destination) = (arrival.class, arrival.destination);
-            let held = Message::new(item, class, destination, began, began + arrival.time);
+            let held =
+                Message { line, ..Message::new(item, class, destination, began, began + arrival.time) };
             self.messages.insert(message, held);
             self.by_id.insert(arrival.id.clone(), message);
             self.open += 1;
@@ -631,9 +645,12 @@
                 Action::Fail(m) if *m == message => Some(Answer::Failed),
                 _ => None,
             });
-            if !self.messages.get(&message).is_some_and(|held| held.open) {
+            let Some(held) = self.messages.get(&message).filter(|held| held.open) else {
                 continue; // its client has left
-            }
+            };
+            // its client hears of this end at once
+            let told = held.line.filter(|_| ends.is_some());
+            self.events.extend(told.map(|key| Event::Notice { message, key, taken: true }));
             let answer = ends.unwrap_or_else(|| self.write_down(message, &arrival, began));
             let (class, destination, at) = (arrival.class, arrival.destination, began);
             self.observer.observe(&match answer {
@@ -665,6 +682,8 @@
             key: arrival.key.as_ref().map(Word::to_string),
             class: self.classes.name(arrival.class),
             effect: self.classes.effect(arrival.class),
+            subject: arrival.subject.as_ref().map(Word::to_string),
+            tenant: arrival.tenant.as_ref().map(Word::to_string),
             destination: arrival.destination,
             taken_at: began,
             deadline: began + arrival.time,
@@ -701,7 +720,7 @@
         match bundles.iter_mut().find(room) {
             Some(bundle) => {
                 bundle.sends.push((message, attempt));
-                bundle.expires = bundle.expires.max(expires);
+                bundle.expires = bundle.expires.min(expires);
                 bundle.size += size;
             }
             None => bundles.push(Bundle { endpoint, expires, sends: vec![(message, attempt)], size }),
@@ -770,6 +789,7 @@
         held.end = Some(end);
         let (id, resend) = (held.item.id.clone(), held.resend);
         let (class, destination, age) = (held.class, held.destination, now - held.born);
+        self.untold.extend(held.line.filter(|_| !resend).map(|line| (message.0, line)));
         let written = self.ledger.end(message.0, end);
         self.check(written);
         self.observer.observe(&Fact::GivenUp { class, destination, ending, age });
@@ -790,6 +810,11 @@
     }
 }
 
+/// The number of what a message is about.
+pub(crate) fn line_of(taken: &Taken) -> Option<u64> {
+    taken.subject.as_deref().and_then(|text| Word::new(text.as_bytes()).ok()).map(|word| word.number())
+}
+
 /// Position of a name; `usize::MAX` for one that is not there.
 pub(crate) fn position(names: &[String], name: &str) -> usize {
     names.iter().position(|known| known == name).unwrap_or(usize::MAX)
--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -54,6 +54,10 @@
     /// What a repeat of it does, as its class was then: a message keeps that, whatever the name means in the next
     /// life. None in a ledger that did not say.
     pub effect: Option<Effect>,
+    /// What it is about, where its class keeps order.
+    pub subject: Option<String>,
+    /// Whose it is, by name.
+    pub tenant: Option<String>,
     /// Its destination.
     pub destination: u64,
     /// Unix time in microseconds.
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -58,6 +58,8 @@
     pub item: Item,
     pub class: usize,
     pub destination: u64,
+    /// The number of what it is about, if it is said.
+    pub line: Option<u64>,
     /// When it was handed in, or taken to be sent again.
     pub born: Micros,
     pub deadline: Micros,
@@ -79,6 +81,7 @@
             item,
             class,
             destination,
+            line: None,
             born,
             deadline,
             open: true,
--- a/crates/engine/src/snapshot.rs
+++ b/crates/engine/src/snapshot.rs
@@ -7,7 +7,7 @@
 use crate::classes::Classes;
 use crate::clock::Clock;
 use crate::endpoints::{Endpoints, Route};
-use crate::engine::{CallOut, Engine, Ports};
+use crate::engine::{CallOut, Engine, Ports, line_of};
 use crate::ledger::{End, Ending};
 use crate::message::{Attempt, Message};
 use crate::transport::Item;
@@ -59,6 +59,7 @@
     key: Option<String>,
     class: usize,
     destination: u64,
+    line: Option<u64>,
     born: Micros,
     deadline: Micros,
     open: bool,
@@ -210,6 +211,7 @@
         let mut owed = self.ledger.owed();
         for form in forms {
             let written = owed.remove(&form.number);
+            self.untold.extend(form.line.filter(|_| form.end.is_some()).map(|line| (form.number, line)));
             let body = written.map(|owed| owed.taken.body).unwrap_or_default();
             let (number, open) = (form.number, form.open);
             let Some(held) = message_of(form, body) else { continue };
@@ -226,6 +228,7 @@
             match (owed.end, Word::new(owed.taken.id.as_bytes())) {
                 (Some(end), Ok(id)) => {
                     let class = self.classes.position(&owed.taken.class);
+                    self.untold.extend(line_of(&owed.taken).map(|line| (number, line)));
                     self.notify(number, id, class, end.ending);
                 }
                 // it was over, and that could not be written yet
@@ -262,6 +265,7 @@
         key: held.item.key.as_ref().map(Word::to_string),
         class: held.class,
         destination: held.destination,
+        line: held.line,
         born: held.born,
         deadline: held.deadline,
         open: held.open,
@@ -276,7 +280,7 @@
     let key = form.key.map(|key| Word::new(key.as_bytes())).transpose().ok()?;
     let item = Item { id, key, body: body.into() };
     let mut held = Message::new(item, form.class, form.destination, form.born, form.deadline);
-    (held.open, held.clients) = (form.open, form.clients);
+    (held.open, held.clients, held.line) = (form.open, form.clients, form.line);
     held.end = form.end.map(|(at, returned)| {
         let ending = returned.map_or(Ending::Failed, |after_ms| Ending::Returned { after_ms });
         End { ending, reason: Reason::Unknown, at }
--- a/crates/handover/src/frames.rs
+++ b/crates/handover/src/frames.rs
@@ -45,6 +45,8 @@
         id: String,
         key: Option<String>,
         class: usize,
+        subject: Option<String>,
+        tenant: Option<String>,
         destination: u64,
         time: Micros,
         /// Microseconds since it was handed in.
--- a/crates/handover/src/give.rs
+++ b/crates/handover/src/give.rs
@@ -188,6 +188,8 @@
                 id: arrival.id.to_string(),
                 key: arrival.key.as_ref().map(ToString::to_string),
                 class: arrival.class,
+                subject: arrival.subject.as_ref().map(ToString::to_string),
+                tenant: arrival.tenant.as_ref().map(ToString::to_string),
                 destination: arrival.destination,
                 time: arrival.time,
                 age: u64::try_from(arrival.began.elapsed().as_micros()).unwrap_or(u64::MAX),
--- a/crates/handover/src/take.rs
+++ b/crates/handover/src/take.rs
@@ -176,10 +176,26 @@
     loop {
         let input = match read(&mut reader, FRAME_MOST).await {
             Err(error) => return error,
-            Ok(ToNew::Arrived { slot, id, key, class, destination, time, age, again, orphan, body }) => {
-                let id = Word::new(id.as_bytes());
-                let key = key.map(|key| Word::new(key.as_bytes())).transpose();
-                let (Ok(id), Ok(key)) = (id, key) else { return HandoverError::Unreadable("an id") };
+            Ok(ToNew::Arrived {
+                slot,
+                id,
+                key,
+                class,
+                subject,
+                tenant,
+                destination,
+                time,
+                age,
+                again,
+                orphan,
+                body,
+            }) => {
+                let word = |text: Option<String>| text.map(|text| Word::new(text.as_bytes())).transpose();
+                let (Ok(Some(id)), Ok(key), Ok(subject), Ok(tenant)) =
+                    (word(Some(id)), word(key), word(subject), word(tenant))
+                else {
+                    return HandoverError::Unreadable("an id");
+                };
                 let now = Instant::now();
                 let began = now.checked_sub(Duration::from_micros(age)).unwrap_or(now);
                 let (reply, answer) = oneshot::channel();
@@ -194,6 +210,8 @@
                     id,
                     key,
                     class,
+                    subject,
+                    tenant,
                     destination,
                     time,
                     began,
--- a/crates/ledger/src/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -35,6 +35,10 @@
     class: String,
     #[serde(skip)]
     effect: Option<Effect>,
+    #[serde(skip)]
+    subject: Option<String>,
+    #[serde(skip)]
+    tenant: Option<String>,
     destination: u64,
     taken_at: i64,
     deadline: i64,
@@ -115,8 +119,21 @@
     End(u64, #[serde(with = "EndForm")] End),
     // since settings may change in service
     TakenAs(u64, #[serde(with = "TakenForm")] Taken, #[serde(with = "EffectForm")] Effect),
+    // since clients tell what a message is about, and whose it is
+    TakenFor(u64, #[serde(with = "TakenForm")] Taken, About),
+}
+
+/// What the form of a message in older files has no room for.
+#[derive(Debug, Serialize, Deserialize)]
+struct About {
+    effect: Option<Repeat>,
+    subject: Option<String>,
+    tenant: Option<String>,
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+struct Repeat(#[serde(with = "EffectForm")] Effect);
+
 /// What was found at the start.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Recovery {
@@ -237,6 +254,10 @@
                 let taken = Taken { effect: Some(effect), ..taken };
                 self.apply(Entry::Taken(number, taken), length);
             }
+            Entry::TakenFor(number, taken, About { effect, subject, tenant }) => {
+                let taken = Taken { effect: effect.map(|Repeat(effect)| effect), subject, tenant, ..taken };
+                self.apply(Entry::Taken(number, taken), length);
+            }
             Entry::TakenBack(number, taken, past) => {
                 let attempts: Vec<Sent> = past.into_iter().map(|Past(sent)| sent).collect();
                 let past = attempts.len();
@@ -372,6 +393,10 @@
 
 fn taken_entry(number: u64, taken: Taken) -> Entry {
     match taken.effect {
+        effect if taken.subject.is_some() || taken.tenant.is_some() => {
+            let (subject, tenant) = (taken.subject.clone(), taken.tenant.clone());
+            Entry::TakenFor(number, taken, About { effect: effect.map(Repeat), subject, tenant })
+        }
         Some(effect) => Entry::TakenAs(number, taken, effect),
         None => Entry::Taken(number, taken),
     }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -5,7 +5,7 @@
 use crate::list::parse_list;
 use milletturn_engine::ListUpdate;
 use milletturn_log::log;
-use milletturn_policy::{Settings, SettingsError};
+use milletturn_policy::{MILLISECOND, Micros, Settings, SettingsError};
 use milletturn_settings::{Names, Pairs, read_settings};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -113,6 +113,10 @@
     disk_mb: f64,
 }
 
+/// How much later than here the far side may see that a call has been left: "each time limit is 50 ms longer" on
+/// sockets, as the protocol page has it. Until then the next message of its key would meet a call that is still out.
+const SOCKET_SLACK: Micros = 50 * MILLISECOND;
+
 /// What a body takes up at most is small beside any machine's memory; this stands in where the file tells none.
 fn unknown_memory() -> f64 {
     64.0
@@ -188,7 +192,9 @@
     let mut flat = BTreeMap::new();
     flatten("", value, &mut flat);
     let pairs = flat.iter().map(|(path, text)| (path.as_str(), text.as_str())).collect();
-    let (settings, names) = read_settings(&Pairs(pairs))?;
+    let (mut settings, names) = read_settings(&Pairs(pairs))?;
+    settings.notices = true;
+    settings.safety.key_rest += SOCKET_SLACK;
     settings.validate()?;
     Ok((settings, names))
 }
@@ -301,3 +307,25 @@
         other => other.to_string(),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_key_rests_until_the_far_side_can_have_seen_that_a_call_was_left() {
+        for (told, rest) in [(serde_json::json!(0.0), 0), (serde_json::json!(0.7), 700), (Value::Null, 0)] {
+            let value = serde_json::json!({
+                "balancers": 1,
+                "caps": {"maxOpen": 50, "mostTries": 12},
+                "classes": [{"name": "a", "aim": 4.0, "deadline": 20.0, "effect": "idempotent"}],
+                "specifics": {"callSlots": 8},
+                "safety": {"stopSendingWithin": 1.0, "cold": 11.0, "startCapacity": 0.18, "fallMultiple": 2.0,
+                           "fall": 3.0, "turnGap": told}
+            });
+            let (settings, _) = settings_of(&value).expect("sound");
+            assert_eq!(settings.safety.key_rest, rest * MILLISECOND + SOCKET_SLACK);
+            assert!(settings.notices, "ends are told by notices");
+        }
+    }
+}
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -356,7 +356,7 @@
     let headers = request.headers();
     let named = single(headers, "x-priority-class", "X-Priority-Class")?;
     let known = server.classes.borrow().iter().find(|(_, class)| class.name == first).cloned();
-    let Some((class, Class { effect, .. })) = known else {
+    let Some((class, Class { effect, ordered, .. })) = known else {
         // a class that nobody knows, or a path that is none
         return Err(if named.is_some_and(|name| name == first) {
             bad("unknown class")
@@ -370,6 +370,9 @@
     if named.is_none_or(|name| name != first) {
         return Err(bad("X-Priority-Class is missing or not the path's"));
     }
+    // a doubled one is refused, since nobody can tell which was meant; no other class heeds it
+    let subject = if ordered { subject_of(request.uri().query().unwrap_or(""))? } else { None };
+    let tenant = word(single(headers, "x-tenant-id", "X-Tenant-Id")?)?;
     let id = word(single(headers, "x-request-id", "X-Request-ID")?)?.ok_or(bad("X-Request-ID is missing"))?;
     let key = word(single(headers, "idempotency-key", "Idempotency-Key")?)?;
     if key.is_none() && matches!(effect, Effect::Keyed { .. }) {
@@ -408,7 +411,8 @@
     let (reply, answer) = oneshot::channel();
     place.hand_on();
     let mut guard = Guard { left: Some(id.clone()), inputs: &server.inputs };
-    let arrival = Arrival { id, key, class, destination, time, began, again, orphan, body, reply };
+    let arrival =
+        Arrival { id, key, class, subject, tenant, destination, time, began, again, orphan, body, reply };
     if server.inputs.send(Input::Arrived(arrival)).is_err() {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "ending"));
     }
@@ -479,6 +483,14 @@
     value.map(read).transpose()
 }
 
+/// What a message is about: `subject` in the query. Messages with none are in nobody's way.
+fn subject_of(query: &str) -> Result<Option<Word>, Refusal> {
+    let mut values = query.split('&').filter_map(|part| part.strip_prefix("subject="));
+    let (value, more) = (values.next(), values.next());
+    let word = value.map(|value| Word::new(value.as_bytes())).transpose();
+    word.ok().filter(|_| more.is_none()).ok_or(bad("subject can't be read"))
+}
+
 /// A number and a unit: `m` milliseconds or `u` microseconds.
 fn read_time(text: &str) -> Option<Micros> {
     let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
--- a/crates/policy/src/books.rs
+++ b/crates/policy/src/books.rs
@@ -1,6 +1,6 @@
 //! What the module's books still hold of what is gone.
 
-use crate::interface::{MessageId, NewMessage, PastAttempt};
+use crate::interface::{Action, MessageId, NewMessage, PastAttempt};
 use crate::state::Attempt;
 use crate::state::Sender;
 
@@ -40,13 +40,39 @@
         let Some(message) = self.messages.get(&id).filter(|held| !held.open && !held.is_out()) else {
             return;
         };
-        if let Some(key) = message.key
-            && let Some(line) = self.keys.get_mut(&key)
-        {
+        let key = message.key;
+        self.messages.remove(&id);
+        self.agenda.touch(id);
+        key.into_iter().for_each(|key| self.leave_line(key, id));
+    }
+
+    /// Ends a message by the module's own word. Where a notice tells that, whoever watches the order knows of it only
+    /// once the notice has been taken: until then the message keeps its place.
+    pub(crate) fn end(&mut self, id: MessageId, actions: &mut Vec<Action>) {
+        let key = self.messages.get(&id).and_then(|message| message.key).filter(|_| self.settings.notices);
+        if let Some(line) = key.and_then(|key| self.keys.get_mut(&key)) {
+            line.untold.insert(id);
+        }
+        self.close(id, actions);
+        self.forget_if_done(id);
+    }
+
+    pub(crate) fn learn_notice(&mut self, id: MessageId, key: u64, taken: bool) {
+        let line = self.keys.entry(key).or_default();
+        if !taken {
+            line.turn.push_back(id);
+            line.untold.insert(id);
+        } else if line.untold.remove(&id) {
+            self.leave_line(key, id);
+        }
+    }
+
+    /// The message's place is the next one's, unless an attempt of it is still out or its notice not taken.
+    fn leave_line(&mut self, key: u64, id: MessageId) {
+        let Some(line) = self.keys.get_mut(&key).filter(|line| !line.untold.contains(&id)) else { return };
+        if !self.messages.contains_key(&id) {
             line.turn.retain(|&other| other != id);
             line.turn.front().into_iter().for_each(|&first| self.agenda.touch(first));
         }
-        self.messages.remove(&id);
-        self.agenda.touch(id);
     }
 }
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -209,6 +209,7 @@
             }
             Event::Resumed { message, attempts } => self.resume(message, attempts),
             Event::Stopping { ends } => self.ends = Some(*ends),
+            Event::Notice { message, key, taken } => self.learn_notice(*message, *key, *taken),
             Event::ToldWait { endpoint, wait } => {
                 let id = self.unit_of(*endpoint);
                 self.heed(id, *wait, actions);
@@ -706,8 +707,7 @@
             } else {
                 Action::Fail(id)
             });
-            self.close(id, actions);
-            self.forget_if_done(id);
+            self.end(id, actions);
         }
     }
 
@@ -912,7 +912,7 @@
     }
 
     /// Marks a message as ended and calls off what is still out.
-    fn close(&mut self, id: MessageId, actions: &mut Vec<Action>) {
+    pub(crate) fn close(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let Some(message) = self.messages.get_mut(&id).filter(|message| message.open) else { return };
         message.open = false;
         self.agenda.touch(id);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -143,6 +143,8 @@
     pub second_copies: bool,
     /// Attempts may be cancelled.
     pub may_cancel: bool,
+    /// The host tells the ends that the module gives by notices, which may come later; else they are known at once.
+    pub notices: bool,
     /// Endpoints may be probed.
     pub may_probe: bool,
     /// Senders may write to each other.
@@ -192,6 +194,7 @@
             max_attempts: 8,
             second_copies: true,
             may_cancel: true,
+            notices: false,
             may_probe: false,
             may_note: false,
             connection_idle: 0,
@@ -488,6 +491,16 @@
         /// How long to keep away.
         wait: Micros,
     },
+    /// What became of the notice of an ended message's end, where the settings say that ends are told by notices: its
+    /// key's next message waits for it, in this life and in the next.
+    Notice {
+        /// Which message.
+        message: MessageId,
+        /// Its key.
+        key: u64,
+        /// It has been taken; else it is owed from an earlier life.
+        taken: bool,
+    },
     /// An attempt ended.
     Ended {
         /// Which message.
--- a/crates/policy/src/retune.rs
+++ b/crates/policy/src/retune.rs
@@ -10,6 +10,11 @@
         self.agenda.built = false;
     }
 
+    /// Position of a tenant; none for one that the settings don't name.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.settings.tenants.iter().position(|tenant| tenant.name == name)
+    }
+
     /// Takes new settings over. Classes stand at positions as before: what an open message carries must stand there
     /// unchanged; `renewed` are the positions that mean something new. A message that is open keeps its class, and
     /// never gets more attempts than it might have had. Kinds, zones, tenants and the way to the list are those of
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -171,6 +171,8 @@
     pub turn: VecDeque<MessageId>,
     /// Nothing of the key starts before.
     pub rest_until: Micros,
+    /// Those among them that have ended by a notice that has not been taken yet.
+    pub untold: BTreeSet<MessageId>,
 }
 
 /// What is known of a unit.
--- a/crates/sidecar/src/callback.rs
+++ b/crates/sidecar/src/callback.rs
@@ -117,6 +117,8 @@
             id: id.clone(),
             key: None,
             class: callback.class,
+            subject: None,
+            tenant: None,
             destination: callback.destination,
             time: callback.time,
             began: Instant::now(),
--- a/crates/stand-ins/src/handed.rs
+++ b/crates/stand-ins/src/handed.rs
@@ -76,6 +76,8 @@
         id: word.clone(),
         key: keyed.then_some(word),
         class,
+        subject: None,
+        tenant: None,
         destination: 1,
         time: 20 * SECOND,
         began: Instant::now(),
--- a/crates/undelivered/tests/world/mod.rs
+++ b/crates/undelivered/tests/world/mod.rs
@@ -489,6 +489,8 @@
                 id: Word::new(name.as_bytes()).expect("a word"),
                 key: Some(Word::new(name.as_bytes()).expect("a word")),
                 class: class_of(&name),
+                subject: None,
+                tenant: None,
                 destination,
                 time: DEADLINE,
                 began: Instant::now(),
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -84,7 +84,9 @@
               "report":{{"how":"piggyback","fields":["x0","x1"]}},
               "classes":[
                 {{"name":"webhook","aim":4.0,"deadline":20.0,"effect":"deduplicated","group":"all","window":12.0}},
-                {{"name":"order","aim":4.0,"deadline":20.0,"effect":"at_most_once"}}],
+                {{"name":"order","aim":4.0,"deadline":20.0,"effect":"at_most_once"}},
+                {{"name":"posting","aim":4.0,"deadline":20.0,"effect":"deduplicated","group":"all","window":12.0,
+                  "oneAtATime":true}}],
               "specifics":{{"callSlots":8,"bundleMax":[1,5],"routesApart":[false,false]}},
               "safety":{{"stopSendingWithin":1.0,"cold":11.0,"startCapacity":0.18,"fallMultiple":2.0,"fall":3.0}}}}}}"#
         );
