Let what is called off stay out for as long as its bulk call is: the far side sees it so

Cause: platform/calls.rs told Cancelled for one message of a call whose connection stayed open for the others. The same line could put a second copy beside the first where the settings forbid copies. Mend: one end for all in a call; a call is left once nobody needs it. Two ways of ending became one. Test: platform/tests/bulk_calls.rs, both seen to fail with the mend taken out.

--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -146,7 +146,9 @@
 }
 
 async fn run(shared: Rc<Shared>, call: Call, mut cancels: mpsc::UnboundedReceiver<usize>) {
-    let mut left: Vec<bool> = vec![true; call.items.len()];
+    // what is called off stays out while others need the call: the far side sees the connection open, and a further
+    // send would be a second copy there
+    let mut wanted: Vec<bool> = vec![true; call.items.len()];
     let tell = |item: usize, outcome, closed, report, cause| {
         let end = Ended { call: call.number, item, outcome, closed, report, cause };
         // nobody listens any more only when the process ends
@@ -168,17 +170,15 @@
                     if delivered(&wire, call.items.len()) {
                         break Answer::all(Outcome::Success, Cause::Answer(200));
                     }
-                    if left.get_mut(item).is_some_and(std::mem::take) {
-                        tell(item, Outcome::Cancelled, false, Vec::new(), Cause::CalledOff);
-                    }
-                    if !left.contains(&true) {
-                        return;
+                    wanted.get_mut(item).map(std::mem::take);
+                    if !wanted.contains(&true) {
+                        break Answer::all(Outcome::Cancelled, Cause::CalledOff);
                     }
                 }
             }
         }
     };
-    for (item, _) in left.iter().enumerate().filter(|(_, left)| **left) {
+    for item in 0..call.items.len() {
         let (outcome, closed) = match &answer.ends {
             Ends::All(outcome, closed) => (*outcome, *closed),
             Ends::Each(ends) => ends.get(item).copied().unwrap_or((Outcome::Error, false)),
--- /dev/null
+++ b/crates/platform/tests/bulk_calls.rs
@@ -0,0 +1,90 @@
+//! Calls that carry several messages, of which some are called off.
+
+use milletturn_engine::{Call, Cause, Input, Item, Transport, Word};
+use milletturn_platform::{Budget, calls::Calls};
+use milletturn_policy::{EndpointId, Outcome};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+/// Far beyond what any call here takes.
+const LONG: Duration = Duration::from_secs(20);
+
+struct Out {
+    received: mpsc::UnboundedReceiver<Input>,
+    cancel: mpsc::UnboundedSender<usize>,
+    stream: TcpStream,
+}
+
+impl Out {
+    /// A call of two messages, written whole to an endpoint that has not answered yet.
+    async fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (inputs, mut received) = mpsc::unbounded_channel();
+        let budget = Budget::new(256, 32_000_000, 40);
+        let calls = Calls::new(LONG, LONG, Vec::new(), &budget, inputs, Rc::default());
+        calls.admit(EndpointId(1), address);
+        let item = |name: &str| {
+            let word = Word::new(name.as_bytes()).expect("a word");
+            Item { id: word.clone(), key: Some(word), body: b"body"[..].into() }
+        };
+        let (cancel, cancels) = mpsc::unbounded_channel();
+        let (endpoint, expires) = (EndpointId(1), Instant::now() + LONG);
+        let items = vec![item("m0"), item("m1")];
+        calls.start(Call { number: 7, endpoint, address, items, expires }, cancels);
+        let (mut stream, _) = listener.accept().await.expect("a call");
+        match received.recv().await {
+            Some(Input::Begin(_, reply)) => reply.send(expires).expect("it waits"),
+            other => panic!("it did not ask: {other:?}"),
+        }
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"m1 m1 4\r\nbody\r\n") {
+            assert!(stream.read_buf(&mut seen).await.expect("readable") > 0, "the call comes whole");
+        }
+        Out { received, cancel, stream }
+    }
+
+    async fn end(&mut self) -> (usize, Outcome, Cause) {
+        match self.received.recv().await {
+            Some(Input::Ended(ended)) => (ended.item, ended.outcome, ended.cause),
+            other => panic!("no end: {other:?}"),
+        }
+    }
+}
+
+fn local(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn what_is_called_off_is_out_for_as_long_as_the_call_and_fares_like_the_rest() {
+    local(async {
+        let mut out = Out::new().await;
+        out.cancel.send(0).expect("it listens");
+        let answer = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nm0 ok\r\nm1 ok\r\n";
+        // the cancel is in the queue before a byte of the answer; an end told for it would be the first one
+        tokio::task::yield_now().await;
+        out.stream.write_all(answer.as_bytes()).await.expect("written");
+        let answered = Cause::Answer(200);
+        assert_eq!(out.end().await, (0, Outcome::Success, answered));
+        assert_eq!(out.end().await, (1, Outcome::Success, answered));
+    });
+}
+
+#[test]
+fn a_call_that_nobody_needs_is_left() {
+    local(async {
+        let mut out = Out::new().await;
+        out.cancel.send(1).expect("it listens");
+        out.cancel.send(0).expect("it listens");
+        assert_eq!(out.end().await, (0, Outcome::Cancelled, Cause::CalledOff));
+        assert_eq!(out.end().await, (1, Outcome::Cancelled, Cause::CalledOff));
+        assert_eq!(out.stream.read(&mut [0; 8]).await.expect("readable"), 0, "its connection is closed");
+    });
+}
