Ask for the whole list when part of a watch can't be read; keep a pushed list's rests short

Now the watch is opened anew from 0, once; the version stays there until a watch was read whole. - An object over several lines (lists may come indented) was dropped line by line: the sender never became ready. - Any byte counted as a sign of life, so a trickle kept a dead watch for ever. Now only whole objects and line ends do. - 3 s of silence + a first rest of up to 0.08 s x senders (24 s at 300) + 3 s for an answer: what was missed counts as told after 6 s. An answer has 1 s now, the first rest 2 s at most; a list that is pushed comes from the sender's own agent and its rests no longer grow with the fleet. The sum is checked when the program is built.

feed.rs reads bytes in whatever pieces, free of I/O.

--- a/crates/platform/src/agent.rs
+++ b/crates/platform/src/agent.rs
@@ -1,7 +1,7 @@
 //! The platform's agent: the watch of the endpoint list, and the notices that end undelivered messages.
 
-use crate::asking::{Asking, FIRST, MOST};
-use crate::list::parse_list;
+use crate::asking::{Asking, FIRST, MOST, SOON};
+use crate::feed::{Feed, Told};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Full};
 use hyper::body::Body;
@@ -17,15 +17,16 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// An empty line is due every 2 s; a watch that is silent for longer has lost its connection. What is missed
 /// meanwhile counts as told after 6 s, so the next watch must have answered by then.
 const SILENCE: Duration = Duration::from_millis(3000);
 /// The agent is on this machine and answers at once.
 const ANSWER: Duration = Duration::from_secs(1);
-/// A longer line is not kept: read, it takes up several times its size.
-const LONGEST_LINE: usize = 1 << 20;
+/// What a watch has missed counts as told so long after it fell silent: by then the next one must have answered.
+const TOLD: Duration = Duration::from_secs(6);
+const _: () = assert!(SILENCE.as_millis() + SOON.as_millis() + ANSWER.as_millis() <= TOLD.as_millis());
 /// Notices in one request.
 const BATCH: usize = 200;
 
@@ -37,6 +38,8 @@
     Status(StatusCode),
     #[error("the stream ended")]
     Ended,
+    #[error("something could not be read: the whole list is asked for")]
+    Lost,
     #[error(transparent)]
     Connect(#[from] CallError),
     #[error(transparent)]
@@ -60,25 +63,21 @@
 ///
 /// `asking` sets the rests between tries.
 pub async fn watch(
-    mut agents: watch::Receiver<SocketAddr>, mut version: u64, mut asking: Asking,
+    mut agents: watch::Receiver<SocketAddr>, version: u64, mut asking: Asking,
     inputs: mpsc::UnboundedSender<Input>,
 ) {
     let mut told = String::new();
+    let mut progress = Progress { version, ..Progress::default() };
     loop {
-        let before = version;
+        progress.took = false;
         let agent = *agents.borrow_and_update();
-        let failed = async {
-            match watch_once(agent, &mut version, &inputs).await {
-                Ok(()) => None,
-                Err(error) => Some(error.to_string()),
-            }
-        };
+        let failed = async { watch_once(agent, &mut progress, &inputs).await.err() };
         let error = tokio::select! {
             moved = agents.changed() => {
                 if moved.is_err() {
                     return;
                 }
-                (version, told) = (0, String::new());
+                (progress, told) = (Progress::default(), String::new());
                 asking.answered();
                 continue;
             }
@@ -87,64 +86,75 @@
                 None => return,
             },
         };
+        progress.repairs = matches!(error, WatchError::Lost);
+        let error = error.to_string();
         if error != told {
             milletturn_log::log(format_args!("discovery: watch lost: {error}"));
             told = error;
         }
-        if version != before {
+        if progress.took {
             asking.answered();
             told = String::new();
         }
         // the change itself is seen at the head of the loop
         if matches!(timeout(asking.rest(), agents.changed()).await, Ok(Ok(()))) {
             asking.answered();
-            version = 0;
+            progress = Progress::default();
         }
     }
 }
 
+/// What a watch begins with and leaves behind.
+#[derive(Debug, Default)]
+struct Progress {
+    /// The next watch asks for what has changed since then; 0 for the whole list.
+    version: u64,
+    /// Something has come.
+    took: bool,
+    /// The watch was opened because one before it brought what can't be read: once more of that ends it no more.
+    repairs: bool,
+}
+
 /// Ends well only when nobody takes the changes any more.
 async fn watch_once(
-    agent: SocketAddr, version: &mut u64, inputs: &mpsc::UnboundedSender<Input>,
+    agent: SocketAddr, progress: &mut Progress, inputs: &mpsc::UnboundedSender<Input>,
 ) -> Result<(), WatchError> {
-    let path = format!("/v1/endpoints?watch=1&from={version}");
+    let path = format!("/v1/endpoints?watch=1&from={}", progress.version);
     let request = Request::get(path).header(HOST, agent.to_string()).body(Empty::<Bytes>::new());
-    let response = call(agent, request.map_err(CallError::from)?, SILENCE).await?;
+    let response = call(agent, request.map_err(CallError::from)?, ANSWER).await?;
     if response.status() != StatusCode::OK {
         return Err(WatchError::Status(response.status()));
     }
     let mut body = response.into_body();
-    let (mut line, mut skipping) = (Vec::new(), false);
+    let (mut feed, mut heard, mut lost) = (Feed::default(), Instant::now(), false);
     loop {
-        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| WatchError::Silent)?;
+        // only what is whole is a sign of life: bytes that trickle without end tell nothing
+        let frame = timeout_at(heard + SILENCE, body.frame()).await.map_err(|_| WatchError::Silent)?;
         let frame = frame.ok_or(WatchError::Ended)??;
         let Ok(data) = frame.into_data() else { continue };
-        for part in data.split_inclusive(|&byte| byte == b'\n') {
-            skipping |= line.len() + part.len() > LONGEST_LINE;
-            if skipping {
-                line.clear();
-            } else {
-                line.extend_from_slice(part);
-            }
-            if !part.ends_with(b"\n") {
-                continue;
-            }
-            let text = line.trim_ascii();
-            match serde_json::from_slice(text).ok().as_ref().and_then(parse_list) {
-                Some(update) => {
-                    *version = update.version;
+        for told in feed.take(&data) {
+            match told {
+                Told::Alive => heard = Instant::now(),
+                Told::List(update, unread) => {
+                    (heard, progress.took) = (Instant::now(), true);
+                    lost |= unread > 0;
+                    progress.version = if lost { 0 } else { update.version };
                     if inputs.send(Input::Listed(update)).is_err() {
                         return Ok(());
                     }
                 }
-                None if text.is_empty() && !skipping => {}
-                None => milletturn_log::log(format_args!(
-                    "discovery: line skipped: {}",
-                    String::from_utf8_lossy(&text[..text.len().min(80)])
-                )),
+                Told::Unread(text) => {
+                    lost = true;
+                    milletturn_log::log(format_args!("discovery: line skipped: {text}"));
+                }
+            }
+        }
+        if lost {
+            // a later version would pass over what could not be read, for good
+            progress.version = 0;
+            if !progress.repairs {
+                return Err(WatchError::Lost);
             }
-            line.clear();
-            skipping = false;
         }
     }
 }
--- a/crates/platform/src/asking.rs
+++ b/crates/platform/src/asking.rs
@@ -17,6 +17,9 @@
 const EACH: Duration = Duration::from_millis(80);
 /// Longest rest as a multiple of the time that all senders take to ask once.
 const ROUNDS: u32 = 4;
+/// Longest first rest: what a watch has missed counts as told 6 s after it fell silent; the silence takes 3 s of that
+/// to be noticed, and the next watch 1 s to be answered.
+pub(crate) const SOON: Duration = Duration::from_millis(2000);
 
 /// The rests of one sender.
 #[derive(Debug)]
@@ -27,8 +30,10 @@
 }
 
 impl Asking {
-    /// Of one among so many senders; each has a seed of its own.
-    pub fn new(senders: u32, seed: u64) -> Self {
+    /// Of one among so many senders that ask one discovery; each has a seed of its own. A list that is pushed is the
+    /// own agent's, whom nobody else asks: what the agent has counts as told, so no rest may grow with the fleet.
+    pub fn new(senders: u32, pushed: bool, seed: u64) -> Self {
+        let senders = if pushed { 1 } else { senders };
         Asking { random: Pcg32::seed_from_u64(seed), round: EACH * senders, failures: 0 }
     }
 
@@ -39,10 +44,14 @@
 
     /// The rest after a failure, a second or four rounds of all senders at most.
     pub fn rest(&mut self) -> Duration {
-        let most = self.round.saturating_mul(1 << self.failures.min(16)).min(MOST.max(self.round * ROUNDS));
+        let most = match self.failures {
+            0 => self.round.min(SOON),
+            failures => self.round.saturating_mul(1 << (failures - 1).min(16)),
+        };
+        let most = most.min(MOST.max(self.round * ROUNDS));
         let part = f64::from(self.random.next_u32()) / f64::from(u32::MAX);
         // all lose their watches at one moment: the first rests are spread from the start
-        let part = if self.failures == 0 { part } else { 0.5 + 0.5 * part };
+        let part = if self.failures <= 1 { part } else { 0.5 + 0.5 * part };
         self.failures += 1;
         most.mul_f64(part).max(FIRST)
     }
@@ -88,15 +97,25 @@
     #[test]
     fn a_fleet_that_lost_its_watches_together_gets_through_to_a_discovery_short_of_room() {
         for seed in 0..5 {
-            let mut fleet: Vec<Asking> = (0..100).map(|n| Asking::new(100, seed * 1000 + n)).collect();
+            let mut fleet: Vec<Asking> = (0..100).map(|n| Asking::new(100, false, seed * 1000 + n)).collect();
             let served = answered(100, 12.5, 30.0, &mut |n| fleet[n as usize].rest().as_secs_f64());
             assert!(served >= 95, "seed {seed}: {served} of 100 in 30 s");
         }
     }
 
+    #[test]
+    fn what_a_silent_watch_missed_is_asked_for_in_time_however_many_senders_there_are() {
+        for seed in 0..200 {
+            let first = Asking::new(300, false, seed).rest();
+            assert!(first <= SOON, "seed {seed}: {first:?}");
+            let mut own = Asking::new(300, true, seed);
+            assert!((0..20).all(|_| own.rest() <= MOST), "seed {seed}: nobody else asks the own agent");
+        }
+    }
+
     #[test]
     fn a_few_senders_ask_again_soon() {
-        let mut alone = Asking::new(2, 7);
+        let mut alone = Asking::new(2, false, 7);
         let first = alone.rest();
         assert!(first >= FIRST && first <= Duration::from_millis(160), "{first:?}");
         let rests: Vec<Duration> = (0..10).map(|_| alone.rest()).collect();
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -252,7 +252,11 @@
             budget: Budget::new(file.limits.sockets, memory, settings.call_slots),
             path,
             shape,
-            known: parse_list(&file.known),
+            // what of it can not be read is asked for with the whole list
+            known: parse_list(&file.known).map(|(list, unread)| ListUpdate {
+                version: if unread > 0 { 0 } else { list.version },
+                ..list
+            }),
             settings,
             names,
         })
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod config;
 pub mod door;
+mod feed;
 mod gate;
 mod list;
 mod pools;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -26,8 +26,9 @@
     capacity_hint: f64,
 }
 
-/// Reads a list; none if it has not the form of one. Entries that can't be read are logged and left out.
-pub fn parse_list(value: &Value) -> Option<ListUpdate> {
+/// Reads a list, with the number of entries that can't be read: these are logged and left out. None if it has not the
+/// form of a list.
+pub fn parse_list(value: &Value) -> Option<(ListUpdate, usize)> {
     let line = Line::deserialize(value).ok()?;
     let read = |value: &Value| {
         let target = Target::deserialize(value).map_err(|error| error.to_string())?;
@@ -55,5 +56,7 @@
             None
         }
     });
-    Some(ListUpdate { version: line.rev, full: line.all, targets: targets.collect() })
+    let targets: Vec<Listed> = targets.collect();
+    let unread = line.targets.len() - targets.len();
+    Some((ListUpdate { version: line.rev, full: line.all, targets }, unread))
 }
--- a/src/run.rs
+++ b/src/run.rs
@@ -50,7 +50,8 @@
     let known = config.known.as_ref().filter(|known| !known.targets.is_empty());
     let known = known.filter(|_| !matches!(place, Place::Shared(Begun::Over(_))));
     let version = known.map_or(0, |known| known.version);
-    let (name, path, senders) = (config.name.clone(), config.path.clone(), config.settings.senders);
+    let (name, path) = (config.name.clone(), config.path.clone());
+    let asking = Asking::new(config.settings.senders, !config.settings.list_on_request, config.seed);
     let mut running = assemble(Parts {
         state: config.state,
         listen: config.listen,
@@ -71,7 +72,6 @@
         name: config.name,
     })
     .await?;
-    let asking = Asking::new(senders, config.seed);
     let (agent, agents) = watch::channel(config.discovery);
     tokio::task::spawn_local(agent::watch(agents.clone(), version, asking, running.inputs.clone()));
     if let Some(ends) = running.ends.take() {
