Try what a restart finds untried before all that came since, and within its time

Cause: urgency (decide.rs) puts what is past its aim behind every fresh message, so the slots went to those that came after the restart; messages with 5 to 9 s left died uncalled while others were sent. Ruled out: the pace (139 calls a second at six senders), the first list (known at the start), refusals at the door (none). Besides, the rest behind a start went by the aim alone, also where the time left was shorter (by reading; shown by a test). Mend: what is owed a call stands in a lane of its own before all others, the least time left first, is not shed before it, and loses that place with its first call. The rest goes by aim or time left, the shorter. Tests: policy/tests/resumed.rs; each was seen to fail with its part taken out.

--- a/crates/policy/src/agenda.rs
+++ b/crates/policy/src/agenda.rs
@@ -20,6 +20,8 @@
     pub copy: bool,
     /// All others come first.
     pub later: bool,
+    /// A call is owed since before a restart: it comes before all that is not.
+    pub owed: bool,
     /// Worth, zero or more, as bits: those of such numbers have their order.
     pub worth: u64,
     /// The only zone where an attempt may go; the inner none is that of an endpoint which is gone.
@@ -222,7 +224,8 @@
 
     /// All lanes of a destination.
     pub fn lanes_of(&self, destination: DestinationId) -> Vec<Lane> {
-        let first = Lane { destination, class: 0, copy: false, later: false, worth: 0, bound: None };
+        let first =
+            Lane { destination, class: 0, copy: false, later: false, owed: false, worth: 0, bound: None };
         let of = |lane: &&Lane| lane.destination == destination;
         self.lanes.range(first..).map(|(lane, _)| lane).take_while(of).copied().collect()
     }
@@ -290,8 +293,8 @@
     fn cmp(&self, other: &Self) -> Ordering {
         let mine = (other.later, other.born, other.id);
         let others = (self.later, self.born, self.id);
-        mine.0
-            .cmp(&others.0)
+        let owed = self.lane.owed.cmp(&other.lane.owed);
+        owed.then(mine.0.cmp(&others.0))
             .then(self.urgency.total_cmp(&other.urgency))
             .then((mine.1, mine.2).cmp(&(others.1, others.2)))
     }
--- a/crates/policy/src/books.rs
+++ b/crates/policy/src/books.rs
@@ -15,9 +15,12 @@
     /// outcome may have run. All count as overlapped: nobody knows the order of their ends, and a window of a
     /// key must count from the first.
     pub(crate) fn resume(&mut self, message: &NewMessage, attempts: &[PastAttempt]) {
-        self.begin_apart(message);
+        if message.time_left > 0 {
+            self.begin_apart(message);
+        }
         self.accept(message);
         let Some(held) = self.messages.get_mut(&message.id) else { return };
+        held.owed = !message.later && attempts.is_empty();
         held.attempts.extend(attempts.iter().map(|past| Attempt {
             endpoint: past.endpoint,
             sent: past.sent,
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -44,8 +44,7 @@
 /// No less than an even part of this sender's load, which fills the places for messages in so many seconds.
 const PACE_START: f64 = 5000.0;
 const PLACES_LAST: f64 = 6.0;
-/// Part of its aim that a message waits at most for the first call after a start.
-const RESUMED_REST: f64 = 0.75;
+const RESUMED_REST: f64 = 0.75; // of its aim or time left: longest wait for a first call after a start
 /// An unused pace says nothing (RFC 7661). With no message waiting it is at most so many times what was
 /// served of late, or so many even shares: more follows demand sooner, less lets no clump of all through.
 const PACE_USED: f64 = 2.0;
@@ -123,8 +122,7 @@
 const LIST_MOST: Micros = 4 * SECOND;
 /// A told limit beyond this, in calls a second, is no report.
 const LIMIT_MOST: f64 = 1e5;
-/// Span of a tenant's token bucket, seconds of its share.
-const TENANT_BURST: f64 = 2.0;
+const TENANT_BURST: f64 = 2.0; // span of a tenant's token bucket, seconds of its share
 
 impl Sender {
     /// A sender that knows nothing yet.
@@ -263,7 +261,7 @@
     /// against all senders restarted at once: each begins with a whole call, and none knows a limit. Could
     /// cost worth where this sender alone was restarted.
     pub(crate) fn begin_apart(&mut self, new: &NewMessage) {
-        let aim = self.settings.classes.get(new.class).map_or(0, |class| class.aim);
+        let aim = self.settings.classes.get(new.class).map_or(0, |class| class.aim.min(new.time_left));
         for endpoint in self.routes.get(&new.destination).cloned().unwrap_or_default() {
             let (id, phase) = (self.unit_of(endpoint), self.phase());
             if !self.units.contains_key(&id) {
@@ -691,7 +689,8 @@
                 let goes = |shed: &&Shed| {
                     let held = self.messages.get(&shed.3);
                     !over.contains(&shed.3)
-                        && held.is_some_and(|held| !held.is_out() && self.may_refuse(held))
+                        && held
+                            .is_some_and(|held| !held.is_out() && !held.owes_call() && self.may_refuse(held))
                 };
                 stuck.extend(here.iter().filter(goes).take(excess));
             }
@@ -767,6 +766,7 @@
     pub(crate) fn stage(&self, lane: &Lane, born: Micros) -> Stage {
         let (age, fade) = (self.now - born, self.settings.fade);
         match self.settings.classes.get(lane.class) {
+            _ if lane.owed => Stage::Floor,
             Some(class) if lane.worth > 0 && age as f64 / class.aim as f64 > YOUNG => {
                 match class.worth_left(age, fade) {
                     left if left <= class.late_share => Stage::Floor,
--- a/crates/policy/src/passes.rs
+++ b/crates/policy/src/passes.rs
@@ -40,7 +40,8 @@
         let at = if out { held.copy_at } else { held.retry_at.max(rest) };
         let (class, destination, later, worth) =
             (held.class, held.destination, held.later, held.worth.to_bits());
-        let lane = || Lane { destination, class, copy: out, later, worth, bound: self.bound(held) };
+        let (owed, bound) = (held.owes_call(), self.bound(held));
+        let lane = || Lane { destination, class, copy: out, later, owed, worth, bound };
         let stand = match at {
             _ if !held.open || !turn || at == Micros::MAX => Stand::Nowhere,
             at if at > self.now => Stand::At(at),
@@ -152,7 +153,7 @@
         let mut opened = Opened::new();
         let ready = self.messages.iter().filter_map(|(&id, held)| match self.place(id, held).stand {
             Stand::Lane(lane) => {
-                Some(Head { later: held.later, urgency: self.urgency(held), born: held.born, id, lane })
+                Some(Head { later: held.later, urgency: self.order(held), born: held.born, id, lane })
             }
             _ => None,
         });
@@ -189,10 +190,15 @@
 
     fn push(&self, pass: &mut Pass, lane: Lane, after: Option<&Head>) {
         let stage = |born| self.stage(&lane, born);
-        let urgency = |id| self.messages.get(&id).map_or(0.0, |held| self.urgency(held));
+        let urgency = |id| self.messages.get(&id).map_or(0.0, |held| self.order(held));
         pass.push(&self.agenda, lane, after, stage, urgency);
     }
 
+    /// What comes first within its kind: of those that are owed a call, the one whose time is up first.
+    fn order(&self, held: &Held) -> f64 {
+        if held.owes_call() { -(held.deadline as f64) } else { self.urgency(held) }
+    }
+
     /// True if a call may take one more message.
     pub(crate) fn has_room(&self, call: u64) -> bool {
         let Some(call) = self.calls.get(&call) else { return false };
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -123,6 +123,8 @@
     pub most: usize,
     /// All others come first.
     pub later: bool,
+    /// It was taken on before a restart, and has had no call yet.
+    pub owed: bool,
     /// It is handed back as it comes: to a destination that is not known, or too late to be of worth.
     pub turned_away: bool,
     pub attempts: Vec<Attempt>,
@@ -139,6 +141,11 @@
         self.attempts.iter().any(|attempt| attempt.out)
     }
 
+    /// A restart found it taken on and untried, and it is so still.
+    pub fn owes_call(&self) -> bool {
+        self.owed && self.attempts.is_empty()
+    }
+
     /// Attempts that may run or have run. While there are any, also those that a later one overlapped: a key's
     /// window counts from the first, even if that one turns out never to have run.
     /// The attempt `besides` does not count.
