--- a/crates/platform/src/agent.rs
+++ b/crates/platform/src/agent.rs
@@ -24,7 +24,8 @@
 const SILENCE: Duration = Duration::from_millis(3000);
 /// The agent is on this machine and answers at once.
 const ANSWER: Duration = Duration::from_secs(1);
-/// What a watch has missed counts as told so long after it fell silent: by then the next one must have answered.
+/// What a watch has missed counts as told so long after it fell silent: an agent that is well has answered the next one
+/// by then. One behind a discovery short of room is given longer, or nobody would ever be served.
 const TOLD: Duration = Duration::from_secs(6);
 const _: () = assert!(SILENCE.as_millis() + SOON.as_millis() + ANSWER.as_millis() <= TOLD.as_millis());
 /// Notices in one request.
@@ -121,7 +122,7 @@
 ) -> Result<(), WatchError> {
     let path = format!("/v1/endpoints?watch=1&from={}", progress.version);
     let request = Request::get(path).header(HOST, agent.to_string()).body(Empty::<Bytes>::new());
-    let response = call(agent, request.map_err(CallError::from)?, ANSWER).await?;
+    let response = call(agent, request.map_err(CallError::from)?, SILENCE).await?;
     if response.status() != StatusCode::OK {
         return Err(WatchError::Status(response.status()));
     }
