--- a/crates/engine/src/endings.rs
+++ b/crates/engine/src/endings.rs
@@ -22,10 +22,9 @@
     pub(crate) fn owe_end(&mut self, number: u64, class: String, held: Message, end: End) {
         if !held.resend && (end.ending != Ending::Delivered || self.tell_delivered) {
             if let Some(key) = held.line {
-                self.untold.insert(number, key);
                 self.events.push(Event::Notice { message: MessageId(number), key, taken: false });
             }
-            self.notify(number, held.item.id.clone(), held.class, end.ending);
+            self.notify(number, held.item.id.clone(), held.class, end.ending, held.line);
         }
         self.archive_ended(number, class, held);
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -12,7 +12,7 @@
 use crate::observer::{Fact, Observer};
 use crate::source::ListUpdate;
 use crate::transport::{Call, Ended, Item, Transport};
-use crate::word::Word;
+use crate::word::{Word, number_of};
 use milletturn_policy::{
     Action, Class, EndpointId, Entry, Event, Listing, MILLISECOND, MessageId, Micros, NewMessage, Outcome,
     PastAttempt, SECOND, Sender, Settings, SettingsError, Status,
@@ -431,7 +431,7 @@
             self.next_message += 1;
             let began = self.clock.at(arrival.began);
             let left = began + arrival.time - self.clock.now();
-            let line = arrival.subject.as_ref().map(Word::number);
+            let line = arrival.subject.as_ref().map(|subject| number_of(subject.as_str().as_bytes()));
             let new = NewMessage {
                 key: line,
                 tenant: arrival.tenant.as_ref().and_then(|name| self.sender.tenant(name.as_str())),
@@ -524,7 +524,8 @@
             let written = self.ledger.end(message.0, end);
             self.check(written);
             if !resend {
-                self.notify(message.0, id, class, ending);
+                // an endpoint's answer ended it: whoever watches the order knows that already
+                self.notify(message.0, id, class, ending, None);
             }
             self.close(message);
         } else if self.close(message) {
@@ -787,19 +788,20 @@
         let reason = held.why(ending, now, max_attempts);
         let end = End { ending, reason, at: now };
         held.end = Some(end);
-        let (id, resend) = (held.item.id.clone(), held.resend);
+        let (id, resend, line) = (held.item.id.clone(), held.resend, held.line);
         let (class, destination, age) = (held.class, held.destination, now - held.born);
-        self.untold.extend(held.line.filter(|_| !resend).map(|line| (message.0, line)));
         let written = self.ledger.end(message.0, end);
         self.check(written);
         self.observer.observe(&Fact::GivenUp { class, destination, ending, age });
         if !resend {
-            self.notify(message.0, id, class, ending);
+            self.notify(message.0, id, class, ending, line);
         }
         self.close(message);
     }
 
-    pub(crate) fn notify(&self, number: u64, id: Word, class: usize, ending: Ending) {
+    /// Sends a notice. `line` is the number of what the message is about, where the next of that waits for it.
+    pub(crate) fn notify(&mut self, number: u64, id: Word, class: usize, ending: Ending, line: Option<u64>) {
+        self.untold.extend(line.map(|line| (number, line)));
         // the poster lives as long as the process
         let _ = self.notices.send(Notice { number, id, class, ending });
     }
@@ -812,7 +814,7 @@
 
 /// The number of what a message is about.
 pub(crate) fn line_of(taken: &Taken) -> Option<u64> {
-    taken.subject.as_deref().and_then(|text| Word::new(text.as_bytes()).ok()).map(|word| word.number())
+    taken.subject.as_deref().map(|text| number_of(text.as_bytes()))
 }
 
 /// Position of a name; `usize::MAX` for one that is not there.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -41,4 +41,4 @@
 pub use snapshot::{Remote, Restored, Snapshot};
 pub use source::{ListUpdate, Listed};
 pub use transport::{Call, Cause, Ended, Item, Transport};
-pub use word::{Word, WordError};
+pub use word::{Word, WordError, number_of};
--- a/crates/engine/src/snapshot.rs
+++ b/crates/engine/src/snapshot.rs
@@ -211,12 +211,11 @@
         let mut owed = self.ledger.owed();
         for form in forms {
             let written = owed.remove(&form.number);
-            self.untold.extend(form.line.filter(|_| form.end.is_some()).map(|line| (form.number, line)));
             let body = written.map(|owed| owed.taken.body).unwrap_or_default();
             let (number, open) = (form.number, form.open);
             let Some(held) = message_of(form, body) else { continue };
             if let Some(end) = held.end {
-                self.notify(number, held.item.id.clone(), held.class, end.ending);
+                self.notify(number, held.item.id.clone(), held.class, end.ending, held.line);
             }
             self.open += usize::from(open);
             if open {
@@ -228,8 +227,7 @@
             match (owed.end, Word::new(owed.taken.id.as_bytes())) {
                 (Some(end), Ok(id)) => {
                     let class = self.classes.position(&owed.taken.class);
-                    self.untold.extend(line_of(&owed.taken).map(|line| (number, line)));
-                    self.notify(number, id, class, end.ending);
+                    self.notify(number, id, class, end.ending, line_of(&owed.taken));
                 }
                 // it was over, and that could not be written yet
                 _ => self.forget(number),
--- a/crates/engine/src/word.rs
+++ b/crates/engine/src/word.rs
@@ -28,19 +28,19 @@
         Ok(Word(text.into()))
     }
 
-    /// A number for the text, the same in every process: order is kept by it, and across a change of process. Two
-    /// texts of one number only wait for each other (FNV-1a, 64 bits).
-    pub fn number(&self) -> u64 {
-        let mix = |sum: u64, byte: u8| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-        self.0.bytes().fold(0xcbf2_9ce4_8422_2325, mix)
-    }
-
     /// The text.
     pub fn as_str(&self) -> &str {
         &self.0
     }
 }
 
+/// A number for bytes, the same in every process (FNV-1a, RFC 9923, 64 bits). Order is kept by that of a text: two
+/// texts of one number only wait for each other.
+pub fn number_of(bytes: &[u8]) -> u64 {
+    let mix = |sum: u64, byte: &u8| (sum ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, mix)
+}
+
 impl fmt::Display for Word {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
--- a/crates/handover/tests/form.rs
+++ b/crates/handover/tests/form.rs
@@ -70,7 +70,7 @@
             }
             assert_eq!(old.calls_out(), 2);
             let bytes = old.snapshot().expect("encoded");
-            let found = (milletturn_handover::FORM, fingerprint(&bytes));
+            let found = (milletturn_handover::FORM, number_of(&bytes));
             assert_eq!(found, FINGERPRINT, "the form has changed: raise FORM, and note the new value here");
 
             // the old engine is gone; its calls go on
@@ -119,9 +119,3 @@
         }
     });
 }
-
-/// FNV-1a (RFC 9923, 64 bits) of the bytes.
-fn fingerprint(bytes: &[u8]) -> u64 {
-    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, step)
-}
--- a/crates/ledger/src/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -391,10 +391,10 @@
     }
 }
 
-fn taken_entry(number: u64, taken: Taken) -> Entry {
+fn taken_entry(number: u64, mut taken: Taken) -> Entry {
     match taken.effect {
         effect if taken.subject.is_some() || taken.tenant.is_some() => {
-            let (subject, tenant) = (taken.subject.clone(), taken.tenant.clone());
+            let (subject, tenant) = (taken.subject.take(), taken.tenant.take());
             Entry::TakenFor(number, taken, About { effect: effect.map(Repeat), subject, tenant })
         }
         Some(effect) => Entry::TakenAs(number, taken, effect),
--- a/crates/platform/tests/bulk_calls.rs
+++ b/crates/platform/tests/bulk_calls.rs
@@ -1,19 +1,15 @@
 //! Calls that carry several messages, of which some are called off.
 
-use milletturn_engine::{Call, Cause, Input, Item, Transport, Word};
-use milletturn_platform::{Budget, calls::Calls};
+mod common;
+
+use common::{LONG, item, local};
+use milletturn_engine::{Call, Cause, Input, Transport};
 use milletturn_policy::{EndpointId, Outcome};
-use std::rc::Rc;
-use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::LocalSet;
 use tokio::time::Instant;
 
-/// Far beyond what any call here takes.
-const LONG: Duration = Duration::from_secs(20);
-
 struct Out {
     received: mpsc::UnboundedReceiver<Input>,
     cancel: mpsc::UnboundedSender<usize>,
@@ -25,17 +21,10 @@
     async fn new() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("bound");
-        let (inputs, mut received) = mpsc::unbounded_channel();
-        let budget = Budget::new(256, 32_000_000, 40);
-        let calls = Calls::new(LONG, LONG, Vec::new(), &budget, inputs, Rc::default());
-        calls.admit(EndpointId(1), address);
-        let item = |name: &str| {
-            let word = Word::new(name.as_bytes()).expect("a word");
-            Item { id: word.clone(), key: Some(word), body: b"body"[..].into() }
-        };
+        let (calls, mut received) = common::calls(address);
         let (cancel, cancels) = mpsc::unbounded_channel();
         let (endpoint, expires) = (EndpointId(1), Instant::now() + LONG);
-        let items = vec![item("m0"), item("m1")];
+        let items = ["m0", "m1"].map(|name| item(name, b"body".to_vec())).to_vec();
         calls.start(Call { number: 7, endpoint, address, items, expires }, cancels);
         let (mut stream, _) = listener.accept().await.expect("a call");
         match received.recv().await {
@@ -57,11 +46,6 @@
     }
 }
 
-fn local(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn what_is_called_off_is_out_for_as_long_as_the_call_and_fares_like_the_rest() {
     local(async {
--- /dev/null
+++ b/crates/platform/tests/common/mod.rs
@@ -0,0 +1,34 @@
+//! The transport alone, on one thread as it runs in the sender.
+
+use milletturn_engine::{Input, Item, Transport, Word};
+use milletturn_platform::{Budget, calls::Calls};
+use milletturn_policy::EndpointId;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+/// Far beyond what any call here takes.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// Runs a test on one thread, as the transport runs.
+pub fn local(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// A transport that may call endpoint 1 at this address, and what it tells.
+pub fn calls(endpoint: SocketAddr) -> (Calls, mpsc::UnboundedReceiver<Input>) {
+    let (inputs, received) = mpsc::unbounded_channel();
+    let budget = Budget::new(256, 32_000_000, 40);
+    let calls = Calls::new(LONG, LONG, Vec::new(), &budget, inputs, Rc::default());
+    calls.admit(EndpointId(1), endpoint);
+    (calls, received)
+}
+
+/// A message whose key is its name.
+pub fn item(name: &str, body: Vec<u8>) -> Item {
+    let word = Word::new(name.as_bytes()).expect("a word");
+    Item { id: word.clone(), key: Some(word), body: body.into() }
+}
--- a/crates/platform/tests/single_calls.rs
+++ b/crates/platform/tests/single_calls.rs
@@ -1,29 +1,21 @@
 //! Single calls: one on a new connection begins only once it is allowed, and by a stated time; a told wait is heard as
 //! soon as its line is there, whatever becomes of call, body and connection.
 
-use milletturn_engine::{Call, Cause, Input, Item, Transport, Word};
-use milletturn_platform::{Budget, calls::Calls};
+mod common;
+
+use common::{LONG, item, local};
+use milletturn_engine::{Call, Cause, Input, Transport};
+use milletturn_platform::calls::Calls;
 use milletturn_policy::{EndpointId, MILLISECOND, Micros, Outcome};
 use milletturn_stand_ins::{Endpoint, OK};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::LocalSet;
 use tokio::time::Instant;
 
-/// Far beyond what any call here takes.
-const LONG: Duration = Duration::from_secs(20);
-
-/// Runs a test on one thread, as the transport runs.
-fn local(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 /// What a call brought: the waits that were heard, and its end.
 #[derive(Debug, PartialEq)]
 struct Heard {
@@ -40,17 +32,13 @@
 
 impl Rig {
     fn new(endpoint: SocketAddr) -> Self {
-        let (inputs, received) = mpsc::unbounded_channel();
-        let budget = Budget::new(256, 32_000_000, 40);
-        let calls = Calls::new(LONG, LONG, Vec::new(), &budget, inputs, Rc::default());
-        calls.admit(EndpointId(1), endpoint);
+        let (calls, received) = common::calls(endpoint);
         Rig { calls, received, next: 0 }
     }
 
     /// Starts a call of one message, `m` and its number, and gives what calls it off.
     fn start(&mut self, address: SocketAddr, body: usize) -> mpsc::UnboundedSender<usize> {
-        let word = Word::new(format!("m{}", self.next).as_bytes()).expect("a word");
-        let item = Item { id: word.clone(), key: Some(word), body: vec![b'x'; body].into() };
+        let item = item(&format!("m{}", self.next), vec![b'x'; body]);
         let (cancel, cancels) = mpsc::unbounded_channel();
         let (number, endpoint, expires) = (self.next, EndpointId(1), Instant::now() + LONG);
         self.calls.start(Call { number, endpoint, address, items: vec![item], expires }, cancels);
--- a/crates/policy/src/agenda.rs
+++ b/crates/policy/src/agenda.rs
@@ -279,7 +279,6 @@
 /// The most urgent message of a lane that a pass has not given yet.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Head {
-    pub later: bool,
     pub urgency: f64,
     pub born: Micros,
     pub id: MessageId,
@@ -291,12 +290,11 @@
 impl Ord for Head {
     /// The one that comes first is the greatest.
     fn cmp(&self, other: &Self) -> Ordering {
-        let mine = (other.later, other.born, other.id);
-        let others = (self.later, self.born, self.id);
-        let owed = self.lane.owed.cmp(&other.lane.owed);
-        owed.then(mine.0.cmp(&others.0))
+        let rank = |head: &Head| (head.lane.owed, !head.lane.later);
+        rank(self)
+            .cmp(&rank(other))
             .then(self.urgency.total_cmp(&other.urgency))
-            .then((mine.1, mine.2).cmp(&(others.1, others.2)))
+            .then((other.born, other.id).cmp(&(self.born, self.id)))
     }
 }
 
@@ -408,7 +406,7 @@
         let Some(members) = agenda.lanes.get(&lane).filter(|_| !self.waiting.contains(&lane)) else { return };
         let cursor = self.cursors.entry(lane).or_insert_with(|| Cursor::new(members, stage));
         while let Some((born, id)) = cursor.next(members) {
-            let head = Head { later: lane.later, urgency: urgency(id), born, id, lane };
+            let head = Head { urgency: urgency(id), born, id, lane };
             if after.is_none_or(|after| head < *after) {
                 self.heads.push(head);
                 self.waiting.insert(lane);
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -261,12 +261,12 @@
     /// against all senders restarted at once: each begins with a whole call, and none knows a limit. Could
     /// cost worth where this sender alone was restarted.
     pub(crate) fn begin_apart(&mut self, new: &NewMessage) {
-        let aim = self.settings.classes.get(new.class).map_or(0, |class| class.aim.min(new.time_left));
+        let span = self.settings.classes.get(new.class).map_or(0, |class| class.aim.min(new.time_left));
         for endpoint in self.routes.get(&new.destination).cloned().unwrap_or_default() {
             let (id, phase) = (self.unit_of(endpoint), self.phase());
             if !self.units.contains_key(&id) {
                 let unit = self.unit(id);
-                unit.tokens -= phase * (unit.pace * RESUMED_REST * seconds(aim)).min(1.0);
+                unit.tokens -= phase * (unit.pace * RESUMED_REST * seconds(span)).min(1.0);
             }
         }
         self.agenda.stir(new.destination);
--- a/crates/policy/src/passes.rs
+++ b/crates/policy/src/passes.rs
@@ -40,8 +40,10 @@
         let at = if out { held.copy_at } else { held.retry_at.max(rest) };
         let (class, destination, later, worth) =
             (held.class, held.destination, held.later, held.worth.to_bits());
-        let (owed, bound) = (held.owes_call(), self.bound(held));
-        let lane = || Lane { destination, class, copy: out, later, owed, worth, bound };
+        let lane = || {
+            let (owed, bound) = (held.owes_call(), self.bound(held));
+            Lane { destination, class, copy: out, later, owed, worth, bound }
+        };
         let stand = match at {
             _ if !held.open || !turn || at == Micros::MAX => Stand::Nowhere,
             at if at > self.now => Stand::At(at),
@@ -152,9 +154,7 @@
     fn send_by_walk(&mut self, actions: &mut Vec<Action>) {
         let mut opened = Opened::new();
         let ready = self.messages.iter().filter_map(|(&id, held)| match self.place(id, held).stand {
-            Stand::Lane(lane) => {
-                Some(Head { later: held.later, urgency: self.order(held), born: held.born, id, lane })
-            }
+            Stand::Lane(lane) => Some(Head { urgency: self.order(held), born: held.born, id, lane }),
             _ => None,
         });
         let mut ready: Vec<Head> = ready.collect();
--- a/src/account.rs
+++ b/src/account.rs
@@ -1,6 +1,7 @@
 //! `milletturn account`: what all senders of a fleet did, from their logs.
 
-use clap::{Args, ValueEnum};
+use crate::format::Format;
+use clap::Args;
 use milletturn_account::{Account, Line};
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
@@ -32,14 +33,6 @@
     format: Format,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
-enum Format {
-    /// For people.
-    Text,
-    /// One JSON object a row.
-    Json,
-}
-
 /// Whether this process writes the lines.
 pub fn traces() -> bool {
     std::env::var_os("MILLETTURN_TRACE").is_some_and(|value| value == "1")
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! `milletturn config`: writes, checks, shows and explains configurations.
 
-use clap::{Args, Subcommand, ValueEnum};
+use crate::format::Format;
+use clap::{Args, Subcommand};
 use milletturn_config::check::budgets;
 use milletturn_config::codes::Code;
 use milletturn_config::document::{Document, Value};
@@ -21,14 +22,6 @@
     command: Command,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
-enum Format {
-    /// For people.
-    Text,
-    /// One JSON object a line, for CI.
-    Json,
-}
-
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Check one file, or several that run on one machine, for all that is wrong with them.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,7 +4,8 @@
 mod table;
 
 use crate::assemble::block_on;
-use clap::{Args, Subcommand, ValueEnum};
+use crate::format::Format;
+use clap::{Args, Subcommand};
 use milletturn_fleet::{Answer, Entry};
 use milletturn_fleet_wire::Line;
 use milletturn_fleet_wire::words::{BACKUP, BOOK, Backup, Look, STATUS, Status};
@@ -43,14 +44,6 @@
     command: Command,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
-enum Format {
-    /// Tables.
-    Text,
-    /// JSON, an object a line.
-    Json,
-}
-
 #[derive(Debug, Subcommand)]
 enum Command {
     /// What each steward says of itself: role, leader, how far it is. Needs no majority.
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod demo;
 mod fleet;
+mod format;
 mod logger;
 mod operators;
 mod run;
