Close client connections without a reset, and answer what crosses their end

Cause: serve_one returned, and so dropped the socket, when its place was asked for or its time was up; the runtime had not heard yet of a last byte that was already here, so a whole request met a reset. Nothing read the rest, so an unread byte made each such close a reset. serve waited up to 100 ms for a place in the accept loop itself: those behind it added up, and the one without a place was dropped unanswered; nobody was asked again when the asked one stayed or all had been busy. At the end of the process half-read requests were cut off.

Change: what has come is read (one more look of the runtime) before a connection goes; a half-read request gets 503, the sending is ended first, and the rest is read for LINGER within a bound of descriptors. New connections wait beside each other within a bound, are told 503 after PLACE_TIME, and a place that is answered meanwhile is asked for. From 3.0 s after SIGTERM what has not come whole is told 503, 0.3 s before the end.

--- a/crates/platform/src/budget.rs
+++ b/crates/platform/src/budget.rs
@@ -8,6 +8,8 @@
 pub struct Budget {
     /// Connections from clients. They hold a third of all descriptors for requests at most.
     pub clients: usize,
+    /// Beside these, new ones that wait for a place at once, and as many closed ones that are read to their end.
+    pub beside: usize,
     /// Connections to endpoints, those of calls, of answers being read to their end, and idle ones.
     pub endpoints: usize,
     /// Idle ones among these.
@@ -26,11 +28,13 @@
         let room = sockets.saturating_sub(Self::REST);
         // a tenth stays free: a closed socket counts until its task has run, an accepted one before it has a place
         let clients = (room * 2 / 5).max(1);
+        // half of that tenth, in two parts
+        let beside = (room / 10 / 4).max(1);
         let endpoints = (room - room / 10).saturating_sub(clients).max(1);
         // calls come first; a quarter of the connections may be idle even where slots are many
         let idle = endpoints.saturating_sub(slots).max(endpoints / 4);
         let bodies = usize::try_from(memory / 8).unwrap_or(usize::MAX);
-        Budget { clients, endpoints, idle, bodies: bodies.clamp(2 * BODY_MOST, 64 << 20) }
+        Budget { clients, beside, endpoints, idle, bodies: bodies.clamp(2 * BODY_MOST, 64 << 20) }
     }
 }
 
@@ -45,7 +49,10 @@
         for sockets in [64, 256, 384, 1024, 65_536] {
             for slots in [3, 40, 120, 2000] {
                 let budget = Budget::new(sockets, 32_000_000, slots);
-                assert!(budget.clients + budget.endpoints + Budget::REST < sockets, "{sockets}: {budget:?}");
+                assert!(
+                    budget.clients + 2 * budget.beside + budget.endpoints + Budget::REST < sockets,
+                    "{sockets}: {budget:?}"
+                );
                 assert!(budget.idle > 0 && budget.idle <= budget.endpoints, "{sockets}: {budget:?}");
             }
             // clients may hold a third of the descriptors for requests
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -21,9 +21,10 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// From connecting to the end of the first request's head: a silent or endless one is closed in good time.
@@ -36,8 +37,12 @@
 /// would be reset before it has read the answer.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_MOST: usize = 256 * 1024;
-/// Longest wait of a new connection for the place of one that is asked to go.
+/// Longest wait of a new connection for the place of one that is asked to go. Beyond it is turned away while its client,
+/// which waits four times as long, still has time to go elsewhere.
 const PLACE_TIME: Duration = Duration::from_millis(100);
+/// What a request gets that has not come whole when its connection is closed: it was not taken on.
+const TURNED_AWAY: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// Longest head.
 const HEAD_MOST: usize = 16 * 1024;
 /// A longer time to deliver is cut to this.
@@ -57,6 +62,10 @@
     pub most: usize,
     /// Those of them that are not.
     pub places: Arc<Semaphore>,
+    /// Beside these, new connections that may wait for a place at once.
+    pub waiting: Arc<Semaphore>,
+    /// Beside these, closed connections that may be read to their end at once.
+    pub closed: Arc<Semaphore>,
     /// Bytes of bodies that may be in reading at once.
     pub bodies: Semaphore,
 }
@@ -81,8 +90,10 @@
     /// Its place is wanted.
     leave: Notify,
     leaving: Cell<bool>,
-    /// The head that is being read, as it came.
+    /// The head that is being read, as it came; empty between an answer and the next request.
     head: RefCell<Vec<u8>>,
+    /// Bytes that have been read.
+    read: Cell<u64>,
 }
 
 impl Place {
@@ -96,6 +107,7 @@
             leave: Notify::new(),
             leaving: Cell::new(false),
             head: RefCell::default(),
+            read: Cell::new(0),
         }
     }
 
@@ -134,27 +146,45 @@
     }
 }
 
-/// The open connections, in the order of their coming.
+/// The open connections, in the order of their coming, and how many new ones wait for their places.
 #[derive(Default)]
-struct Places(RefCell<BTreeMap<u64, Rc<Place>>>);
+struct Places {
+    open: RefCell<BTreeMap<u64, Rc<Place>>>,
+    waiting: Cell<usize>,
+}
 
 impl Places {
-    /// Asks the connection to go that has been without an open request for longest.
+    /// Asks the connection to go that has been without an open request for longest, if more wait than go. To be
+    /// called whenever one more waits, one that was asked stays, or one has become free to go.
     fn ask_oldest(&self) {
-        let places = self.0.borrow();
+        if self.waiting.get() == 0 {
+            return;
+        }
+        let places = self.open.borrow();
+        if places.values().filter(|place| place.leaving.get()).count() >= self.waiting.get() {
+            return;
+        }
         let free = places.values().filter(|place| !place.open.get() && !place.leaving.get());
         if let Some(oldest) = free.min_by_key(|place| place.since.get()) {
             oldest.leaving.set(true);
             oldest.leave.notify_one();
         }
     }
+
+    /// A place, that of another connection if need be; none if no other can go in time.
+    async fn get(&self, free: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+        self.waiting.update(|count| count + 1);
+        self.ask_oldest();
+        let permit = timeout(PLACE_TIME, free.clone().acquire_owned()).await;
+        self.waiting.update(|count| count - 1);
+        permit.ok()?.ok()
+    }
 }
 
 /// Accepts clients for ever. Nobody waits long behind those who say nothing: when places run short, the
-/// oldest connection with no open request goes.
+/// oldest connection with no open request goes. Nor behind those who wait: these do so beside each other.
 pub async fn serve(listener: TcpListener, server: Rc<Server>) {
-    let faults = Seldom::default();
-    let free = server.places.clone();
+    let faults = Rc::new(Seldom::default());
     let places = Rc::new(Places::default());
     for number in 0u64.. {
         let accepted = tokio::select! {
@@ -170,62 +200,136 @@
                 continue;
             }
         };
-        if free.available_permits() == 0 {
-            places.ask_oldest();
-        }
-        let Ok(Ok(permit)) = timeout(PLACE_TIME, free.clone().acquire_owned()).await else {
-            faults.log(format_args!("clients: all {} places have an open request", server.most));
-            continue;
-        };
-        let (server, places, place) = (server.clone(), places.clone(), Rc::new(Place::new()));
-        places.0.borrow_mut().insert(number, place.clone());
+        // without it answers still come, only later
+        let _ = stream.set_nodelay(true);
         let inside = server.gate.enter();
+        let (permit, waits) = match server.places.clone().try_acquire_owned() {
+            Ok(permit) => (Some(permit), None),
+            // each of those that wait is done within `PLACE_TIME`
+            Err(_) => (None, server.waiting.clone().acquire_owned().await.ok()),
+        };
+        let (server, places, faults) = (server.clone(), places.clone(), faults.clone());
         tokio::task::spawn_local(async move {
-            serve_one(stream, server, place).await;
-            places.0.borrow_mut().remove(&number);
-            drop((permit, inside));
+            let permit = match permit {
+                Some(permit) => Some(permit),
+                None => places.get(&server.places).await,
+            };
+            drop(waits);
+            let left = match permit {
+                Some(permit) => {
+                    let place = Rc::new(Place::new());
+                    places.open.borrow_mut().insert(number, place.clone());
+                    let left = serve_one(stream, &server, &places, place).await;
+                    places.open.borrow_mut().remove(&number);
+                    drop(permit);
+                    left
+                }
+                None => {
+                    faults.log(format_args!("clients: all {} places have an open request", server.most));
+                    // one that does not take these few bytes has no use for them
+                    let _ = stream.try_write(TURNED_AWAY);
+                    Some(stream)
+                }
+            };
+            if let Some(stream) = left {
+                close(stream, &server.closed).await;
+            }
+            drop(inside);
         });
     }
 }
 
-async fn serve_one(stream: TcpStream, server: Rc<Server>, place: Rc<Place>) {
-    // without it answers still come, only later
-    let _ = stream.set_nodelay(true);
-    let mut closing = server.gate.closing();
-    let (seen, stream) = (place.clone(), Watched { stream, place: place.clone(), dropped: 0 });
-    let service = service_fn(move |request| answer(request, server.clone(), seen.clone()));
-    let connection = http1::Builder::new()
+/// Serves a connection until it ends; gives the stream of one that is still to be closed.
+async fn serve_one(
+    stream: TcpStream, server: &Rc<Server>, places: &Rc<Places>, place: Rc<Place>,
+) -> Option<TcpStream> {
+    let (mut closing, mut last) = (server.gate.closing(), server.gate.last());
+    let (shared, seen, others) = (server.clone(), place.clone(), places.clone());
+    let stream = Watched { stream, place: place.clone(), dropped: 0 };
+    let service = service_fn(move |request| answer(request, shared.clone(), others.clone(), seen.clone()));
+    let mut connection = http1::Builder::new()
         .header_read_timeout(None) // `Place::until` covers it
         .max_buf_size(HEAD_MOST)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     // one that comes after the idle ones have been closed is answered once
     let mut stays = !*closing.borrow_and_update();
+    let mut ending = false;
     loop {
         let until = place.until.get();
         tokio::select! {
             // a request that has come counts more than the end of its time
             biased;
             // how a client leaves is its own affair; a message it left behind is withdrawn by its guard
-            _ = &mut connection => return,
+            _ = &mut connection => return None,
             _ = closing.wait_for(|closing| *closing), if stays => {
                 stays = false;
-                connection.as_mut().graceful_shutdown();
-            }
-            () = place.leave.notified() => {
-                if !place.open.get() {
-                    return;
-                }
-                place.leaving.set(false);
-            }
-            () = sleep_until(until) => {
-                if place.open.get() {
-                    // its handler ends by itself: looked at again when that is long over
-                    place.until.set(Instant::now() + IDLE);
-                } else if place.until.get() <= Instant::now() {
-                    return;
-                }
+                Pin::new(&mut connection).graceful_shutdown();
+                continue;
             }
+            _ = last.wait_for(|last| *last), if !ending => ending = true,
+            () = place.leave.notified() => {}
+            () = sleep_until(until) => {}
+        }
+        if read_all(&mut connection, &place).await {
+            return None;
+        }
+        let over = ending || place.leaving.get() || place.until.get() <= Instant::now();
+        if over && !place.open.get() {
+            break;
+        }
+        if place.until.get() <= Instant::now() {
+            // its handler ends by itself: looked at again when that is long over
+            place.until.set(Instant::now() + IDLE);
+        }
+        if place.leaving.replace(false) {
+            places.ask_oldest();
+        }
+    }
+    let stream = connection.into_parts().io.into_inner().stream;
+    if !place.head.borrow().is_empty() {
+        // one that does not take these few bytes has no use for them
+        let _ = stream.try_write(TURNED_AWAY);
+    }
+    Some(stream)
+}
+
+/// Reads all that has come by now: the runtime hears of bytes only when it next asks the system, and a request
+/// whose last byte is here must not meet the close of its connection. True if the connection has ended.
+async fn read_all<C: Future + Unpin>(connection: &mut C, place: &Place) -> bool {
+    loop {
+        let before = place.read.get();
+        tokio::select! {
+            biased;
+            _ = &mut *connection => return true,
+            // comes back when the runtime has asked
+            () = yield_now() => {}
+        }
+        if place.open.get() || place.read.get() == before {
+            return false;
+        }
+    }
+}
+
+/// Closes a connection with no reset, which would take an answer with it that the client has not read: ends the
+/// sending, and reads what still comes for a while.
+async fn close(mut stream: TcpStream, closed: &Arc<Semaphore>) {
+    // one that is gone needs no end
+    let _ = stream.shutdown().await;
+    let time = match closed.clone().try_acquire_owned() {
+        Ok(_beside) => timeout(LINGER, read_off(&mut stream)).await,
+        // no descriptor may rest any longer: only what is here already
+        Err(_) => timeout(Duration::ZERO, read_off(&mut stream)).await,
+    };
+    // its client has not ended in time: what more it writes is reset
+    drop(time);
+}
+
+async fn read_off(stream: &mut TcpStream) {
+    let (mut scratch, mut dropped) = ([0; 8192], 0);
+    while dropped < LINGER_MOST {
+        match stream.read(&mut scratch).await {
+            Ok(count @ 1..) => dropped += count,
+            _ => return,
         }
     }
 }
@@ -252,6 +356,8 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = (buffer.filled().len() - before) as u64;
+        self.place.read.update(|count| count + read);
         let mut head = self.place.head.borrow_mut();
         // bodies behind the head are cut off at a read's end: only the head matters, and that has a bound
         let ended = head.windows(4).any(|four| four == b"\r\n\r\n");
@@ -302,7 +408,7 @@
 }
 
 async fn answer(
-    request: Request<Incoming>, server: Rc<Server>, place: Rc<Place>,
+    request: Request<Incoming>, server: Rc<Server>, places: Rc<Places>, place: Rc<Place>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let ends = place.begin();
     let (response, close) = match handle(request, &server, &place, ends).await {
@@ -325,6 +431,8 @@
     }
     // hyper writes the answer in the same breath, before anybody can ask for the place
     place.answered(close);
+    // for those who found all others busy
+    places.ask_oldest();
     Ok(response)
 }
 
--- a/crates/platform/src/gate.rs
+++ b/crates/platform/src/gate.rs
@@ -22,6 +22,9 @@
 const DRAIN_TAKES: Duration = Duration::from_millis(1800);
 /// From SIGTERM to the end of idle client connections. SIGKILL comes no sooner than 3.7 s after SIGTERM.
 const ENDING_IDLE: Duration = Duration::from_millis(2500);
+/// From SIGTERM to the end of all that has no whole request: what is half read is turned away, and told so. The process
+/// ends 0.3 s behind that, which answers need to be written and clients to close.
+const ENDING_LAST: Duration = Duration::from_millis(3000);
 
 /// What the clients' door does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +50,14 @@
         }
     }
 
+    /// When connections that have no whole request are closed.
+    fn closes_last(self) -> Option<Instant> {
+        match self {
+            Phase::Ending(since) => Some(since + ENDING_LAST),
+            _ => None,
+        }
+    }
+
     /// True while messages are still taken on. A process that ends takes them to the last: nothing tells its
     /// clients sooner.
     fn takes(self, now: Instant) -> bool {
@@ -60,6 +71,8 @@
     phase: watch::Sender<Phase>,
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
+    /// So are those in the middle of a request.
+    last: watch::Sender<bool>,
     /// The sender serves in another process, whatever this one does.
     handed: Cell<bool>,
     /// Connections that are open.
@@ -73,6 +86,7 @@
         Gate {
             phase: watch::channel(Phase::Open).0,
             closing: watch::channel(false).0,
+            last: watch::channel(false).0,
             handed: Cell::new(false),
             connections: Cell::new(0),
         }
@@ -98,6 +112,11 @@
         self.closing.subscribe()
     }
 
+    /// Turns true when connections are to go also in the middle of a request.
+    pub fn last(&self) -> watch::Receiver<bool> {
+        self.last.subscribe()
+    }
+
     /// Empties the sender; false if the process ends. A drain that is on goes on.
     pub fn drain(&self) -> bool {
         self.phase.send_if_modified(|phase| {
@@ -165,12 +184,16 @@
     pub async fn run(self: Rc<Self>) {
         let mut phases = self.phase.subscribe();
         loop {
-            let due = phases.borrow_and_update().closes_idle();
-            let now = due.is_some_and(|due| due <= Instant::now());
-            self.closing.send_if_modified(|closing| std::mem::replace(closing, now) != now);
+            let phase = *phases.borrow_and_update();
+            let mut next: Option<Instant> = None;
+            for (due, turned) in [(phase.closes_idle(), &self.closing), (phase.closes_last(), &self.last)] {
+                let now = due.is_some_and(|due| due <= Instant::now());
+                turned.send_if_modified(|turned| std::mem::replace(turned, now) != now);
+                next = next.into_iter().chain(due.filter(|_| !now)).min();
+            }
             tokio::select! {
                 changed = phases.changed() => if changed.is_err() { return },
-                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() && !now => {}
+                () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
             }
         }
     }
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -153,6 +153,8 @@
         ready: ready_seen.clone(),
         gate: gate.clone(),
         most: budget.clients,
+        waiting: Arc::new(Semaphore::new(budget.beside)),
+        closed: Arc::new(Semaphore::new(budget.beside)),
         bodies: Semaphore::new(budget.bodies),
     };
     let wall = i64::try_from(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros())?;
