--- a/crates/ledger/src/journal.rs
+++ b/crates/ledger/src/journal.rs
@@ -121,6 +121,8 @@
     TakenAs(u64, #[serde(with = "TakenForm")] Taken, #[serde(with = "EffectForm")] Effect),
     // since clients tell what a message is about, and whose it is
     TakenFor(u64, #[serde(with = "TakenForm")] Taken, About),
+    // damage ahead of this may have hidden a send of each message that is owed here
+    Damaged,
 }
 
 /// What the form of a message in older files has no room for.
@@ -197,26 +199,27 @@
             broken: false,
         };
         let recovery = Recovery { fresh, ..journal.read(&bytes) };
-        if recovery.damaged > 0 {
-            // a lost record may have told of a send
-            for Kept { owed, .. } in journal.owed.values_mut() {
-                let presumed = Sent { uid: String::new(), sent_at: owed.taken.taken_at, never_ran: false };
-                owed.attempts.insert(owed.past, presumed);
-            }
-        }
         if recovery.torn > 0 {
             journal.size -= recovery.torn as u64;
             journal.file.set_len(journal.size).map_err(unwritten)?;
         }
-        if recovery.damaged > 0 {
-            journal.live = 0;
-            for (&number, kept) in &mut journal.owed {
-                kept.size = encode_owed(number, &kept.owed)?.len() as u64;
-                journal.live += kept.size;
-            }
-            journal.compact()?;
+        let compacted = if recovery.damaged > 0 {
+            // one record, for which `ROUNDING` has room in a folder that is full
+            let mark = encode(&Entry::Damaged)?;
+            journal.file.write_all(&mark).map_err(unwritten)?;
+            journal.size += mark.len() as u64;
+            let bytes = [journal.encode_all()?, mark].concat();
+            journal.presume_sends()?;
+            journal.replace(&bytes)
         } else if journal.size > SMALL {
-            journal.compact()?;
+            journal.compact()
+        } else {
+            Ok(())
+        };
+        match compacted {
+            // the file is sound as it stands, and is compacted once enough of what it holds is over
+            Ok(()) | Err(LedgerError::Full) => {}
+            Err(error) => return Err(error),
         }
         Ok((journal, recovery))
     }
@@ -230,6 +233,10 @@
                 continue;
             };
             recovery.damaged += std::mem::take(&mut bad);
+            if matches!(entry, Entry::Damaged) {
+                // an earlier start has seen it, and told of it
+                recovery.damaged = 0;
+            }
             recovery.records += 1;
             at += length;
             self.apply(entry, length as u64);
@@ -278,9 +285,23 @@
                 owed.end = Some(End { ending, reason: Reason::Unknown, at: owed.taken.deadline });
             }),
             Entry::End(number, end) => self.grow(number, length, |owed| owed.end = Some(end)),
+            // a size can't be told only of what can't be written either
+            Entry::Damaged => drop(self.presume_sends()),
         }
     }
 
+    /// A lost record may have told of a send of any message.
+    fn presume_sends(&mut self) -> Result<(), LedgerError> {
+        for (&number, Kept { owed, size }) in &mut self.owed {
+            let presumed = Sent { uid: String::new(), sent_at: owed.taken.taken_at, never_ran: false };
+            owed.attempts.insert(owed.past, presumed);
+            self.live -= *size;
+            *size = encode_owed(number, owed)?.len() as u64;
+            self.live += *size;
+        }
+        Ok(())
+    }
+
     fn insert(&mut self, number: u64, owed: Owed, size: u64) {
         self.live += size;
         if let Some(old) = self.owed.insert(number, Kept { owed, size }) {
@@ -320,17 +341,44 @@
     }
 
     fn compact(&mut self) -> Result<(), LedgerError> {
-        let new = self.path.with_extension("new");
+        // asked at each end of a message while there is no room
+        if self.size + self.live > self.most() {
+            return Err(LedgerError::Full);
+        }
+        let bytes = self.encode_all()?;
+        self.replace(&bytes)
+    }
+
+    /// Writes what is owed without the messages whose ends could not be written.
+    fn compact_ended(&mut self) -> Result<(), LedgerError> {
+        self.compact()?;
+        self.unwritten.clear();
+        Ok(())
+    }
+
+    /// All that is owed.
+    fn encode_all(&self) -> Result<Vec<u8>, LedgerError> {
         let mut bytes = Vec::new();
         for (&number, kept) in &self.owed {
             bytes.extend(encode_owed(number, &kept.owed)?);
         }
-        if self.size + bytes.len() as u64 > self.limit {
+        Ok(bytes)
+    }
+
+    /// What old and new file may come to. One that is too large already, as settings may leave it, gives way to nothing.
+    fn most(&self) -> u64 {
+        self.limit.max(self.size)
+    }
+
+    /// Puts a file with these bytes in place of the present one.
+    fn replace(&mut self, bytes: &[u8]) -> Result<(), LedgerError> {
+        let new = self.path.with_extension("new");
+        if self.size + bytes.len() as u64 > self.most() {
             return Err(LedgerError::Full);
         }
         let written = (|| -> io::Result<File> {
             let mut file = OpenOptions::new().append(true).create_new(true).open(&new)?;
-            file.write_all(&bytes)?;
+            file.write_all(bytes)?;
             fs::rename(&new, &self.path)?;
             Ok(file)
         })();
@@ -380,14 +428,21 @@
         }
         let written = self.append(Entry::Over(number), 0);
         if written.is_err() {
+            // nothing more is owed, so that a compacted file is without it: that may fit where a record does not
+            self.apply(Entry::Over(number), 0);
             self.unwritten.push(number);
+            return self.compact_ended();
         }
         written
     }
 
     fn retry(&mut self) -> Result<(), LedgerError> {
-        let numbers = std::mem::take(&mut self.unwritten);
-        numbers.into_iter().map(|number| self.over(number)).fold(Ok(()), Result::and)
+        for number in std::mem::take(&mut self.unwritten) {
+            if self.append(Entry::Over(number), 0).is_err() {
+                self.unwritten.push(number);
+            }
+        }
+        if self.unwritten.is_empty() { Ok(()) } else { self.compact_ended() }
     }
 }
 
