End at SIGTERM before the folder is free, and count messages given up with no call by reason

Cause: SIGTERM had a handler from the first line on, but nobody heard it while the process waited for a folder that another one owns, so that only SIGKILL ended it. `milletturn account` knew how many were given up, not which had never had a call.

Change: the wait for the folder ends at SIGTERM. Fact::GivenUp tells the reason and whether a call was ever begun; the trace line and the account's rows carry them (`untried`, by reason; a column with the sum in the text).

--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -5,4 +5,4 @@
 mod trace;
 
 pub use sum::{Account, Row};
-pub use trace::{How, Line, Trace, What};
+pub use trace::{How, Line, Trace, What, Why};
--- a/crates/account/src/sum.rs
+++ b/crates/account/src/sum.rs
@@ -1,6 +1,6 @@
 //! The sums.
 
-use crate::trace::{How, Line, What};
+use crate::trace::{How, Line, What, Why};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -31,6 +31,8 @@
     pub age_us: u64,
     /// Messages given up.
     pub given_up: u64,
+    /// Those among them of which no call was ever begun, by reason.
+    pub untried: BTreeMap<Why, u64>,
     /// Senders that took it for sick.
     pub fell_sick: u64,
     /// Senders that saw it return.
@@ -103,7 +105,12 @@
                 row.delivered += 1;
                 row.age_us = row.age_us.saturating_add(*age);
             }
-            What::GivenUp { .. } => row.given_up += 1,
+            What::GivenUp { why, untried, .. } => {
+                row.given_up += 1;
+                if *untried {
+                    *row.untried.entry(*why).or_default() += 1;
+                }
+            }
             What::ToldWait { .. } => {}
             What::Remark { text } => {
                 row.fell_sick += u64::from(text.contains(" sick"));
--- a/crates/account/src/trace.rs
+++ b/crates/account/src/trace.rs
@@ -1,6 +1,6 @@
 //! The lines: what a sender did, in its log.
 
-use milletturn_engine::{Cause, Fact, Observer};
+use milletturn_engine::{Cause, Fact, Observer, Reason};
 use milletturn_policy::Outcome;
 use serde::{Deserialize, Serialize};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -82,6 +82,12 @@
         to: u64,
         /// Microseconds after it was handed in.
         age: u64,
+        /// Why.
+        #[serde(default)]
+        why: Why,
+        /// No call of it was ever begun.
+        #[serde(default)]
+        untried: bool,
     },
     /// An endpoint told a wait, in whatever answer: its first bytes are enough.
     ToldWait {
@@ -97,6 +103,23 @@
     },
 }
 
+/// Why a message was given up.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Why {
+    /// Its time was up.
+    TimeUp,
+    /// It was returned before its time was up.
+    TurnedAway,
+    /// All its attempts were used.
+    AttemptsUsed,
+    /// It failed before its time was up, and with attempts left.
+    NoRepeat,
+    /// An older sender's line does not say.
+    #[default]
+    Unknown,
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -166,7 +189,16 @@
             }
         }
         Fact::Delivered { destination: to, age: after, .. } => What::Delivered { to, age: age(after) },
-        Fact::GivenUp { destination: to, age: after, .. } => What::GivenUp { to, age: age(after) },
+        Fact::GivenUp { destination: to, age: after, reason, untried, .. } => {
+            let why = match reason {
+                Reason::TimeUp => Why::TimeUp,
+                Reason::TurnedAway => Why::TurnedAway,
+                Reason::AttemptsUsed => Why::AttemptsUsed,
+                Reason::NoRepeat => Why::NoRepeat,
+                Reason::Delivered | Reason::Unknown => Why::Unknown,
+            };
+            What::GivenUp { to, age: age(after), why, untried }
+        }
         Fact::ToldWait { uid, wait } => What::ToldWait { uid: uid.to_string(), wait: age(wait) },
         Fact::Remark(text) => What::Remark { text: text.to_string() },
         Fact::Classes(_) | Fact::LedgerFault(_) => return None,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -790,9 +790,10 @@
         held.end = Some(end);
         let (id, resend, line) = (held.item.id.clone(), held.resend, held.line);
         let (class, destination, age) = (held.class, held.destination, now - held.born);
+        let untried = !held.attempts.iter().any(Attempt::was_begun);
         let written = self.ledger.end(message.0, end);
         self.check(written);
-        self.observer.observe(&Fact::GivenUp { class, destination, ending, age });
+        self.observer.observe(&Fact::GivenUp { class, destination, ending, reason, untried, age });
         if !resend {
             self.notify(message.0, id, class, ending, line);
         }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -44,6 +44,11 @@
         Attempt { out: false, may_have_run, ..Attempt::start(endpoint, uid.into(), sent) }
     }
 
+    /// A call was begun, as far as is known.
+    pub fn was_begun(&self) -> bool {
+        !matches!(self.outcome, Some(Outcome::Unsent { .. }))
+    }
+
     pub fn end(&mut self, outcome: Outcome, latency: Micros) {
         (self.out, self.may_have_run) = (false, !outcome.never_ran());
         (self.outcome, self.latency) = (Some(outcome), Some(latency));
--- a/crates/engine/src/observer.rs
+++ b/crates/engine/src/observer.rs
@@ -1,6 +1,6 @@
 //! Observers: hear what happened, and change nothing.
 
-use crate::{Answer, Cause, Ending, LedgerError, Word};
+use crate::{Answer, Cause, Ending, LedgerError, Reason, Word};
 use milletturn_policy::{Micros, Outcome};
 
 /// Something that happened. Times are module time in microseconds.
@@ -86,6 +86,10 @@
         destination: u64,
         /// How it ended.
         ending: Ending,
+        /// Why.
+        reason: Reason,
+        /// No call of it was ever begun.
+        untried: bool,
         /// Time since it was handed in.
         age: Micros,
     },
--- a/crates/management/src/figures.rs
+++ b/crates/management/src/figures.rs
@@ -113,13 +113,16 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use milletturn_engine::Reason;
 
     #[test]
     fn each_end_is_counted_once_under_its_class() {
         let figures = Figures::default();
         figures.hear(&Fact::Classes(&["a".to_string(), "b".to_string()]));
         let turned = |answer| Fact::TurnedAway { class: 1, destination: 7, at: 0, answer };
-        let given_up = |ending| Fact::GivenUp { class: 0, destination: 7, ending, age: 0 };
+        let reason = Reason::TimeUp;
+        let given_up =
+            |ending| Fact::GivenUp { class: 0, destination: 7, ending, reason, untried: true, age: 0 };
         figures.hear(&Fact::Taken { class: 0, destination: 7, at: 0 });
         figures.hear(&Fact::Delivered { class: 0, destination: 7, age: 5 });
         figures.hear(&turned(Answer::Refused { wait: None }));
--- a/src/account.rs
+++ b/src/account.rs
@@ -75,7 +75,7 @@
     }
     let mut out = std::io::stdout().lock();
     let (mut count, text) = (0, arguments.format == Format::Text);
-    let heads = "  to     from taken  away  sent again    ok refused failed delivered  mean-s given-up  held sick back left limit";
+    let heads = "  to     from taken  away  sent again    ok refused failed delivered  mean-s given-up untried  held sick back left limit";
     if text && writeln!(out, "{heads}").is_err() {
         return Ok(1);
     }
@@ -89,7 +89,7 @@
         let written = match text {
             true => writeln!(
                 out,
-                "{to:4} {from:8.1} {:5} {:5} {:5} {:5} {:5} {:7} {:6} {:9} {mean:7.2} {:8} {held:5} {:4} {:4} {:4.2} {:5.0}",
+                "{to:4} {from:8.1} {:5} {:5} {:5} {:5} {:5} {:7} {:6} {:9} {mean:7.2} {:8} {:7} {held:5} {:4} {:4} {:4.2} {:5.0}",
                 row.taken,
                 row.turned_away,
                 row.sent,
@@ -99,6 +99,7 @@
                 row.failed,
                 row.delivered,
                 row.given_up,
+                row.untried.values().sum::<u64>(),
                 row.fell_sick,
                 row.returned,
                 row.report_first / reports,
--- a/src/run.rs
+++ b/src/run.rs
@@ -34,7 +34,7 @@
 }
 
 async fn run_here(undelivered: Option<&Path>) -> Result<(), Box<dyn Error>> {
-    let signals = Signals::new()?;
+    let mut signals = Signals::new()?;
     let mut config = Config::from_env()?;
     let store = undelivered.map(StoreConfig::read).transpose()?;
     let mut journal_room = config.disk;
@@ -45,7 +45,17 @@
     }
     config.budget = config.budget_beside(beside);
     // what the store is owed can't be handed on: with one, the next process begins when this one has ended
-    let place = if store.is_some() { Place::Own } else { Place::Shared(begin(&config.state).await?) };
+    let place = match store {
+        Some(_) => Place::Own,
+        None => tokio::select! {
+            begun = begin(&config.state) => Place::Shared(begun?),
+            // nothing has been taken on, and the process that it waits for may outlast any patience
+            () = signals.until_terminated() => {
+                log(format_args!("{}: SIGTERM before the folder was free, ends", config.name));
+                return Ok(());
+            }
+        },
+    };
     // a list that another process has followed may be newer than the file's: the next one is asked for whole
     let known = config.known.as_ref().filter(|known| !known.targets.is_empty());
     let known = known.filter(|_| !matches!(place, Place::Shared(Begun::Over(_))));
--- /dev/null
+++ b/tests/endings.rs
@@ -0,0 +1,246 @@
+//! What ends the real process, at each step of its start and of a message's way, and what is owed then.
+
+mod node;
+
+use milletturn_engine::{End, Ending, Ledger, Reason, Taken};
+use milletturn_ledger::Journal;
+use node::*;
+use std::fs::{File, create_dir_all};
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::Child;
+use std::sync::atomic::Ordering;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const ROOM: u64 = 3_000_000;
+const MARK: &[u8] = b"MTJ1";
+
+fn one(endpoint: &Endpoint) -> Agent {
+    Agent::new(vec![list(&[("s-1", endpoint.address, "one", 7, "up")])])
+}
+
+fn taken(id: &str, class: &str, body: usize) -> Taken {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_micros() as i64;
+    Taken {
+        id: id.into(),
+        key: Some(format!("key-{id}")),
+        class: class.into(),
+        effect: None,
+        subject: None,
+        tenant: None,
+        destination: 7,
+        taken_at: now,
+        deadline: now + 120_000_000,
+        body: vec![b'x'; body],
+    }
+}
+
+/// A journal with so many untried messages that may not be repeated.
+fn owing(state: &Path, count: u64) {
+    let (mut journal, _) = Journal::open(state, ROOM, 1000).expect("a journal");
+    for number in 0..count {
+        journal.take(number, taken(&format!("m{number}"), "order", 1000)).expect("room");
+    }
+}
+
+/// One that accepts connections and says nothing.
+fn silent() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port")
+}
+
+fn tell(process: &Child, signal: &str) {
+    let id = process.id().to_string();
+    assert!(std::process::Command::new("kill").args([signal, &id]).status().expect("kill runs").success());
+}
+
+#[test]
+fn nothing_that_hangs_keeps_a_process_from_being_ready() {
+    // the agent, with its lists and for notices, and every endpoint: all accept, and say nothing for ever
+    let hangs = silent();
+    let address = hangs.local_addr().expect("bound");
+    let known = list(&[("s-1", address, "one", 7, "up"), ("s-2", address, "bulk", 8, "up")]);
+    let node = Node::prepared(address, 3.0, &known, |state| {
+        let (mut journal, _) = Journal::open(state, ROOM, 1000).expect("a journal");
+        // as much as there is room for: untried ones, tried ones, and ended ones whose notices are owed
+        for number in 0.. {
+            let class = ["order", "webhook"][number as usize % 2];
+            if journal.take(number, taken(&format!("m{number}"), class, 200)).is_err() {
+                break;
+            }
+            if number % 3 == 1 {
+                journal.sent(number, "s-1", 1).expect("room");
+            }
+            if number % 3 == 2 {
+                journal
+                    .end(number, End { ending: Ending::Failed, reason: Reason::TimeUp, at: 1 })
+                    .expect("room");
+            }
+        }
+        assert!(journal.owed().len() > 1000);
+        // and a file that a kill in the middle of its writing left
+        std::fs::write(state.join("journal.new"), [0; 100_000]).expect("written");
+    });
+    let node = node.ready();
+    assert!(matches!(node.hand_in("webhook", "new", 8, 20_000, b"x"), 202 | 429));
+}
+
+#[test]
+fn a_damaged_and_full_journal_does_not_keep_a_process_from_being_ready() {
+    let endpoint = Endpoint::new(|_, _| OK);
+    let node = Node::prepared(one(&endpoint).address, 0.3, NOTHING_KNOWN, |state| {
+        // small messages: what each may have lost takes up much beside them
+        let (mut journal, _) = Journal::open(state, 300_000, 1).expect("a journal");
+        let full = (0..).find(|&n| journal.take(n, taken(&format!("m{n}"), "order", 1)).is_err());
+        assert!(full.expect("it has an end") > 500);
+        let mut bytes = std::fs::read(state.join("journal")).expect("the journal");
+        bytes[20] ^= 0xff;
+        std::fs::write(state.join("journal"), bytes).expect("damaged");
+    });
+    let node = node.ready();
+    assert!(node.logged("damaged"));
+    // all may have run: none may be sent
+    wait_until("a new one is taken on as the old ones end", || {
+        node.hand_in("webhook", "new", 7, 20_000, b"x") == 202
+    });
+    wait_until("it is delivered", || endpoint.times("new") >= 1);
+    assert_eq!(endpoint.count(), endpoint.times("new"));
+}
+
+#[test]
+fn a_process_that_is_not_ready_ends_at_sigterm_and_drops_nothing() {
+    let hangs = silent();
+    let address = hangs.local_addr().expect("bound");
+    let mut node = Node::prepared(address, 3.0, NOTHING_KNOWN, |state| owing(state, 300));
+    assert_eq!(node.get_ready(), 503);
+    node.terminate();
+    assert!(node.process.wait().expect("it ends").success());
+    // nor do kills while it resumes, whatever they leave of a new file
+    for part in [0, 1000, 400_000] {
+        std::fs::write(node.folder.join("state/journal.new"), vec![b'M'; part]).expect("written");
+        node = node.restart();
+        assert!(node.logged("300 messages owed"));
+        node.kill();
+    }
+    let endpoint = Endpoint::new(|_, _| OK);
+    let agent = one(&endpoint);
+    let node = node.moved_to(agent.address).ready();
+    assert!(node.logged("300 messages owed"));
+    wait_until("all are delivered", || endpoint.count() >= 300);
+    let ids: Vec<String> = (0..300).map(|number| format!("m{number}")).collect();
+    assert!(ids.iter().all(|id| endpoint.times(id) == 1), "each once: none may be repeated");
+    assert!(agent.notices().is_empty());
+}
+
+#[test]
+fn a_process_whose_folder_is_another_ones_ends_at_sigterm() {
+    let folder =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("folder-of-another-{}", std::process::id()));
+    create_dir_all(folder.join("state")).expect("a folder");
+    Node::write_config(&folder, silent().local_addr().expect("bound"), 3.0, 5.0, 1024);
+    let lock = File::create(folder.join("state/lock")).expect("a file");
+    lock.lock().expect("ours");
+    let mut process = command(&folder).spawn().expect("it starts");
+    let mut log = std::io::BufReader::new(process.stderr.take().expect("piped"));
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut log, &mut line).expect("a line");
+    assert!(line.contains("another process owns"), "{line}");
+    tell(&process, "-TERM");
+    let mut status = None;
+    wait_until("it ends", || {
+        status = process.try_wait().expect("known");
+        status.is_some()
+    });
+    assert!(status.expect("ended").success());
+}
+
+/// The records of a journal.
+fn records(journal: &[u8]) -> Vec<&[u8]> {
+    let starts: Vec<usize> = (0..journal.len()).filter(|&at| journal[at..].starts_with(MARK)).collect();
+    let ends = starts.iter().skip(1).copied().chain([journal.len()]);
+    starts.iter().zip(ends).map(|(&start, end)| &journal[start..end]).collect()
+}
+
+#[test]
+fn a_kill_between_any_two_steps_of_a_message_leaves_what_the_journal_says() {
+    // what a process leaves when it is killed behind its first, second ... record, with all that would have followed it
+    // undone: the 202 behind the first, the call's first byte behind the second, the end of the call
+    for class in ["order", "webhook"] {
+        let endpoint = Endpoint::new(|_, _| OK);
+        let agent = one(&endpoint);
+        let mut node = Node::new(&agent).ready();
+        assert_eq!(node.hand_in(class, "m1", 7, 120_000, b"x"), 202);
+        wait_until("its end is known", || node.hand_in(class, "m1", 7, 120_000, b"x") == 200);
+        node.kill();
+        let journal = std::fs::read(node.journal()).expect("the journal");
+        let records = records(&journal);
+        assert_eq!(records.len(), 3, "taken, sent, over");
+        for whole in 0..=3 {
+            // the record behind them cut short, too
+            for torn in [0, 5].into_iter().filter(|torn| whole < 3 || *torn == 0) {
+                let next = records.get(whole).map_or(&[][..], |record| &record[..torn]);
+                let left = [records[..whole].concat(), next.to_vec()].concat();
+                let endpoint = Endpoint::new(|_, _| OK);
+                let agent = one(&endpoint);
+                let node = Node::prepared(agent.address, 3.0, NOTHING_KNOWN, |state| {
+                    std::fs::write(state.join("journal"), left).expect("written");
+                });
+                let node = node.ready();
+                let case = format!("{class}, {whole} records and {torn} bytes");
+                let calls = match (class, whole) {
+                    (_, 1) | ("webhook", 2) => {
+                        wait_until(&case, || endpoint.times("m1") == 1);
+                        1
+                    }
+                    ("order", 2) => {
+                        wait_until(&case, || {
+                            agent.notices().iter().any(|line| line.contains(r#""m1","state":"failed""#))
+                        });
+                        0
+                    }
+                    _ => 0,
+                };
+                assert_eq!(node.hand_in("webhook", "m2", 7, 120_000, b"x"), 202);
+                wait_until("another is over", || node.hand_in("webhook", "m2", 7, 120_000, b"x") == 200);
+                assert_eq!(endpoint.times("m1"), calls, "{case}");
+                assert_eq!(agent.notices().len(), usize::from(class == "order" && whole == 2), "{case}");
+            }
+        }
+    }
+}
+
+#[test]
+fn what_is_given_up_with_no_call_is_told_by_reason() {
+    let endpoint = Endpoint::new(|_, _| Reply::Answer("418 Teapot", String::new()));
+    let away = |uid, destination| (uid, endpoint.address, "one", destination, "draining");
+    let agent = Agent::new(vec![list(&[("s-1", endpoint.address, "one", 7, "up"), away("d-9", 9)])]);
+    let node = Node::traced(&agent).ready();
+    // one with a call that may have run, and two with none, for which nobody took calls
+    assert_eq!(node.hand_in("order", "tried", 7, 20_000, b"x"), 202);
+    assert_eq!(node.hand_in("webhook", "untried", 9, 300, b"x"), 202);
+    assert_eq!(node.hand_in("order", "untried-too", 9, 300, b"x"), 202);
+    wait_until("all three notices", || agent.notices().len() == 3);
+    wait_until("all three are in the log", || {
+        let log = node.log.lock().expect("not poisoned");
+        log.iter().filter(|line| line.contains(r#""what":"given_up""#)).count() == 3
+    });
+    let file = node.folder.join("trace.log");
+    std::fs::write(&file, node.log.lock().expect("not poisoned").join("\n")).expect("written");
+    let account = |format: &str| {
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_milletturn"))
+            .args(["account", "--span", "1000000", "--format", format])
+            .arg(&file)
+            .output()
+            .expect("it runs");
+        String::from_utf8(output.stdout).expect("text")
+    };
+    let rows: Vec<serde_json::Value> =
+        account("json").lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
+    let told = |to: u64| {
+        let row = rows.iter().find(|row| row["to"] == to).expect("a row");
+        (row["given_up"].as_u64(), row["untried"].to_string())
+    };
+    assert_eq!(told(7), (Some(1), "{}".into()), "{rows:?}");
+    assert_eq!(told(9), (Some(2), r#"{"time_up":2}"#.into()), "{rows:?}");
+    assert!(account("text").contains("untried"), "{}", account("text"));
+    assert!(agent.watches.load(Ordering::SeqCst) > 0);
+}
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -4,12 +4,15 @@
 pub use milletturn_stand_ins::*;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+/// The list in a configuration that names none.
+pub const NOTHING_KNOWN: &str = r#"{"rev":0,"all":true,"targets":[]}"#;
+
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
 
 /// The sender and what outlasts its processes.
@@ -62,6 +65,27 @@
         (output.status.code().expect("it ended by itself"), lines)
     }
 
+    /// One that writes the lines for the account of all senders.
+    pub fn traced(agent: &Agent) -> Self {
+        let node = Node::new(agent);
+        std::fs::write(node.folder.join("trace"), "").expect("written");
+        node.restart()
+    }
+
+    /// One whose folder has been prepared, or that knows this list at its start.
+    pub fn prepared(discovery: SocketAddr, disk_mb: f64, known: &str, prepare: impl FnOnce(&Path)) -> Self {
+        let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
+        let name = format!("node-{}-{number}", std::process::id());
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(folder.join("state")).expect("a folder");
+        prepare(&folder.join("state"));
+        Node::write_config(&folder, discovery, disk_mb, 5.0, 1024);
+        let file = folder.join("config.json");
+        let text = std::fs::read_to_string(&file).expect("the configuration");
+        std::fs::write(&file, text.replace(NOTHING_KNOWN, known)).expect("written");
+        Node::launch(folder, discovery, disk_mb, 5.0, 1024, None)
+    }
+
     /// One that may hold so few descriptors.
     pub fn narrow(agent: &Agent, sockets: usize) -> Self {
         let node = Node::new(agent);
@@ -74,10 +98,16 @@
         folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize,
         store: Option<String>,
     ) -> Self {
+        Node::write_config(&folder, discovery, disk_mb, idle_s, sockets);
+        Node::launch(folder, discovery, disk_mb, idle_s, sockets, store)
+    }
+
+    /// Writes a configuration.
+    pub fn write_config(folder: &Path, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize) {
         let config = format!(
             r#"{{"name":"n1","listen":"127.0.0.1:0","management":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets},"disk_mb":{disk_mb}}},
-            "known":{{"rev":0,"all":true,"targets":[]}},
+            "known":{NOTHING_KNOWN},
             "settings":{{"az":"a","balancers":1,"zones":["a"],"machineTypes":["one","bulk"],
               "caps":{{"maxOpen":50,"mostTries":12,"mayCancel":true,"secondCopies":true,"connIdle":{idle_s},
                 "dialTimeout":0.5,"retryAfter":true,"maxRetryAfter":3.0}},
@@ -91,7 +121,6 @@
               "safety":{{"stopSendingWithin":1.0,"cold":11.0,"startCapacity":0.18,"fallMultiple":2.0,"fall":3.0}}}}}}"#
         );
         std::fs::write(folder.join("config.json"), config).expect("written");
-        Node::launch(folder, discovery, disk_mb, idle_s, sockets, store)
     }
 
     /// Another process with the same folder and configuration; if this one runs, it takes over.
@@ -110,6 +139,9 @@
             std::fs::write(&file, settings).expect("written");
             command.env("MILLETTURN_UNDELIVERED", file);
         }
+        if folder.join("trace").exists() {
+            command.env("MILLETTURN_TRACE", "1");
+        }
         let mut process = command.spawn().expect("the sender starts");
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         let (here, errors) = (log.clone(), process.stderr.take().expect("piped"));
@@ -217,6 +249,12 @@
         )
     }
 
+    /// The same, with another discovery.
+    pub fn moved_to(self, discovery: SocketAddr) -> Self {
+        Node::write_config(&self.folder, discovery, self.disk_mb, self.idle_s, self.sockets);
+        self.restart_as_it_is()
+    }
+
     /// The same, with its configuration as a reload has left it.
     pub fn restart_as_it_is(mut self) -> Self {
         self.kill();
@@ -245,7 +283,7 @@
 }
 
 /// The program with the variables that name its configuration and its lasting folder.
-pub fn command(folder: &std::path::Path) -> Command {
+pub fn command(folder: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_milletturn"));
     command
         .env("RELAY_CONFIG", folder.join("config.json"))
