--- a/crates/ledger/tests/full.rs
+++ b/crates/ledger/tests/full.rs
@@ -3,7 +3,7 @@
 use milletturn_engine::{Ledger, Taken};
 use milletturn_ledger::{Journal, Recovery};
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 const LIMIT: u64 = 64 * 1024;
 const MARK: &[u8] = b"MTJ1";
@@ -15,7 +15,7 @@
     folder
 }
 
-fn open(folder: &PathBuf, limit: u64) -> (Journal, Recovery) {
+fn open(folder: &Path, limit: u64) -> (Journal, Recovery) {
     let (journal, recovery) = Journal::open(folder, limit, 1).expect("it opens");
     if limit != LIMIT {
         return (journal, recovery);
@@ -47,7 +47,7 @@
 }
 
 /// Changes the file.
-fn change(folder: &PathBuf, change: impl FnOnce(&mut Vec<u8>)) {
+fn change(folder: &Path, change: impl FnOnce(&mut Vec<u8>)) {
     let file = folder.join("journal");
     let mut bytes = fs::read(&file).expect("the journal");
     change(&mut bytes);
