--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -62,9 +62,13 @@
         (output.status.code().expect("it ended by itself"), lines)
     }
 
-    /// One that may hold so few descriptors.
+    /// One that may hold so few descriptors: the system gives it no more.
     pub fn narrow(agent: &Agent, sockets: usize) -> Self {
-        let node = Node::new(agent);
+        Node::narrow_at(agent.address, sockets)
+    }
+
+    pub fn narrow_at(discovery: SocketAddr, sockets: usize) -> Self {
+        let node = Node::with(discovery, 3.0, 5.0);
         let (folder, discovery) = (node.folder.clone(), node.discovery);
         drop(node);
         Node::start(folder, discovery, 3.0, 5.0, sockets, None)
@@ -104,7 +108,7 @@
         folder: PathBuf, discovery: SocketAddr, disk_mb: f64, idle_s: f64, sockets: usize,
         store: Option<String>,
     ) -> Self {
-        let mut command = command(&folder);
+        let mut command = bounded(command(&folder), sockets);
         if let Some(settings) = &store {
             let file = folder.join("undelivered.toml");
             std::fs::write(&file, settings).expect("written");
@@ -244,6 +248,18 @@
     }
 }
 
+/// The same command in a process to which the system gives no more descriptors.
+fn bounded(command: Command, descriptors: usize) -> Command {
+    let mut bounded = Command::new("sh");
+    bounded.args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"")]);
+    bounded.arg(command.get_program()).args(command.get_args());
+    for (name, value) in command.get_envs() {
+        bounded.env(name, value.unwrap_or_default());
+    }
+    bounded.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    bounded
+}
+
 /// The program with the variables that name its configuration and its lasting folder.
 pub fn command(folder: &std::path::Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_milletturn"));
