Tell refusals of a full table of connections from a limit's; save up what cannot wait

Of 599 answers 503, 598 came on a first call, after 2.9 s or behind another 503; none had a report, 1,871 of 1,913 successes had; at least six other senders held a connection each time. So the table of connections was full of idle ones (lines at fault: learn_call's Advice::Cut for all refusals, crowded only for NoConnection). dest 4, 9 s: "205 taken, 262 away, 0 refused, left 0.63": settle kept one token, and at 1.4 calls a second the next comes after the aim of 300 ms. Ruled out: the limit (left 0.7 to 1.0 where most is refused); queues (answered in 7.5 ms, and never on a warm connection). Change: a refusal without report or wait where a limit is told leaves the pace, rests as other failures do, and counts as a connection not had. Saved up: a call, and two deviations of what the pace has above its floor, less what waits in the aim.

--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -24,10 +24,8 @@
 const WINDOW_START: f64 = 0.25;
 const WINDOW_MOST: f64 = 0.75;
 const WINDOW_SICK: f64 = 0.5;
-/// Share of the slots that copies may hold: more rescues more, less leaves slots to first attempts.
-const COPY_SHARE: f64 = 0.5;
-/// What a congestion event leaves of the window. Lower drains queues sooner and costs more throughput.
-const WINDOW_CUT: f64 = 0.7;
+const COPY_SHARE: f64 = 0.5; // of the slots: more rescues more, less leaves slots to first attempts
+const WINDOW_CUT: f64 = 0.7; // by a congestion event: lower drains queues sooner, costs more throughput
 /// What a refusal leaves of the pace amid successes, and when nothing succeeded since the last cut. A lower
 /// cut draws fewer refusals, a higher one keeps more of a shared limit.
 const PACE_CUT: f64 = 0.8;
@@ -51,6 +49,7 @@
 const PACE_UNUSED: f64 = 1.1;
 /// Burst of the pace, as a span of it. Longer takes clumps faster, shorter draws fewer refusals.
 const PACE_BURST: f64 = 0.3;
+const CHANCE: f64 = 2.0; // deviations of what comes by chance: of independent senders they cancel in the sum
 /// Evidence above which a unit is not trusted, and what is left of it on return.
 const TRUST: f64 = 4.5;
 const RETURNING: f64 = 11.0;
@@ -59,11 +58,9 @@
 const GONE: f64 = 2.0 * SICK;
 const DOUBT_CALLS: usize = 2;
 const NOISY: f64 = 0.15; // usual share of failures from which on there is a doubt
-/// A unit of fewer calls that serves so many a second may be noisy and not yet known for it.
-const KNOWN: f64 = 50.0;
+const KNOWN: f64 = 50.0; // a unit of fewer calls that serves so many a second may be noisy and not yet known
 const BUSY: f64 = 20.0;
-/// What succeeds now and then for so many times the time to get warm is not away but noisy.
-const ILL_TIMES: i64 = 3;
+const ILL_TIMES: i64 = 3; // what succeeds now and then for so many times the cold time is noisy, not away
 const CLASS_WEIGHT: f64 = 0.05; // of one more call, in the share of a class's calls that fail
 /// A unit is silent when a call is out for this many copy offsets, and no shorter than this.
 const SILENT_OFFSETS: i64 = 2;
@@ -76,8 +73,7 @@
 const OVERTAKEN: i64 = 3;
 /// Slots in use above which unsafe calls are called off too: lower gives up more, higher frees less.
 const SLOTS_SCARCE: f64 = 0.7;
-/// Part of the aim up to which the oldest come first; beyond, those that have most to lose by waiting.
-const YOUNG: f64 = 0.9;
+const YOUNG: f64 = 0.9; // of the aim: the oldest come first; beyond, those that have most to lose by waiting
 /// A unit lags while a call is out for this many usual latencies; all lagging and sick units share the sick
 /// window. Lower isolates sooner, higher leaves room to long but healthy calls.
 const LAG_USUAL: i64 = 4;
@@ -101,27 +97,22 @@
 /// Lower frees crowded endpoints sooner, higher saves handshakes.
 const CROWDED_WEIGHT: f64 = 0.2;
 const CROWDED: f64 = 0.1;
-/// A told share may lie so far above 1, by noise, and still count.
-const LEFT_SLACK: f64 = 0.2;
+const LEFT_SLACK: f64 = 0.2; // a told share may lie so far above 1, by noise, and still count
 /// Most of a told limit that counts as left: two even shares. With more, all overrun it before they hear.
 const LEFT_MOST: f64 = 0.3;
 /// Growth of the pace with each report, by how much more than this is left: higher follows sooner and swings.
 const LEFT_GAIN: f64 = 0.15;
 const LEFT_AIM: f64 = 0.5;
-/// Part of its even share that a sender always has: all together stay below the limit, and none starves.
-const SHARE_LEAST: f64 = 0.7;
+const SHARE_LEAST: f64 = 0.7; // part of its even share that it always has: below the limit, and none starves
 /// Rest before a message is tried again: first, and at most. Longer spares attempts, shorter saves time.
 const RETRY_FIRST: Micros = 150 * MILLISECOND;
 const RETRY_MOST: Micros = 2 * SECOND;
-/// Time kept before a deadline for a last answer, and before a keyed window or a wait ends.
-pub(crate) const MARGIN: Micros = 30 * MILLISECOND;
-/// Share of the held messages above which those that cannot go are refused.
-const HELD_FULL: f64 = 0.85;
+pub(crate) const MARGIN: Micros = 30 * MILLISECOND; // kept before a deadline, and before a keyed window ends
+const HELD_FULL: f64 = 0.85; // share of the places above which messages that cannot go are refused
 /// Backoff of a failed subscription: first and most.
 pub(crate) const LIST_FIRST: Micros = 300 * MILLISECOND;
 const LIST_MOST: Micros = 4 * SECOND;
-/// A told limit beyond this, in calls a second, is no report.
-const LIMIT_MOST: f64 = 1e5;
+const LIMIT_MOST: f64 = 1e5; // a told limit beyond this, in calls a second, is no report
 const TENANT_BURST: f64 = 2.0; // span of a tenant's token bucket, seconds of its share
 
 impl Sender {
@@ -282,14 +273,17 @@
         attempt.may_have_run = !outcome.never_ran();
         let (call_id, endpoint_id, sent) = (attempt.call, attempt.endpoint, attempt.sent);
         let class = message.class;
+        let unit = self.calls.get(&call_id).and_then(|call| self.units.get(&call.unit));
+        // told nothing where a limit is told: not the load's refusal, but that of a full table of connections
+        let limit = unit.and_then(|unit| unit.told_limit).filter(|_| report.is_empty());
+        let full = limit.is_some() && outcome == Outcome::Refused { wait: None };
         // what the host could not send rests too, or a lasting fault there would use up all attempts at once
         if !matches!(outcome, Outcome::Success | Outcome::Unsent { no_slot: true }) {
             let rest = message.retry_rest;
             message.retry_rest = (rest * 2).min(RETRY_MOST);
-            let unit = self.calls.get(&call_id).and_then(|call| self.units.get(&call.unit));
             // where a limit or a wait is told, the pace holds it back
             let told = unit.is_some_and(|unit| unit.told_limit.is_some() || unit.pace.is_finite());
-            let paced = matches!(outcome, Outcome::Refused { wait } if told || wait.is_some());
+            let paced = matches!(outcome, Outcome::Refused { wait } if told && !full || wait.is_some());
             message.retry_at = self.now + if paced { 0 } else { rest };
         }
         let rests = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
@@ -316,7 +310,7 @@
         }
         if first {
             self.learn_report(unit_id, report);
-            self.learn_call(unit_id, (endpoint_id, class, sent), outcome, latency, actions);
+            self.learn_call(unit_id, (endpoint_id, class, sent), (outcome, full), latency, actions);
         }
         self.settle(unit_id);
     }
@@ -324,7 +318,7 @@
     /// What a call's first outcome tells of endpoint and unit.
     fn learn_call(
         &mut self, unit_id: UnitId, (endpoint_id, class, sent): (EndpointId, usize, Micros),
-        outcome: Outcome, latency: Micros, actions: &mut Vec<Action>,
+        (outcome, full): (Outcome, bool), latency: Micros, actions: &mut Vec<Action>,
     ) {
         let (now, span, cold) = (self.now, self.settings.safety.fall_span, self.settings.safety.cold_time);
         let (slots, senders) = (self.settings.call_slots as f64, f64::from(self.settings.senders));
@@ -334,10 +328,10 @@
         let mut class_fails = 0.0;
         if let Some(endpoint) = self.endpoints.get_mut(&endpoint_id) {
             for score in [self.crowded.entry(endpoint.kind).or_default(), &mut endpoint.crowded] {
-                match outcome {
-                    Outcome::NoConnection => *score += CROWDED_WEIGHT * (1.0 - *score),
-                    Outcome::Success => *score -= CROWDED_WEIGHT * CROWDED * *score,
-                    _ => {}
+                if full || outcome == Outcome::NoConnection {
+                    *score += CROWDED_WEIGHT * (1.0 - *score);
+                } else if outcome == Outcome::Success {
+                    *score -= CROWDED_WEIGHT * CROWDED * *score;
                 }
             }
             // one class may fail or go unanswered where others fare well: a late called-off attempt counts
@@ -416,6 +410,7 @@
                 let shut = unit.refused_run >= run && now - unit.refused_since >= SHUT_SPAN;
                 let lately = unit.served_lately(now, span);
                 let advice = match told {
+                    true if full => Advice::Keep,
                     true => Advice::Cut,
                     false => unit.refusals.answer(true, sent, now, unit.pace, lately),
                 };
@@ -934,8 +929,13 @@
         let (now, senders) = (self.now, f64::from(self.settings.senders));
         let Some(unit) = self.units.get_mut(&id) else { return };
         let flow = unit.allowed(&self.settings.safety, senders, now);
+        let aim = self.settings.classes.iter().map(|class| class.aim).min().unwrap_or(0);
+        let steered = self.settings.report_left.and(unit.told_limit).is_some() && unit.health == Health::Well;
+        // what the pace has above its floor is told as left; what may wait within its aim is not saved up
+        let spare = if steered { (flow.rate - SHARE_LEAST * unit.share).max(0.0) } else { 0.0 };
+        let chance = (CHANCE * spare.sqrt() - flow.rate * seconds(aim)).max(0.0);
         let sick = matches!(unit.health, Health::Sick { .. });
-        unit.settle(now, flow, if sick { 2.0 } else { (flow.rate * PACE_BURST).max(1.0) });
+        unit.settle(now, flow, if sick { 2.0 } else { (flow.rate * PACE_BURST).max(1.0 + chance) });
     }
 
     /// A random part of one token, so that senders do not all start at once.
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -48,6 +48,51 @@
     }
 }
 
+#[test]
+fn what_is_left_of_a_limit_is_there_for_what_cannot_wait() {
+    // quay-notices, split: told 0.7 left in every window, senders handed back half of what came. An even share of 1.4 calls
+    // a second lets no second message go within an aim of 0.3 s, and nothing was saved up for it.
+    for (load, wanted) in [(0.5, 0.92), (0.8, 0.85)] {
+        for seed in 1..=3 {
+            let urgent =
+                Demand { senders: 60, terms: Terms::urgent(), seed, ..Demand::new(84.0 * load, 84.0) };
+            let served = play(urgent);
+            assert!(share(served.in_time, served.handed_in) > wanted, "load {load}: {served:?}");
+            assert!(share(served.refused, served.calls) < 0.02, "load {load}: {served:?}");
+        }
+    }
+}
+
+#[test]
+fn refusals_of_a_full_table_of_connections_leave_the_pace_and_give_idle_ones_back() {
+    // quay-notices, split: 598 of 599 refusals came on new connections, all without the report that other answers have,
+    // while six or more senders had one open. Each cut the pace as if the limit were used up, and nobody gave one back.
+    let (mut told, entries) = one_of_three_hundred();
+    (told.senders, told.connection_idle) = (60, 3 * SECOND);
+    let mut rig = Rig::new(told, entries);
+    let mut answered = 0;
+    let mut sent = [0, 0];
+    for (part, full) in [false, true].into_iter().enumerate() {
+        for id in 0..40 {
+            let id = 1000 * part as u64 + id;
+            rig.tell(vec![message(id, KEYED, 7)]);
+            rig.run(rig.now + 500 * MILLISECOND);
+            // every second call is turned away unseen
+            while let Some(send) = rig.sends.get(answered).copied() {
+                let away = full && answered % 2 == 0;
+                let outcome = if away { Outcome::Refused { wait: None } } else { Outcome::Success };
+                let end = ended(send.1, send.3, send.2, outcome, 10 * MILLISECOND);
+                rig.tell(vec![reported(end, if away { &[] } else { &[0.95, 85.0] })]);
+                answered += 1;
+            }
+        }
+        sent[part] = answered - sent[0];
+    }
+    assert!(sent[0] >= 38, "{sent:?}: nothing holds it back before");
+    assert!(sent[1] >= 50, "{sent:?}: 40 messages in 20 s, and a second call for those turned away");
+    assert!(rig.count(|action| matches!(action, Action::Disconnect(EndpointId(1)))) > 10);
+}
+
 #[test]
 fn a_message_is_handed_back_where_its_turn_comes_beyond_its_aim() {
     let mut told = settings(10);
--- a/crates/stand-ins/src/limited_fleet.rs
+++ b/crates/stand-ins/src/limited_fleet.rs
@@ -8,13 +8,9 @@
 /// Longer than any demand lasts.
 pub const HOUR: Micros = 3600 * SECOND;
 const T0: Micros = 100 * SECOND;
-const KEYED: usize = 0;
+const CLASS: usize = 0;
 const STEP: Micros = 10 * MILLISECOND;
-/// A message may be delivered for so long.
-const TIME: Micros = 20 * SECOND;
 const DESTINATION: u64 = 7;
-/// A call takes so long, and reports are this old.
-const CALL: Micros = 60 * MILLISECOND;
 /// The first report comes so long after the start.
 const FIRST_REPORT: Micros = 600 * MILLISECOND;
 const REPORT_EVERY: Micros = 300 * MILLISECOND;
@@ -36,10 +32,47 @@
     pub clump: Micros,
     /// How unevenly messages go to the senders: 1 evenly; at 2 a tenth of the senders get a third.
     pub skew: f64,
+    /// What a message's class and its clients are like.
+    pub terms: Terms,
     /// Of arrivals and senders.
     pub seed: u64,
 }
 
+/// What a message's class and its clients are like.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// Whether a message may be repeated.
+    pub effect: Effect,
+    /// Wanted within this time, and delivered for so long at most.
+    pub aim: Micros,
+    /// See `aim`.
+    pub time: Micros,
+    /// A client hands in again what it got back after this rest, so many times at most.
+    pub rest: Micros,
+    /// See `rest`.
+    pub tries: usize,
+    /// A call takes so long.
+    pub call: Micros,
+    /// The destination saves up its limit for so long.
+    pub saves: Micros,
+}
+
+impl Terms {
+    /// Notices that may wait for seconds, with clients that come again.
+    pub fn patient() -> Self {
+        let effect = Effect::Keyed { window: 12 * SECOND, zone_only: false };
+        let (aim, time, rest, tries) = (4 * SECOND, 20 * SECOND, SECOND, 3);
+        Terms { effect, aim, time, rest, tries, call: 60 * MILLISECOND, saves: SECOND / 2 }
+    }
+
+    /// Debits that are wanted within three tenths of a second, with clients that come again once.
+    pub fn urgent() -> Self {
+        let (aim, time, rest) = (300 * MILLISECOND, 900 * MILLISECOND, 130 * MILLISECOND);
+        let (call, saves) = (40 * MILLISECOND, 350 * MILLISECOND);
+        Terms { effect: Effect::Unsafe, aim, time, rest, tries: 1, call, saves }
+    }
+}
+
 impl Demand {
     /// A hundred senders for 30 s: messages a second, and calls a second that are served.
     pub fn new(rate: f64, limit: f64) -> Self {
@@ -51,6 +84,7 @@
             bundle: 1,
             clump: Micros::MAX,
             skew: 1.0,
+            terms: Terms::patient(),
             seed: 1,
         }
     }
@@ -61,7 +95,7 @@
 pub struct Served {
     /// Messages handed in.
     pub handed_in: usize,
-    /// Delivered within 4 s, and at all.
+    /// Delivered within the aim, and at all.
     pub in_time: usize,
     /// See `in_time`.
     pub delivered: usize,
@@ -88,15 +122,16 @@
     std::iter::once(Entry::new(EndpointId(1), DESTINATION)).chain(others).collect()
 }
 
-/// Plays the demand to its end; clients hand in again what they got back, a second later and three times at most.
+/// Plays the demand to its end.
 pub fn play(demand: Demand) -> Served {
     let mut settings = Settings::new(10, 40);
     settings.senders = demand.senders as u32;
     settings.max_attempts = 12;
     settings.connection_idle = 5 * SECOND;
     (settings.report_left, settings.report_limit) = (Some(0), Some(1));
-    let keyed = Effect::Keyed { window: 12 * SECOND, zone_only: false };
-    settings.classes.push(Class::new("keyed", keyed, 4 * SECOND, TIME));
+    let terms = demand.terms;
+    settings.second_copies = terms.effect != Effect::Unsafe;
+    settings.classes.push(Class::new("one", terms.effect, terms.aim, terms.time));
     settings.kinds.push(Kind { name: "one".into(), separate_routes: false, bundle_max: demand.bundle });
     let listed = Event::Listed { listing: Listing::Full, entries: among_others() };
     let mut random = Pcg32::seed_from_u64(demand.seed);
@@ -113,13 +148,13 @@
     let mut attempts: BTreeMap<u64, usize> = BTreeMap::new();
     let mut born: BTreeMap<u64, Micros> = BTreeMap::new();
     let mut served = Served::default();
-    let depth = (demand.limit / 2.0).max(1.0);
+    let depth = (demand.limit * seconds(terms.saves)).max(1.0);
     let (mut tokens, mut report, mut reported_at) = (depth, 1.0, T0);
     let (mut now, mut next, mut id) = (T0, T0, 0);
     // messages that clients will hand in again, with how often they have
     let mut again: BTreeMap<Micros, Vec<u64>> = BTreeMap::new();
     let mut turned_away: BTreeMap<u64, usize> = BTreeMap::new();
-    while now < T0 + demand.length + TIME {
+    while now < T0 + demand.length + terms.time {
         now += STEP;
         tokens = (tokens + demand.limit * seconds(STEP)).min(depth);
         if now - reported_at >= REPORT_EVERY {
@@ -129,18 +164,19 @@
             let clumped = (0..SECOND).contains(&(now - T0 - demand.clump.min(HOUR)));
             let rate = demand.rate * if clumped { 5.0 } else { 1.0 };
             next += (-roll().max(1e-9).ln() / rate * SECOND as f64) as Micros;
-            let message = NewMessage::new(MessageId(id), KEYED, DESTINATION, TIME);
+            let message = NewMessage::new(MessageId(id), CLASS, DESTINATION, terms.time);
             inbox[receiver(&mut roll)].push(Event::Accepted(message));
             born.insert(id, now);
             id += 1;
         }
         let later = again.split_off(&(now + 1));
         for message in std::mem::replace(&mut again, later).into_values().flatten() {
-            let Some(left) = born.get(&message).map(|at| at + TIME - now).filter(|left| *left > 0) else {
+            let Some(left) = born.get(&message).map(|at| at + terms.time - now).filter(|left| *left > 0)
+            else {
                 continue;
             };
             attempts.remove(&message);
-            let new = NewMessage::new(MessageId(message), KEYED, DESTINATION, left);
+            let new = NewMessage::new(MessageId(message), CLASS, DESTINATION, left);
             let new = NewMessage { again: true, ..new };
             inbox[receiver(&mut roll)].push(Event::Accepted(new));
         }
@@ -160,7 +196,7 @@
                 let success = call.outcome == Outcome::Success;
                 if let Some(at) = success.then(|| born.remove(&message)).flatten() {
                     served.delivered += 1;
-                    served.in_time += usize::from(now - at <= 4 * SECOND);
+                    served.in_time += usize::from(now - at <= terms.aim);
                 }
             }
         }
@@ -180,8 +216,8 @@
                     Action::Refuse { message, .. } => {
                         let times = turned_away.entry(message.0).or_default();
                         *times += 1;
-                        if *times <= 3 {
-                            again.entry(now + SECOND).or_default().push(message.0);
+                        if *times <= terms.tries {
+                            again.entry(now + terms.rest).or_default().push(message.0);
                         }
                     }
                     Action::Send { message, endpoint, .. } => {
@@ -204,7 +240,7 @@
                 served.refused += usize::from(matches!(outcome, Outcome::Refused { .. }));
                 tokens = (tokens - 1.0).max(-depth);
                 let call = Out { sender: index, endpoint, sent: now, messages, outcome };
-                out.entry(now + CALL).or_default().push(call);
+                out.entry(now + terms.call).or_default().push(call);
             }
         }
     }
