Let the rest behind a restart end within what is left of a window for repeats

All places that rest, resend or copy were compared over the restart: sends, copies, the last byte and refusals go by repeats_until over at_risk, which has the time of the first send on this life's clock. They held untouched (what_was_under_way_at_a_kill_goes_again_only_within_a_window_of_a_second: seven ages by four outcomes). The rest behind a start did not (resume, begin_apart): it goes by aim and time left, so with an aim of 2 s and 0.7 s of the window left, the one call that was legal then never went, and the message failed. Change: the rest is a part of the window that is left, too; where none is left no rest begins. Policy tests passed in a release build.

--- a/crates/policy/src/books.rs
+++ b/crates/policy/src/books.rs
@@ -1,6 +1,6 @@
 //! What the module's books still hold of what is gone.
 
-use crate::interface::{Action, MessageId, NewMessage, PastAttempt};
+use crate::interface::{Action, Effect, MessageId, Micros, NewMessage, PastAttempt};
 use crate::state::Attempt;
 use crate::state::Sender;
 
@@ -15,8 +15,15 @@
     /// outcome may have run. All count as overlapped: nobody knows the order of their ends, and a window of a
     /// key must count from the first.
     pub(crate) fn resume(&mut self, message: &NewMessage, attempts: &[PastAttempt]) {
-        if message.time_left > 0 {
-            self.begin_apart(message);
+        // what may go again only while its key is known has no longer to rest than that
+        let window = match self.settings.classes.get(message.class).map(|class| class.effect) {
+            Some(Effect::Keyed { window, .. }) => window,
+            _ => Micros::MAX / 2,
+        };
+        let first = attempts.iter().filter(|past| past.may_have_run).map(|past| past.sent).min();
+        let left = first.map_or(Micros::MAX, |sent| sent + window - self.now).min(message.time_left);
+        if left > 0 {
+            self.begin_apart(message.class, message.destination, left);
         }
         self.accept(message);
         let Some(held) = self.messages.get_mut(&message.id) else { return };
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -251,16 +251,16 @@
     /// Messages that come back with their process begin their calls at a random part of an interval. Guards
     /// against all senders restarted at once: each begins with a whole call, and none knows a limit. Could
     /// cost worth where this sender alone was restarted.
-    pub(crate) fn begin_apart(&mut self, new: &NewMessage) {
-        let span = self.settings.classes.get(new.class).map_or(0, |class| class.aim.min(new.time_left));
-        for endpoint in self.routes.get(&new.destination).cloned().unwrap_or_default() {
+    pub(crate) fn begin_apart(&mut self, class: usize, destination: DestinationId, left: Micros) {
+        let span = self.settings.classes.get(class).map_or(0, |class| class.aim.min(left));
+        for endpoint in self.routes.get(&destination).cloned().unwrap_or_default() {
             let (id, phase) = (self.unit_of(endpoint), self.phase());
             if !self.units.contains_key(&id) {
                 let unit = self.unit(id);
                 unit.tokens -= phase * (unit.pace * RESUMED_REST * seconds(span)).min(1.0);
             }
         }
-        self.agenda.stir(new.destination);
+        self.agenda.stir(destination);
     }
 
     fn learn_outcome(
--- a/crates/policy/tests/resumed.rs
+++ b/crates/policy/tests/resumed.rs
@@ -68,3 +68,63 @@
     }
     assert!(at_once < 20, "{at_once} of 100 begin within 50 ms");
 }
+
+/// One of a keyed class whose window is a second, sent so long before the restart that reads it.
+fn under_way(id: u64, age: Micros, left: Micros) -> Event {
+    let past = PastAttempt { endpoint: EndpointId(1), sent: T0 - age, may_have_run: true };
+    Event::Resumed { message: NewMessage::new(MessageId(id), KEYED, 7, left), attempts: vec![past] }
+}
+
+fn a_second_for_repeats() -> Settings {
+    let mut told = settings(4);
+    told.classes[KEYED].effect = Effect::Keyed { window: SECOND, zone_only: false };
+    told
+}
+
+#[test]
+fn what_was_under_way_at_a_kill_goes_again_only_within_a_window_of_a_second() {
+    for age in [0, 300, 800, 960, 980, 1_000, 1_500].map(|age| age * MILLISECOND) {
+        for outcome in
+            [None, Some(Outcome::Reset), Some(Outcome::Refused { wait: None }), Some(Outcome::TimedOut)]
+        {
+            let mut rig = Rig::new(a_second_for_repeats(), vec![entry(1, 7), entry(2, 7)]);
+            rig.tell(vec![under_way(1, age, 15 * SECOND)]);
+            let mut answered = 0;
+            for _ in 0..200 {
+                rig.run(rig.now + 50 * MILLISECOND);
+                // each call that is out ends like this, the next is written only while that is legal
+                while let Some(send) = rig.sends.get(answered).copied() {
+                    answered += 1;
+                    let until = rig.sender.may_begin(send.0, MessageId(1), send.3 + 1);
+                    assert!(until.is_none_or(|until| until < T0 - age + SECOND), "{age} {outcome:?}");
+                    if let Some(outcome) = outcome {
+                        let end = ended(1, send.3 + 1, send.2, outcome, 40 * MILLISECOND);
+                        rig.tell(vec![end]);
+                    }
+                }
+            }
+            let sends = rig.sends_of(1);
+            assert!(sends.iter().all(|&at| at < SECOND - age), "{age} {outcome:?}: {sends:?}");
+            assert!(
+                !rig.refused(1),
+                "{age} {outcome:?}: it may have run, no client may be told to come again"
+            );
+            assert_eq!(sends.is_empty(), age > 970 * MILLISECOND, "{age} {outcome:?}: {sends:?}");
+        }
+    }
+}
+
+#[test]
+fn the_rest_behind_a_start_leaves_time_within_the_window_for_repeats() {
+    // an aim of 2 s lets the first call rest 1.5 s, and the window has 0.7 s left
+    let mut told = a_second_for_repeats();
+    (told.report_left, told.report_limit, told.senders, told.max_held) = (Some(0), Some(1), 300, 4);
+    for seed in 0..100 {
+        let mut rig = Rig::new(told.clone(), vec![]);
+        rig.sender = Sender::new(told.clone(), seed).expect("settings make sense");
+        rig.tell(vec![Event::Listed { listing: Listing::Full, entries: vec![entry(1, 7)] }]);
+        rig.tell(vec![under_way(1, 300 * MILLISECOND, 15 * SECOND)]);
+        rig.run(T0 + 3 * SECOND);
+        assert_eq!(rig.sends_of(1).len(), 1, "seed {seed}");
+    }
+}
