--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,6 +1,7 @@
 //! For tests only: a scripted agent, scripted endpoints and plain clients on loopback sockets, each on a thread
 //! of its own and with a port that the system gives.
 
+pub mod cold_fleet;
 mod effects;
 mod handed;
 pub mod limited_fleet;
