--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,29 @@
+//! What each role costs by its size, and control of a fleet at that size: measured on one machine, on loopback.
+//!
+//! - [`figures`]: the lines of a file of figures.
+//! - [`fleet`]: slopes of control, from hollow senders; and faults at size.
+//! - [`roles`]: slopes of a single sender's own parts.
+//! - [`page`]: the tables of docs/CAPACITY.md.
+
+pub mod figures;
+pub mod fleet;
+pub mod page;
+pub mod roles;
+
+/// Why a run ended without its figures.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A file, a socket or a process.
+    #[error("{0}: {1}")]
+    Io(String, #[source] std::io::Error),
+    /// What was read is not what it has to be.
+    #[error("{0}")]
+    Wrong(String),
+}
+
+impl Error {
+    /// Says what was tried when the system refused.
+    pub fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> Error {
+        move |error| Error::Io(what.into(), error)
+    }
+}
--- /dev/null
+++ b/crates/scale/src/main.rs
@@ -0,0 +1,42 @@
+//! The command line of the scale run.
+
+use clap::{Parser, Subcommand};
+use milletturn_scale::{fleet, page, roles};
+use std::process::ExitCode;
+
+/// What each role costs by its size, and control of a fleet at that size. A command of the repository, not of the
+/// product's users.
+#[derive(Debug, Parser)]
+#[command(name = "milletturn-scale", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Slopes of control by senders, destinations and rate of changes.
+    Fleet(fleet::Slopes),
+    /// Faults at size.
+    Faults(fleet::Faults),
+    /// Slopes of a single sender's parts.
+    Roles(roles::Words),
+    /// Tables of docs/CAPACITY.md from docs/capacity.
+    Page(page::Words),
+}
+
+fn main() -> ExitCode {
+    let done = match Arguments::parse().command {
+        Command::Fleet(words) => fleet::run(&words),
+        Command::Faults(words) => fleet::faults(&words),
+        Command::Roles(words) => roles::run(&words),
+        Command::Page(words) => page::run(&words),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("milletturn-scale: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
