Measure control by hollow senders: milletturn-scale fleet and faults

Need: what control of 16,000 senders costs, from the real member, list and settings code on real sockets, thousands in a process. Change: processes of hollow senders, a group of real stewards with counted ways, a stand-in for discovery, real senders that deliver, slopes with fits and plots, faults. Config::from_variables: thousands of senders in a process can't share the environment of one.

--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -210,12 +210,21 @@
         Budget::new(self.sockets.saturating_sub(descriptors), self.memory, self.settings.call_slots)
     }
 
-    /// Reads the file that `RELAY_CONFIG` names; the other variables come before what stands in it.
+    /// As the environment of this process has it, see [`from_variables`](Self::from_variables).
     ///
     /// # Errors
     /// When a variable is missing, the file can't be read or a value makes no sense.
     pub fn from_env() -> Result<Self, ConfigError> {
-        let variable = |name| std::env::var(name).map_err(|_| ConfigError::Variable(name));
+        Self::from_variables(|name| std::env::var(name).ok())
+    }
+
+    /// Reads the file that the variable `RELAY_CONFIG` names; the other variables come before what stands in it.
+    /// Several senders of one process have variables of their own.
+    ///
+    /// # Errors
+    /// When a variable is missing, the file can't be read or a value makes no sense.
+    pub fn from_variables(variable: impl Fn(&'static str) -> Option<String>) -> Result<Self, ConfigError> {
+        let variable = |name| variable(name).ok_or(ConfigError::Variable(name));
         let path = PathBuf::from(variable("RELAY_CONFIG")?);
         let value: Value = read(&path)?;
         let shape = Shape::of(&value);
--- /dev/null
+++ b/crates/scale/src/cost.rs
@@ -0,0 +1,131 @@
+//! What a process has cost so far, by proc(5); and the head of a file of figures.
+
+use crate::Error;
+use crate::figures::Head;
+use std::fs;
+use std::ops::{Add, Sub};
+use std::process::Command;
+
+/// What a process, or several, have cost so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Cost {
+    /// Seconds of processor time, user and system.
+    pub cpu_s: f64,
+    /// Bytes in memory (resident).
+    pub resident: u64,
+    /// Open descriptors.
+    pub descriptors: u64,
+    /// Bytes handed to the disk.
+    pub written: u64,
+}
+
+/// The clock's ticks in a second, as Linux has it on every machine that this runs on.
+const TICKS: f64 = 100.0;
+
+impl Cost {
+    /// Of a process by its number.
+    ///
+    /// # Errors
+    /// It is gone, or not this user's.
+    pub fn of(process: u32) -> Result<Self, Error> {
+        let path = |file: &str| format!("/proc/{process}/{file}");
+        let read = |file: &str| fs::read_to_string(path(file)).map_err(Error::io(path(file)));
+        let stat = read("stat")?;
+        // behind the name in parentheses, which may hold anything; user and system time are fields 14 and 15
+        let words = stat.rsplit(") ").next().unwrap_or_default().split(' ').skip(11).take(2);
+        let ticks: f64 = words.filter_map(|ticks| ticks.parse::<f64>().ok()).sum();
+        // the ticks are coarse beside what a quiet process takes; the threads' own count is fine, but lacks those
+        // that have ended
+        let threads = fs::read_dir(path("task")).map_err(Error::io(path("task")))?;
+        let nanos: f64 = threads
+            .flatten()
+            .filter_map(|thread| fs::read_to_string(thread.path().join("schedstat")).ok())
+            .filter_map(|text| text.split(' ').next()?.parse::<f64>().ok())
+            .sum();
+        let open = fs::read_dir(path("fd")).map_err(Error::io(path("fd")))?.count();
+        Ok(Cost {
+            cpu_s: (ticks / TICKS).max(nanos / 1e9),
+            resident: field(&read("status")?, "VmRSS:").unwrap_or(0) * 1024,
+            descriptors: open as u64,
+            written: field(&read("io")?, "write_bytes:").unwrap_or(0),
+        })
+    }
+
+    /// Of several processes together.
+    ///
+    /// # Errors
+    /// One of them is gone, or not this user's.
+    pub fn of_all(processes: impl IntoIterator<Item = u32>) -> Result<Self, Error> {
+        processes.into_iter().try_fold(Cost::default(), |sum, process| Ok(sum + Cost::of(process)?))
+    }
+}
+
+impl Add for Cost {
+    type Output = Cost;
+
+    fn add(self, other: Cost) -> Cost {
+        Cost {
+            cpu_s: self.cpu_s + other.cpu_s,
+            resident: self.resident + other.resident,
+            descriptors: self.descriptors + other.descriptors,
+            written: self.written + other.written,
+        }
+    }
+}
+
+impl Sub for Cost {
+    type Output = Cost;
+
+    /// What a span has cost; memory and descriptors are those at its end.
+    fn sub(self, before: Cost) -> Cost {
+        Cost {
+            cpu_s: self.cpu_s - before.cpu_s,
+            written: self.written.saturating_sub(before.written),
+            ..self
+        }
+    }
+}
+
+/// The first number behind a name at the start of a line.
+fn field(text: &str, name: &str) -> Option<u64> {
+    let line = text.lines().find_map(|line| line.strip_prefix(name))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
+/// Descriptors that this process, and each that it starts, may hold.
+pub fn descriptors_most() -> u64 {
+    let limits = fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    field(&limits, "Max open files").unwrap_or(1024)
+}
+
+/// The head of a file that is begun now.
+///
+/// # Errors
+/// The machine does not say what stands in it.
+pub fn head(seed: u64) -> Result<Head, Error> {
+    let mut words = std::env::args();
+    let program = words.next().unwrap_or_default();
+    let program = program.rsplit('/').next().unwrap_or_default().to_string();
+    let command = std::iter::once(program).chain(words).collect::<Vec<_>>().join(" ");
+    let load = fs::read_to_string("/proc/loadavg").map_err(Error::io("/proc/loadavg"))?;
+    let mut load = load.split(' ').map(|number| number.parse().unwrap_or(f64::NAN));
+    let mut next = || load.next().unwrap_or(f64::NAN);
+    let memory = fs::read_to_string("/proc/meminfo").map_err(Error::io("/proc/meminfo"))?;
+    let changed = said_by("git", &["status", "--porcelain", "--untracked-files=no"]);
+    let commit = said_by("git", &["rev-parse", "--short=12", "HEAD"]);
+    Ok(Head {
+        command,
+        commit: if changed.is_empty() { commit } else { format!("{commit} with changes") },
+        date: said_by("date", &["-u", "+%Y-%m-%dT%H:%M:%SZ"]),
+        cores: std::thread::available_parallelism().map_or(0, |cores| cores.get() as u64),
+        load: [next(), next(), next()],
+        seed,
+        memory_mb: field(&memory, "MemTotal:").unwrap_or(0) / 1024,
+    })
+}
+
+/// What a command prints; empty where it can't be run.
+fn said_by(program: &str, words: &[&str]) -> String {
+    let output = Command::new(program).args(words).output();
+    output.map(|output| String::from_utf8_lossy(&output.stdout).trim().to_string()).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/scale/src/fleet/discovery.rs
@@ -0,0 +1,271 @@
+//! A stand-in for the platform's discovery: the watch of the endpoint list, as the platform's protocol page has it,
+//! and its notices. It is none of the product's processes; what it costs is told as the stand-in's.
+//!
+//! A version of the list is the moment at which it was published, in microseconds since the machine's start, so that
+//! a sender knows by the version alone how late it hears. The first list goes out in pieces, under the versions 1, 2
+//! and so on: a sender drops a line longer than 1 MiB.
+
+use super::meter::{Meter, Passed};
+use super::relay::{Way, listen, reset};
+use crate::Error;
+use bytes::Bytes;
+use milletturn_fleet_wire::clock::now;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// While nothing changes, an empty line comes so often.
+const EMPTY: Duration = Duration::from_secs(2);
+/// Longest request that is read.
+const REQUEST_MOST: usize = 1 << 20;
+
+/// How the list goes out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Form {
+    /// Destinations in the first list.
+    pub destinations: u64,
+    /// Entries in one line of the first list; a line takes some 150 bytes for each.
+    pub piece: u64,
+}
+
+/// One published state: its version and its entries, without the line round them.
+#[derive(Debug, Clone)]
+struct Entries {
+    version: u64,
+    text: Bytes,
+}
+
+#[derive(Debug)]
+struct State {
+    entries: Vec<Entries>,
+    /// Destinations so far.
+    destinations: u64,
+    notices: u64,
+    watches: u64,
+}
+
+/// Discovery; clones share it.
+#[derive(Debug, Clone)]
+pub struct Discovery {
+    /// Where each region reaches it.
+    pub addresses: Vec<SocketAddr>,
+    /// What passes.
+    pub meter: Meter,
+    state: Arc<Mutex<State>>,
+    told: Arc<watch::Sender<usize>>,
+    ways: Vec<Arc<watch::Sender<Way>>>,
+    endpoint: SocketAddr,
+}
+
+impl Discovery {
+    /// Begins to serve so many regions on this runtime; every endpoint of the list has this address.
+    ///
+    /// # Errors
+    /// No port is to be had.
+    pub fn start(runtime: &Handle, regions: usize, form: Form, endpoint: SocketAddr) -> Result<Self, Error> {
+        let _entered = runtime.enter();
+        let mut entries = Vec::new();
+        let mut at = 0;
+        while at < form.destinations {
+            let to = (at + form.piece).min(form.destinations);
+            let version = entries.len() as u64 + 1;
+            entries.push(Entries { version, text: targets(at..to, endpoint) });
+            at = to;
+        }
+        let told = Arc::new(watch::Sender::new(entries.len()));
+        let state = State { entries, destinations: form.destinations, notices: 0, watches: 0 };
+        let mut discovery = Discovery {
+            addresses: Vec::new(),
+            meter: Meter::default(),
+            state: Arc::new(Mutex::new(state)),
+            told,
+            ways: Vec::new(),
+            endpoint,
+        };
+        let mut listeners = Vec::new();
+        for _ in 0..regions {
+            let listener = listen()?;
+            discovery.addresses.push(listener.local_addr().map_err(Error::io("a port on loopback"))?);
+            discovery.ways.push(Arc::new(watch::Sender::new(Way::Pass)));
+            listeners.push(listener);
+        }
+        for (region, listener) in listeners.into_iter().enumerate() {
+            runtime.spawn(discovery.clone().serve(listener, region));
+        }
+        Ok(discovery)
+    }
+
+    /// Publishes a change: one new destination with one endpoint. Its version.
+    pub fn publish(&self) -> u64 {
+        let mut state = self.state();
+        let last = state.entries.last().map_or(0, |entries| entries.version);
+        let version = now().0.max(last + 1);
+        let number = state.destinations;
+        state.destinations += 1;
+        state.entries.push(Entries { version, text: targets(number..number + 1, self.endpoint) });
+        let count = state.entries.len();
+        drop(state);
+        self.told.send_replace(count);
+        version
+    }
+
+    /// The version of the list now.
+    pub fn version(&self) -> u64 {
+        self.state().entries.last().map_or(0, |entries| entries.version)
+    }
+
+    /// Destinations of the list now.
+    pub fn destinations(&self) -> u64 {
+        self.state().destinations
+    }
+
+    /// Lines of notices so far.
+    pub fn notices(&self) -> u64 {
+        self.state().notices
+    }
+
+    /// Watches that were opened so far.
+    pub fn watches(&self) -> u64 {
+        self.state().watches
+    }
+
+    /// What a region meets from now on.
+    pub fn set(&self, region: usize, way: Way) {
+        self.ways[region].send_replace(way);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        // each change of it is whole or not there
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(self, listener: TcpListener, region: usize) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            self.meter.count(Passed { opened: 1, ..Passed::default() });
+            let (here, mut way) = (self.clone(), self.ways[region].subscribe());
+            tokio::spawn(async move {
+                let mut stream = stream;
+                let _ = stream.set_nodelay(true);
+                if *way.borrow() == Way::Pass {
+                    tokio::select! {
+                        // a sender that has gone away has heard enough
+                        _ = here.serve_one(&mut stream) => return,
+                        _ = way.wait_for(|way| *way != Way::Pass) => {}
+                    }
+                }
+                let _ = way.wait_for(|way| *way != Way::Silent).await;
+                reset(&stream);
+            });
+        }
+    }
+
+    async fn serve_one(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        let mut request = Vec::new();
+        let end = loop {
+            if stream.read_buf(&mut request).await? == 0 || request.len() > REQUEST_MOST {
+                return Ok(());
+            }
+            if let Some(at) = request.windows(4).position(|four| four == b"\r\n\r\n") {
+                break at + 4;
+            }
+        };
+        let head = String::from_utf8_lossy(&request[..end]).into_owned();
+        if head.starts_with("POST /v1/outcomes ") {
+            return self.take_notices(stream, &head, request, end).await;
+        }
+        self.meter.count(Passed { asked: 1, bytes_asked: request.len() as u64, ..Passed::default() });
+        let from = head.split_once("from=").and_then(|(_, rest)| rest.split(' ').next()?.parse().ok());
+        self.state().watches += 1;
+        let answer =
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+        self.tell(stream, 1, answer.as_bytes()).await?;
+        let mut told = self.told.subscribe();
+        let from = from.unwrap_or(0);
+        let mut at = self.state().entries.partition_point(|entries| entries.version <= from);
+        // a watch is answered at once, also where nothing has changed
+        let mut owed = true;
+        loop {
+            let _ = told.borrow_and_update();
+            while let Some((line, next)) = self.line(at) {
+                self.tell(stream, 1, &chunk(&line)).await?;
+                (at, owed) = (next, false);
+            }
+            if std::mem::take(&mut owed) {
+                self.tell(stream, 1, &chunk(b"\n")).await?;
+            }
+            owed = timeout(EMPTY, told.changed()).await.is_err();
+        }
+    }
+
+    /// The line that goes out at this place, and the place behind it. A piece of the first list goes by itself, and
+    /// all changes that a watch has missed go together.
+    fn line(&self, at: usize) -> Option<(Vec<u8>, usize)> {
+        let state = self.state();
+        let first = state.entries.get(at)?;
+        let is_piece = |entries: &Entries| entries.version <= state.entries.len() as u64;
+        let to = if is_piece(first) { at + 1 } else { state.entries.len() };
+        let texts = &state.entries[at..to];
+        let version = texts.last().map_or(first.version, |last| last.version);
+        let mut line = format!("{{\"rev\":{version},\"all\":{},\"targets\":[", at == 0).into_bytes();
+        for (number, entries) in texts.iter().enumerate() {
+            if number > 0 {
+                line.push(b',');
+            }
+            line.extend_from_slice(&entries.text);
+        }
+        line.extend_from_slice(b"]}\n");
+        Some((line, to))
+    }
+
+    async fn tell(&self, stream: &mut TcpStream, lines: u64, bytes: &[u8]) -> std::io::Result<()> {
+        stream.write_all(bytes).await?;
+        self.meter.count(Passed { told: lines, bytes_told: bytes.len() as u64, ..Passed::default() });
+        Ok(())
+    }
+
+    async fn take_notices(
+        &self, stream: &mut TcpStream, head: &str, mut request: Vec<u8>, end: usize,
+    ) -> std::io::Result<()> {
+        let length = head.lines().find_map(|line| {
+            let (name, value) = line.split_once(':')?;
+            name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse::<usize>().ok())?
+        });
+        let length = length.unwrap_or(0).min(REQUEST_MOST);
+        while request.len() < end + length {
+            if stream.read_buf(&mut request).await? == 0 {
+                return Ok(());
+            }
+        }
+        let lines = request[end..].iter().filter(|byte| **byte == b'\n').count() as u64;
+        self.state().notices += lines;
+        stream.write_all(b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n").await
+    }
+}
+
+fn chunk(line: &[u8]) -> Vec<u8> {
+    let mut bytes = format!("{:x}\r\n", line.len()).into_bytes();
+    bytes.extend_from_slice(line);
+    bytes.extend_from_slice(b"\r\n");
+    bytes
+}
+
+/// Entries of these destinations, each with one endpoint.
+fn targets(numbers: std::ops::Range<u64>, endpoint: SocketAddr) -> Bytes {
+    let entries: Vec<String> = numbers
+        .map(|number| {
+            format!(
+                r#"{{"uid":"s-{number:08x}","endpoint":"{endpoint}","az":"a","model":"one","pod_group":{number},"state":"up","capacity_hint":1.0,"boot_ms":0}}"#
+            )
+        })
+        .collect();
+    Bytes::from(entries.join(","))
+}
--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -1,21 +1,176 @@
 //! Slopes of control, from hollow senders; and faults at size.
+//!
+//! A change is a numbered version of the endpoint list, published by a stand-in for the platform's discovery: the
+//! product has no other way to bring a change to a running sender but files with SIGHUP. In force is it at a sender
+//! at the moment at which the sender's real watch hands the version on as `Input::Listed`.
+//!
+//! - [`rig`]: all parts together, made of [`stewards`], [`discovery`], [`herd`] and [`real`].
+//! - [`hollow`]: the process of hollow senders; [`tally`]: what each has heard.
+//! - [`slopes`], [`compare`] and [`faults`]: what is measured; [`sheet`]: as lines.
+
+pub mod compare;
+pub mod discovery;
+pub mod faults;
+pub mod herd;
+pub mod hollow;
+pub mod meter;
+pub mod process;
+pub mod real;
+pub mod relay;
+pub mod report;
+pub mod rig;
+pub mod sheet;
+pub mod slopes;
+pub mod stage;
+pub mod stewards;
+pub mod tally;
+pub mod thread;
+pub mod times;
 
 use crate::Error;
+use crate::cost::head;
+use crate::figures::{Line, write};
 use clap::Args;
+use sheet::Sheet;
+use slopes::{Plan, RATE, stewards};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// Words that slopes and faults have in common.
+#[derive(Debug, Clone, Args)]
+pub struct Common {
+    /// Where the figures go (JSON lines).
+    #[arg(long, value_name = "FILE")]
+    pub out: PathBuf,
+    /// The product's program; beside this one unless said otherwise.
+    #[arg(long, value_name = "FILE")]
+    pub program: Option<PathBuf>,
+    /// What begins later than this is left out: `10m`, `90s`.
+    #[arg(long, default_value = "10m", value_parser = time)]
+    pub time: Duration,
+    /// Of all that is drawn at random.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
 
 /// Words of `fleet`.
 #[derive(Debug, Clone, Args)]
-pub struct Slopes {}
+pub struct Slopes {
+    #[command(flatten)]
+    common: Common,
+    /// Folder for plots (SVG).
+    #[arg(long, value_name = "FOLDER")]
+    plots: Option<PathBuf>,
+    /// Seconds of one measurement.
+    #[arg(long, default_value_t = 8)]
+    span: u64,
+    /// Senders with sessions.
+    #[arg(long, value_delimiter = ',', default_value = "31,62,125,250,500,1000")]
+    sessions: Vec<u64>,
+    /// Senders that watch the list.
+    #[arg(long, value_delimiter = ',', default_value = "250,500,1000,2000,4000,8000,16000")]
+    senders: Vec<u64>,
+    /// Rates of changes, as multiples of 48,000 a day.
+    #[arg(long, value_delimiter = ',', default_value = "0.1,0.3,1,3,10,100")]
+    rates: Vec<f64>,
+    /// Destinations of the list.
+    #[arg(long, value_delimiter = ',', default_value = "1000,5000,10000,50000,200000,1700000")]
+    destinations: Vec<u64>,
+    /// Which parts are run.
+    #[arg(
+        long,
+        value_delimiter = ',',
+        default_value = "compare,sessions,beyond,lease,five,senders,rates,destinations,reloads"
+    )]
+    parts: Vec<String>,
+    /// Senders of the comparison of real and hollow ones.
+    #[arg(long, default_value_t = 30)]
+    compare: u64,
+}
 
 /// Words of `faults`.
 #[derive(Debug, Clone, Args)]
-pub struct Faults {}
+pub struct Faults {
+    #[command(flatten)]
+    common: Common,
+    /// Hollow senders with sessions.
+    #[arg(long, default_value_t = 1000)]
+    sessions: u64,
+    /// Hollow senders that watch the list, those with sessions among them.
+    #[arg(long, default_value_t = 4000)]
+    senders: u64,
+    /// Real senders beside them, which deliver.
+    #[arg(long, default_value_t = 20)]
+    real: u64,
+    /// Which faults are run; all unless said otherwise.
+    #[arg(long, value_delimiter = ',')]
+    only: Vec<String>,
+}
+
+fn time(text: &str) -> Result<Duration, String> {
+    let (number, unit) = text.split_at(text.len().saturating_sub(1));
+    let seconds = match unit {
+        "m" => 60,
+        "s" => 1,
+        _ => return Err("a time such as 10m or 90s".into()),
+    };
+    let number: u64 = number.parse().map_err(|_| "a time such as 10m or 90s".to_string())?;
+    Ok(Duration::from_secs(number * seconds))
+}
+
+impl Common {
+    fn plan(&self) -> Result<Plan, Error> {
+        Ok(Plan {
+            programs: rig::programs(self.program.as_deref())?,
+            sessions: Vec::new(),
+            senders: Vec::new(),
+            rates: Vec::new(),
+            destinations: Vec::new(),
+            span: Duration::from_secs(8),
+            until: Instant::now() + self.time,
+            seed: self.seed,
+        })
+    }
+}
 
 /// Measures the slopes of control.
 ///
 /// # Errors
 /// What kept it from its figures.
-pub fn run(_: &Slopes) -> Result<(), Error> {
+pub fn run(words: &Slopes) -> Result<(), Error> {
+    let plan = Plan {
+        sessions: words.sessions.clone(),
+        senders: words.senders.clone(),
+        rates: words.rates.clone(),
+        destinations: words.destinations.clone(),
+        span: Duration::from_secs(words.span),
+        ..words.common.plan()?
+    };
+    let mut sheet = Sheet::default();
+    sheet.lines.push(Line::Head(head(plan.seed)?));
+    let middle = [250, 500, 1000].into_iter().filter(|size| Some(size) <= plan.sessions.iter().max());
+    let few = Plan { sessions: middle.collect(), ..plan.clone() };
+    for part in &words.parts {
+        match part.as_str() {
+            // the first list is told before the span: what is compared are renewals and changes
+            "compare" => compare::run(&plan, &mut sheet, words.compare, 10.0)?,
+            "sessions" => plan.by_sessions(&mut sheet, stewards(3, 9))?,
+            "beyond" => plan.beyond(&mut sheet, 2 * milletturn_fleet::bounds::SESSIONS as u64)?,
+            "lease" => few.by_sessions(&mut sheet, stewards(3, 2))?,
+            "five" => few.by_sessions(&mut sheet, stewards(5, 9))?,
+            "senders" => plan.by_senders(&mut sheet)?,
+            "rates" => plan.by_rate(&mut sheet, 1_000)?,
+            "destinations" => plan.by_destinations(&mut sheet)?,
+            "reloads" => plan.reloads(&mut sheet, 1_000)?,
+            other => return Err(Error::Wrong(format!("no part is named {other:?}"))),
+        }
+        write(&words.common.out, &sheet.lines)?;
+    }
+    report::fits(&mut sheet);
+    write(&words.common.out, &sheet.lines)?;
+    if let Some(folder) = &words.plots {
+        report::plots(&sheet, folder)?;
+    }
     Ok(())
 }
 
@@ -23,6 +178,29 @@
 ///
 /// # Errors
 /// What kept it from its figures.
-pub fn faults(_: &Faults) -> Result<(), Error> {
-    Ok(())
+pub fn faults(words: &Faults) -> Result<(), Error> {
+    let plan = words.common.plan()?;
+    let size = faults::Size { senders: words.senders, sessions: words.sessions, real: words.real };
+    let mut sheet = Sheet::default();
+    sheet.lines.push(Line::Head(head(plan.seed)?));
+    faults::run(&plan, &mut sheet, size, &words.only, &words.common.out)
+}
+
+/// A run of few senders whose counted figures a test looks at: so many hollow senders with sessions, three stewards
+/// and some real senders that deliver; changes at 100 times the rate over a few seconds.
+///
+/// # Errors
+/// A part does not come up, or a process ends.
+pub fn small(program: &Path, scale: &Path, hollow: u64, real: u64) -> Result<report::Small, Error> {
+    let plan = Plan {
+        programs: rig::Programs { sender: program.to_path_buf(), scale: scale.to_path_buf() },
+        sessions: Vec::new(),
+        senders: Vec::new(),
+        rates: Vec::new(),
+        destinations: Vec::new(),
+        span: Duration::from_secs(3),
+        until: Instant::now() + Duration::from_secs(600),
+        seed: 1,
+    };
+    report::small(&plan, hollow, real, 100.0 * RATE)
 }
--- /dev/null
+++ b/crates/scale/src/fleet/process.rs
@@ -0,0 +1,105 @@
+//! A process that this one started: its lines, signals to it by its number, its end.
+
+use crate::Error;
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Longest wait for what a process has to say or do: far above what any takes.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// Rest between two looks.
+pub const LOOK: Duration = Duration::from_millis(10);
+
+/// Looks until it is so.
+///
+/// # Errors
+/// It is not so after [`PATIENCE`].
+pub fn until(what: &str, mut so: impl FnMut() -> Result<bool, Error>) -> Result<(), Error> {
+    let begun = Instant::now();
+    while !so()? {
+        if begun.elapsed() > PATIENCE {
+            return Err(Error::Wrong(format!("never within {} s: {what}", PATIENCE.as_secs())));
+        }
+        std::thread::sleep(LOOK);
+    }
+    Ok(())
+}
+
+/// A process; is killed with this value.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    log: std::path::PathBuf,
+}
+
+impl Process {
+    /// Starts it; what it says on either output goes to this file.
+    ///
+    /// # Errors
+    /// It can't be started, or the file not written.
+    pub fn start(command: &mut Command, log: &Path) -> Result<Self, Error> {
+        let file = || File::create(log).map_err(Error::io(log.display().to_string()));
+        let out = file()?;
+        let errors = out.try_clone().map_err(Error::io(log.display().to_string()))?;
+        let child = command.stdin(Stdio::null()).stdout(out).stderr(errors).spawn();
+        let child = child.map_err(Error::io(command.get_program().display().to_string()))?;
+        Ok(Process { child, log: log.to_path_buf() })
+    }
+
+    /// Its number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// What it has said, by lines.
+    pub fn lines(&self) -> Vec<String> {
+        let file = File::open(&self.log);
+        file.map(|file| BufReader::new(file).lines().map_while(Result::ok).collect()).unwrap_or_default()
+    }
+
+    /// Waits until it has said this; the rest of that line.
+    ///
+    /// # Errors
+    /// It never does, or has ended.
+    pub fn until_said(&mut self, what: &str) -> Result<String, Error> {
+        let mut said = None;
+        until(&format!("a process says {what:?}"), || {
+            let lines = self.lines();
+            said = lines.iter().find_map(|line| Some(line.split_once(what)?.1.to_string()));
+            if said.is_none() && matches!(self.child.try_wait(), Ok(Some(_))) {
+                return Err(Error::Wrong(format!("a process ended and said: {}", lines.join(" / "))));
+            }
+            Ok(said.is_some())
+        })?;
+        Ok(said.unwrap_or_default())
+    }
+
+    /// Sends it a signal.
+    ///
+    /// # Errors
+    /// It is gone.
+    pub fn signal(&self, signal: Signal) -> Result<(), Error> {
+        let sent = kill_process(Pid::from_child(&self.child), signal);
+        sent.map_err(|error| Error::Io(format!("a signal to process {}", self.id()), error.into()))
+    }
+
+    /// Waits until it has ended by itself.
+    ///
+    /// # Errors
+    /// It does not.
+    pub fn until_ended(&mut self) -> Result<(), Error> {
+        let child = &mut self.child;
+        until("a process ends", || Ok(matches!(child.try_wait(), Ok(Some(_)))))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // gone already, or gone now
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/scale/src/fleet/real.rs
@@ -0,0 +1,249 @@
+//! Real senders: processes of the program as the platform runs it, each with a process that keeps its session; an
+//! endpoint that they deliver to, and clients that hand messages in.
+
+use super::process::Process;
+use super::relay::listen;
+use super::stewards::GROUP;
+use crate::Error;
+use crate::cost::Cost;
+use rustix::process::Signal;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+
+/// The file of a sender's settings, for a fleet of so many; `listen` and `discovery` are said by variables.
+pub fn config(senders: u64, on_request: bool) -> String {
+    let discovery = if on_request { r#""discovery":"on_request","# } else { "" };
+    format!(
+        r#"{{"name":"n","listen":"127.0.0.1:0","management":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f",
+        "limits":{{"cores":1.0,"memory_mb":128,"sockets":1024,"disk_mb":30}},
+        "known":{{"rev":0,"all":true,"targets":[]}},
+        "settings":{{"az":"a","balancers":{senders},{discovery}"zones":["a"],"machineTypes":["one"],
+          "caps":{{"maxOpen":50,"mostTries":12,"mayCancel":true,"secondCopies":true,"connIdle":5.0,
+            "dialTimeout":0.5,"retryAfter":true,"maxRetryAfter":3.0}},
+          "report":{{"how":"piggyback","fields":["x0","x1"]}},
+          "classes":[{{"name":"webhook","aim":4.0,"deadline":20.0,"effect":"deduplicated","group":"all","window":12.0}}],
+          "specifics":{{"callSlots":8,"bundleMax":[1],"routesApart":[false]}},
+          "safety":{{"stopSendingWithin":1.0,"cold":11.0,"startCapacity":0.18,"fallMultiple":2.0,"fall":3.0}}}}}}"#
+    )
+}
+
+/// An endpoint that answers 200 to every call, and remembers which messages came.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    /// Where it listens.
+    pub address: SocketAddr,
+    seen: Arc<Mutex<(BTreeSet<String>, u64)>>,
+}
+
+impl Endpoint {
+    /// Begins to serve on this runtime.
+    ///
+    /// # Errors
+    /// No port is to be had.
+    pub fn start(runtime: &Handle) -> Result<Self, Error> {
+        let _entered = runtime.enter();
+        let listener = listen()?;
+        let address = listener.local_addr().map_err(Error::io("a port on loopback"))?;
+        let endpoint = Endpoint { address, seen: Arc::default() };
+        runtime.spawn(endpoint.clone().serve(listener));
+        Ok(endpoint)
+    }
+
+    /// Messages that came, each once; and calls beyond the first of each.
+    pub fn seen(&self) -> (u64, u64) {
+        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        (seen.0.len() as u64, seen.1)
+    }
+
+    async fn serve(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let here = self.clone();
+            // a sender that leaves is free to
+            tokio::spawn(async move { here.serve_one(stream).await });
+        }
+    }
+
+    async fn serve_one(&self, stream: TcpStream) -> std::io::Result<()> {
+        let mut stream = BufReader::new(stream);
+        while let Some((_, headers)) = read_head(&mut stream).await? {
+            let length = number(&headers, "content-length");
+            tokio::io::copy(&mut (&mut stream).take(length), &mut tokio::io::sink()).await?;
+            if let Some(id) = header(&headers, "x-request-id") {
+                let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+                if !seen.0.insert(id.to_string()) {
+                    seen.1 += 1;
+                }
+            }
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await?;
+        }
+        Ok(())
+    }
+}
+
+type Headers = Vec<(String, String)>;
+
+/// The first line and the headers; none at the end of the connection.
+async fn read_head(stream: &mut BufReader<TcpStream>) -> std::io::Result<Option<(String, Headers)>> {
+    let mut first = String::new();
+    if stream.read_line(&mut first).await? == 0 {
+        return Ok(None);
+    }
+    let mut headers = Vec::new();
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).await? <= 2 {
+            return Ok(Some((first, headers)));
+        }
+        if let Some((name, value)) = line.split_once(':') {
+            headers.push((name.to_ascii_lowercase(), value.trim().to_string()));
+        }
+    }
+}
+
+fn header<'a>(headers: &'a Headers, name: &str) -> Option<&'a str> {
+    headers.iter().find(|(found, _)| found == name).map(|(_, value)| value.as_str())
+}
+
+fn number(headers: &Headers, name: &str) -> u64 {
+    header(headers, name).and_then(|value| value.parse().ok()).unwrap_or(0)
+}
+
+/// Real senders.
+#[derive(Debug)]
+pub struct Reals {
+    senders: Vec<(Process, SocketAddr)>,
+    sessions: Vec<Process>,
+    taken: Arc<AtomicU64>,
+    handed: Arc<AtomicU64>,
+    folder: TempDir,
+}
+
+impl Reals {
+    /// Starts so many, numbered from `first` on, and waits until each listens. Their sessions have the names and
+    /// work that hollow ones of the same numbers would have.
+    ///
+    /// # Errors
+    /// One does not come up.
+    pub fn start(
+        program: &Path, config: &Path, numbers: std::ops::Range<u64>, discovery: SocketAddr,
+        stewards: &[String],
+    ) -> Result<Self, Error> {
+        let folder = TempDir::new().map_err(Error::io("a folder for real senders"))?;
+        let mut reals = Reals {
+            senders: Vec::new(),
+            sessions: Vec::new(),
+            taken: Arc::default(),
+            handed: Arc::default(),
+            folder,
+        };
+        let mut processes = Vec::new();
+        for number in numbers {
+            let state = reals.folder.path().join(format!("state{number}"));
+            std::fs::create_dir(&state).map_err(Error::io(state.display().to_string()))?;
+            let mut command = Command::new(program);
+            command
+                .env("RELAY_CONFIG", config)
+                .env("RELAY_STATE", &state)
+                .env("RELAY_NAME", format!("hollow-{number}"))
+                .env("RELAY_LISTEN", "127.0.0.1:0")
+                .env("RELAY_DISCOVERY", discovery.to_string());
+            let log = reals.folder.path().join(format!("sender{number}.log"));
+            processes.push(Process::start(&mut command, &log)?);
+            if !stewards.is_empty() {
+                let mut command = Command::new(program);
+                command.args(["fleet", "hold", &format!("w{number}"), "--name", &format!("hollow-{number}")]);
+                // it acts for its work once an hour: what is left is the session
+                command.args(["--every", "3600000", "--group", GROUP, "--format", "json"]);
+                for address in stewards {
+                    command.args(["--steward", address]);
+                }
+                let log = reals.folder.path().join(format!("session{number}.log"));
+                reals.sessions.push(Process::start(&mut command, &log)?);
+            }
+        }
+        for mut process in processes {
+            let address = process.until_said("listening on ")?;
+            let address = address.parse().map_err(|_| Error::Wrong(format!("no address: {address}")))?;
+            reals.senders.push((process, address));
+        }
+        for session in &mut reals.sessions {
+            session.until_said("\"owned\"")?;
+        }
+        Ok(reals)
+    }
+
+    /// Numbers of the processes.
+    pub fn ids(&self) -> Vec<u32> {
+        let senders = self.senders.iter().map(|(process, _)| process.id());
+        senders.chain(self.sessions.iter().map(Process::id)).collect()
+    }
+
+    /// What the senders have cost so far, and what the processes of their sessions have.
+    ///
+    /// # Errors
+    /// One is gone.
+    pub fn costs(&self) -> Result<(Cost, Cost), Error> {
+        let senders = Cost::of_all(self.senders.iter().map(|(process, _)| process.id()))?;
+        Ok((senders, Cost::of_all(self.sessions.iter().map(Process::id))?))
+    }
+
+    /// Hands messages to each sender, one after the other with this rest, to destinations below this number, until
+    /// the handle is aborted.
+    pub fn hand_in(
+        &self, runtime: &Handle, rest: Duration, destinations: u64,
+    ) -> Vec<tokio::task::AbortHandle> {
+        let mut clients = Vec::new();
+        for (place, (_, address)) in self.senders.iter().enumerate() {
+            let (taken, handed, address) = (self.taken.clone(), self.handed.clone(), *address);
+            let client = async move {
+                let mut stream = BufReader::new(TcpStream::connect(address).await?);
+                for count in 0u64.. {
+                    let message = message(&format!("r{place}-{count}"), count % destinations.max(1));
+                    handed.fetch_add(1, Ordering::Relaxed);
+                    stream.write_all(&message).await?;
+                    let Some((first, headers)) = read_head(&mut stream).await? else { break };
+                    let length = number(&headers, "content-length");
+                    tokio::io::copy(&mut (&mut stream).take(length), &mut tokio::io::sink()).await?;
+                    taken.fetch_add(u64::from(first.contains(" 202 ")), Ordering::Relaxed);
+                    tokio::time::sleep(rest).await;
+                }
+                Ok::<(), std::io::Error>(())
+            };
+            clients.push(runtime.spawn(client).abort_handle());
+        }
+        clients
+    }
+
+    /// Messages handed in, and those that were taken on.
+    pub fn handed(&self) -> (u64, u64) {
+        (self.handed.load(Ordering::Relaxed), self.taken.load(Ordering::Relaxed))
+    }
+
+    /// Reads the settings of each sender anew.
+    ///
+    /// # Errors
+    /// One is gone.
+    pub fn reload(&self) -> Result<(), Error> {
+        self.senders.iter().try_for_each(|(process, _)| process.signal(Signal::HUP))
+    }
+}
+
+/// A message as a client hands it in.
+fn message(id: &str, destination: u64) -> Vec<u8> {
+    let body = "x".repeat(200);
+    let head = format!(
+        "POST /webhook HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {id}\r\nX-Priority-Class: webhook\r\n\
+         X-Timeout: 20000m\r\nIdempotency-Key: key-{id}\r\nContent-Length: {}\r\nEnvelope: dest={destination}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body.as_bytes()].concat()
+}
--- /dev/null
+++ b/crates/scale/src/fleet/stewards.rs
@@ -0,0 +1,252 @@
+//! A group of real stewards as processes, with a counted way between each two and from each region to each.
+
+use super::meter::{Meter, Passed};
+use super::process::{Process, until};
+use super::relay::{Relay, Way};
+use crate::Error;
+use crate::cost::Cost;
+use milletturn_fleet_wire::Line;
+use milletturn_fleet_wire::words::{BOOK, Look, STATUS, Status};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::runtime::Handle;
+
+/// The group's name.
+pub const GROUP: &str = "scale";
+/// Longest wait for a steward's word.
+const WORD: Duration = Duration::from_secs(3);
+
+/// How the group is set up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Setup {
+    /// Stewards: three, five or seven.
+    pub count: usize,
+    /// Seconds of a lease.
+    pub lease_s: u64,
+    /// Milliseconds between two calls of the leader.
+    pub heartbeat_ms: u64,
+    /// Groups of senders that can be cut off for themselves.
+    pub regions: usize,
+}
+
+/// The group.
+#[derive(Debug)]
+pub struct Group {
+    setup: Setup,
+    program: PathBuf,
+    folder: TempDir,
+    processes: Vec<Option<Process>>,
+    listens: Vec<Option<SocketAddr>>,
+    /// From one steward, by its place, to another.
+    between: BTreeMap<(usize, usize), Relay>,
+    /// From a region to each steward.
+    regions: Vec<Vec<Relay>>,
+    runtime: Handle,
+}
+
+impl Group {
+    /// Makes the disks and starts all.
+    ///
+    /// # Errors
+    /// A steward can't be started.
+    pub fn start(program: &Path, setup: Setup, runtime: &Handle) -> Result<Self, Error> {
+        let relay = |meter: &Meter| Relay::start(runtime, meter.clone());
+        let mut between = BTreeMap::new();
+        for from in 0..setup.count {
+            for to in (0..setup.count).filter(|to| *to != from) {
+                between.insert((from, to), relay(&Meter::default())?);
+            }
+        }
+        let mut regions = Vec::new();
+        for _ in 0..setup.regions {
+            let ways: Result<Vec<Relay>, Error> =
+                (0..setup.count).map(|_| relay(&Meter::default())).collect();
+            regions.push(ways?);
+        }
+        let mut group = Group {
+            setup,
+            program: program.to_path_buf(),
+            folder: TempDir::new().map_err(Error::io("a folder for the stewards"))?,
+            processes: (0..setup.count).map(|_| None).collect(),
+            listens: vec![None; setup.count],
+            between,
+            regions,
+            runtime: runtime.clone(),
+        };
+        for place in 0..setup.count {
+            let file = group.file(place);
+            std::fs::write(&file, group.settings(place)).map_err(Error::io(file.display().to_string()))?;
+            let founded = Command::new(program).args(["steward", "--found", "--config"]).arg(&file).output();
+            let founded = founded.map_err(Error::io(program.display().to_string()))?;
+            if !founded.status.success() {
+                return Err(Error::Wrong(String::from_utf8_lossy(&founded.stderr).into_owned()));
+            }
+        }
+        (0..setup.count).try_for_each(|place| group.start_one(place))?;
+        group.until_led()?;
+        Ok(group)
+    }
+
+    fn file(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("steward{place}.toml"))
+    }
+
+    fn settings(&self, place: usize) -> String {
+        let Setup { lease_s, heartbeat_ms, .. } = self.setup;
+        let mut text = format!(
+            "group = \"{GROUP}\"\nid = {}\nlisten = \"127.0.0.1:0\"\nstate = \"disk{place}\"\n\
+             lease = \"{lease_s}s\"\nheartbeat = \"{heartbeat_ms}ms\"\n",
+            place + 1
+        );
+        for to in 0..self.setup.count {
+            // nobody calls itself
+            let address = self
+                .between
+                .get(&(place, to))
+                .map_or("127.0.0.1:1".to_string(), |way| way.address.to_string());
+            text.push_str(&format!("[[steward]]\nid = {}\naddress = \"{address}\"\n", to + 1));
+        }
+        text
+    }
+
+    /// Starts a steward that is not running; all ways lead to its new port.
+    ///
+    /// # Errors
+    /// It does not come up.
+    pub fn start_one(&mut self, place: usize) -> Result<(), Error> {
+        let mut command = Command::new(&self.program);
+        command.args(["steward", "--config"]).arg(self.file(place));
+        let log = self.folder.path().join(format!("steward{place}.log"));
+        let mut process = Process::start(&mut command, &log)?;
+        let address = process.until_said("listens on ")?;
+        let address = address.parse().map_err(|_| Error::Wrong(format!("no address: {address}")))?;
+        self.listens[place] = Some(address);
+        self.towards(place).for_each(|way| way.lead_to(Some(address)));
+        self.processes[place] = Some(process);
+        Ok(())
+    }
+
+    /// All ways that lead to a steward.
+    fn towards(&self, place: usize) -> impl Iterator<Item = &Relay> {
+        let between = self.between.iter().filter(move |((_, to), _)| *to == place).map(|(_, way)| way);
+        between.chain(self.regions.iter().map(move |ways| &ways[place]))
+    }
+
+    /// Ends a steward as a crash would; its disk stays.
+    pub fn kill(&mut self, place: usize) {
+        self.processes[place] = None;
+        self.listens[place] = None;
+        self.towards(place).for_each(|way| way.lead_to(None));
+    }
+
+    /// The running process of a steward.
+    ///
+    /// # Errors
+    /// It is not running.
+    pub fn process(&self, place: usize) -> Result<&Process, Error> {
+        let process = self.processes.get(place).and_then(Option::as_ref);
+        process.ok_or_else(|| Error::Wrong(format!("steward {place} is not running")))
+    }
+
+    /// Numbers of the running processes.
+    pub fn ids(&self) -> Vec<u32> {
+        self.processes.iter().flatten().map(Process::id).collect()
+    }
+
+    /// What a steward has cost so far.
+    ///
+    /// # Errors
+    /// It is not running.
+    pub fn cost(&self, place: usize) -> Result<Cost, Error> {
+        Cost::of(self.process(place)?.id())
+    }
+
+    /// All places.
+    pub fn places(&self) -> std::ops::Range<usize> {
+        0..self.setup.count
+    }
+
+    /// Where the senders of a region reach the stewards.
+    pub fn addresses(&self, region: usize) -> Vec<String> {
+        self.regions[region].iter().map(|way| way.address.to_string()).collect()
+    }
+
+    /// Cuts a region off, or brings it back.
+    pub fn set(&self, region: usize, way: Way) {
+        self.regions[region].iter().for_each(|relay| relay.set(way));
+    }
+
+    /// What senders asked a steward and were told.
+    pub fn members(&self, place: usize) -> Passed {
+        let ways = self.regions.iter().map(|ways| ways[place].meter.sum());
+        ways.fold(Passed::default(), |sum, next| sum + next)
+    }
+
+    /// What passed between a steward and the others: what it asked them, and what they asked it.
+    pub fn others(&self, place: usize) -> (Passed, Passed) {
+        let sum = |such: &dyn Fn(&(usize, usize)) -> bool| {
+            let ways = self.between.iter().filter(|(ends, _)| such(ends));
+            ways.fold(Passed::default(), |sum, (_, way)| sum + way.meter.sum())
+        };
+        (sum(&|ends| ends.0 == place), sum(&|ends| ends.1 == place))
+    }
+
+    /// Highest second of all that senders asked and were told, from this moment on: messages and bytes. Seconds of
+    /// different ways are added at their highest, which can only be too much.
+    pub fn peak(&self, from: u64) -> (u64, u64) {
+        let ways = self.regions.iter().flatten().map(|way| way.meter.peak(from));
+        ways.fold((0, 0), |sum, next| (sum.0 + next.0, sum.1 + next.1))
+    }
+
+    /// The place of the steward that leads by the word of a majority, if one does now.
+    pub fn leader(&self) -> Option<usize> {
+        let running = self.places().filter(|place| self.listens[*place].is_some());
+        let said: Vec<Status> = running.filter_map(|place| self.status(place)).collect();
+        let leads = said.iter().find(|status| status.role == "leader")?;
+        let known = said.iter().filter(|status| status.leader == Some(leads.steward)).count();
+        (known > self.setup.count / 2).then_some(usize::try_from(leads.steward).ok()? - 1)
+    }
+
+    /// Waits until one leads; its place.
+    ///
+    /// # Errors
+    /// None does.
+    pub fn until_led(&self) -> Result<usize, Error> {
+        let mut leader = None;
+        until("a steward leads", || {
+            leader = self.leader();
+            Ok(leader.is_some())
+        })?;
+        leader.ok_or_else(|| Error::Wrong("no steward leads".into()))
+    }
+
+    fn status(&self, place: usize) -> Option<Status> {
+        self.ask(place, STATUS)
+    }
+
+    /// The book, by the word of a majority, if the leader answers now.
+    pub fn look(&self) -> Option<Look> {
+        self.ask(self.leader()?, BOOK)
+    }
+
+    fn ask<A: serde::de::DeserializeOwned>(&self, place: usize, path: &str) -> Option<A> {
+        let mut line = Line::new(self.listens[place]?.to_string(), GROUP);
+        let path = path.to_string();
+        // the calling thread waits; the runtime of the ways does the work
+        let (answer, answered) = std::sync::mpsc::channel();
+        self.runtime.spawn(async move {
+            let reply = line.call::<serde_json::Value>(&path, None::<&()>, WORD).await;
+            let _ = answer.send(reply.ok().and_then(|reply| reply.result.ok()));
+        });
+        serde_json::from_value(answered.recv().ok()??).ok()
+    }
+
+    /// What a steward has said.
+    pub fn said(&self, place: usize) -> Vec<String> {
+        self.processes[place].as_ref().map(Process::lines).unwrap_or_default()
+    }
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,13 +1,17 @@
 //! What each role costs by its size, and control of a fleet at that size: measured on one machine, on loopback.
 //!
 //! - [`figures`]: the lines of a file of figures.
+//! - [`cost`], [`fit`], [`plot`]: what a process cost, how figures grow, and their pictures.
 //! - [`fleet`]: slopes of control, from hollow senders; and faults at size.
 //! - [`roles`]: slopes of a single sender's own parts.
 //! - [`page`]: the tables of docs/CAPACITY.md.
 
+pub mod cost;
 pub mod figures;
+pub mod fit;
 pub mod fleet;
 pub mod page;
+pub mod plot;
 pub mod roles;
 
 /// Why a run ended without its figures.
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -19,6 +19,9 @@
     Fleet(fleet::Slopes),
     /// Faults at size.
     Faults(fleet::Faults),
+    /// A process of hollow senders, which obeys orders on its standard input.
+    #[command(hide = true)]
+    Hollow,
     /// Slopes of a single sender's parts.
     Roles(roles::Words),
     /// Tables of docs/CAPACITY.md from docs/capacity.
@@ -29,6 +32,7 @@
     let done = match Arguments::parse().command {
         Command::Fleet(words) => fleet::run(&words),
         Command::Faults(words) => fleet::faults(&words),
+        Command::Hollow => fleet::hollow::run(),
         Command::Roles(words) => roles::run(&words),
         Command::Page(words) => page::run(&words),
     };
