--- a/crates/scale/src/fleet/compare.rs
+++ b/crates/scale/src/fleet/compare.rs
@@ -18,6 +18,8 @@
     Hollow,
     /// Hollow ones, each in a process of its own.
     HollowApart,
+    /// Hollow ones with a real engine behind each list, each in a process of its own.
+    EngineApart,
 }
 
 impl Kind {
@@ -26,6 +28,7 @@
             Kind::Real => "real",
             Kind::Hollow => "hollow",
             Kind::HollowApart => "hollow, a process each",
+            Kind::EngineApart => "hollow with engine, a process each",
         }
     }
 }
@@ -33,13 +36,18 @@
 /// Rest from the senders' beginning until what that brought is over.
 const SETTLE: Duration = Duration::from_secs(4);
 
-/// Runs the three kinds one after the other, with the same list and the same changes.
+/// Rounds of all kinds in turn: what else runs on the machine changes from one to the next.
+const ROUNDS: usize = 2;
+
+/// Runs the kinds one after the other, with the same list and the same changes.
 ///
 /// # Errors
 /// A part does not come up, or a process ends.
 pub fn run(plan: &Plan, sheet: &mut Sheet, senders: u64, rate: f64) -> Result<(), Error> {
-    for kind in [Kind::Hollow, Kind::Real, Kind::HollowApart] {
-        one(plan, sheet, senders, kind, rate)?;
+    for _ in 0..ROUNDS {
+        for kind in [Kind::Hollow, Kind::Real, Kind::HollowApart, Kind::EngineApart] {
+            one(plan, sheet, senders, kind, rate)?;
+        }
     }
     Ok(())
 }
@@ -53,7 +61,9 @@
     let hollow = if kind == Kind::Real { 0 } else { senders };
     let mut parts = plan.parts(hollow, hollow, Some(setup));
     parts.regions = 1;
-    parts.each = if kind == Kind::HollowApart { 1 } else { parts.each };
+    let apart = matches!(kind, Kind::HollowApart | Kind::EngineApart);
+    parts.each = if apart { 1 } else { parts.each };
+    parts.engines = kind == Kind::EngineApart;
     let mut rig = Rig::start(&plan.programs, parts)?;
     let group = rig.stewards.as_ref().ok_or_else(|| Error::Wrong("no stewards".into()))?;
     let leader = group.leader();
--- a/crates/scale/src/fleet/faults.rs
+++ b/crates/scale/src/fleet/faults.rs
@@ -76,7 +76,7 @@
         let clients =
             reals.hand_in(rig.ways.handle(), Duration::from_millis(50), super::slopes::DESTINATIONS);
         rig.herd.watch(50)?;
-        let (before, after, _) = rig.span(Duration::from_secs(5), 10.0 * RATE)?;
+        let (before, after, _) = rig.span(Duration::from_secs(9), RATE)?;
         rig.until_all(size.senders, size.sessions)?;
         rig.herd.report(&rig.discovery)?;
         let mut stage = Stage::new(rig, size, mean(&before, &after));
@@ -151,7 +151,7 @@
         Ok(group.look().is_some_and(|look| hollow(&look) <= left + real))
     })?;
     stage.note(format!("{owners} leases had run out after {:.1} s", begun.elapsed().as_secs_f64()));
-    stage.collect()?;
+    stage.collect(stage.size.senders - victims.len() as u64)?;
     stage.rig.herd.begin(&victims)?;
     stage.until_well()
 }
@@ -279,7 +279,7 @@
     let parts = Parts { on_request: true, form, ..plan.parts(senders, 0, None) };
     let mut rig = Rig::start(&plan.programs, parts)?;
     rig.begin(0..senders)?;
-    let (before, after, _) = rig.span(Duration::from_secs(5), 10.0 * RATE)?;
+    let (before, after, _) = rig.span(Duration::from_secs(5), RATE)?;
     rig.until_all(senders, 0)?;
     rig.herd.report(&rig.discovery)?;
     let mut stage = Stage::new(rig, Size { senders, sessions: 0, real: 0 }, mean(&before, &after));
--- a/crates/scale/src/fleet/hollow.rs
+++ b/crates/scale/src/fleet/hollow.rs
@@ -1,6 +1,7 @@
 //! Hollow senders: the real member, list and settings code on real sockets, thousands in a process, with no data
 //! path and no disk. This process takes orders as JSON lines on its standard input and answers each with one.
 
+use super::bare;
 use super::tally::{Mark, Report, Tally, sum_of};
 use crate::Error;
 use milletturn_engine::Input;
@@ -38,6 +39,8 @@
     pub sessions: u64,
     /// Each session wants a piece of work of its own.
     pub works: bool,
+    /// Each has a real engine behind its list.
+    pub engines: bool,
     /// Of all that is drawn at random.
     pub seed: u64,
 }
@@ -248,14 +251,18 @@
         let asking = Asking::new(config.settings.senders, !config.settings.list_on_request, seed);
         tasks.push(spawn_local(agent::watch(agents, 0, asking, inputs)).abort_handle());
         let (told, marks) = (tally.clone(), self.marks.clone());
-        let hearing = spawn_local(async move {
-            while let Some(input) = listed.recv().await {
-                if let Input::Listed(update) = input {
-                    told.borrow_mut().listed(now().0, &update, *marks.borrow());
+        if common.engines {
+            tasks.extend(bare::start(&config, listed, told, marks)?);
+        } else {
+            let hearing = spawn_local(async move {
+                while let Some(input) = listed.recv().await {
+                    if let Input::Listed(update) = input {
+                        told.borrow_mut().listed(now().0, &update, *marks.borrow());
+                    }
                 }
-            }
-        });
-        tasks.push(hearing.abort_handle());
+            });
+            tasks.push(hearing.abort_handle());
+        }
         let work = format!("w{number}");
         let mut member = None;
         if number < common.sessions && !common.stewards.is_empty() {
--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! - [`hollow`]: the process of hollow senders; [`tally`]: what each has heard.
 //! - [`slopes`], [`compare`] and [`faults`]: what is measured; [`sheet`]: as lines.
 
+pub mod bare;
 pub mod compare;
 pub mod discovery;
 pub mod faults;
@@ -120,6 +121,7 @@
 
 impl Common {
     fn plan(&self) -> Result<Plan, Error> {
+        process::end_all_at_signals()?;
         Ok(Plan {
             programs: rig::programs(self.program.as_deref())?,
             sessions: Vec::new(),
--- a/crates/scale/src/fleet/process.rs
+++ b/crates/scale/src/fleet/process.rs
@@ -2,10 +2,12 @@
 
 use crate::Error;
 use rustix::process::{Pid, Signal, kill_process};
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Longest wait for what a process has to say or do: far above what any takes.
@@ -13,6 +15,45 @@
 /// Rest between two looks.
 pub const LOOK: Duration = Duration::from_millis(10);
 
+/// Processes that run: a signal that ends this one ends them too, each by its number.
+static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+fn running(change: impl FnOnce(&mut BTreeSet<u32>)) {
+    // a number is in it or not
+    change(&mut RUNNING.lock().unwrap_or_else(PoisonError::into_inner));
+}
+
+/// From now on SIGTERM and SIGINT end the processes that this one has started, and then this one.
+///
+/// # Errors
+/// The system gives no thread, no runtime or no signals.
+pub fn end_all_at_signals() -> Result<(), Error> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(Error::io("a runtime"))?;
+    let entered = runtime.enter();
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::io("SIGTERM"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::io("SIGINT"))?;
+    drop(entered);
+    let wait = move || {
+        runtime.block_on(async {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        });
+        running(|numbers| {
+            for number in numbers.iter().filter_map(|number| Pid::from_raw(number.cast_signed())) {
+                // gone already
+                let _ = kill_process(number, Signal::KILL);
+            }
+        });
+        std::process::exit(1);
+    };
+    std::thread::Builder::new().spawn(wait).map_err(Error::io("a thread"))?;
+    Ok(())
+}
+
 /// Looks until it is so.
 ///
 /// # Errors
@@ -46,6 +87,9 @@
         let errors = out.try_clone().map_err(Error::io(log.display().to_string()))?;
         let child = command.stdin(Stdio::null()).stdout(out).stderr(errors).spawn();
         let child = child.map_err(Error::io(command.get_program().display().to_string()))?;
+        running(|numbers| {
+            numbers.insert(child.id());
+        });
         Ok(Process { child, log: log.to_path_buf() })
     }
 
@@ -101,5 +145,8 @@
         // gone already, or gone now
         let _ = self.child.kill();
         let _ = self.child.wait();
+        running(|numbers| {
+            numbers.remove(&self.child.id());
+        });
     }
 }
--- a/crates/scale/src/fleet/rig.rs
+++ b/crates/scale/src/fleet/rig.rs
@@ -40,6 +40,8 @@
     pub form: Form,
     /// The list is asked for by each sender (the settings' `on_request`), not pushed.
     pub on_request: bool,
+    /// Each hollow sender has a real engine behind its list.
+    pub engines: bool,
     /// Of all that is drawn at random.
     pub seed: u64,
 }
@@ -104,6 +106,7 @@
             destinations: parts.form.destinations,
             sessions: parts.sessions,
             works: true,
+            engines: parts.engines,
             seed: parts.seed,
         };
         let herd = Herd::start(&programs.scale, &common, parts.senders, parts.each)?;
--- a/crates/scale/src/fleet/slopes.rs
+++ b/crates/scale/src/fleet/slopes.rs
@@ -58,6 +58,7 @@
             regions: REGIONS,
             form: Form { destinations: DESTINATIONS, piece: PIECE },
             on_request: false,
+            engines: false,
             seed: self.seed,
         }
     }
--- a/crates/scale/src/fleet/stage.rs
+++ b/crates/scale/src/fleet/stage.rs
@@ -4,6 +4,7 @@
 use super::process::PATIENCE;
 use super::relay::Way;
 use super::rig::Rig;
+use super::slopes::RATE;
 use super::stewards::Group;
 use super::tally::{Mark, Report};
 use super::times::Spread;
@@ -48,6 +49,8 @@
     /// Processor time of the stewards at the last look, and the highest second so far.
     cpu: Option<(Instant, f64)>,
     cpu_peak: f64,
+    /// When the next change of the usual rate is due.
+    next: Instant,
 }
 
 impl Stage {
@@ -63,6 +66,7 @@
             collected: Report::default(),
             cpu: None,
             cpu_peak: 0.0,
+            next: Instant::now(),
         }
     }
 
@@ -74,6 +78,8 @@
         self.rig.herd.report(&self.rig.discovery)?;
         (self.name, self.begun, self.notes) = (name.to_string(), now().0, Vec::new());
         (self.collected, self.cpu, self.cpu_peak) = (Report::default(), None, 0.0);
+        self.rig.ways.late_s();
+        self.next = Instant::now();
         self.look()
     }
 
@@ -128,11 +134,15 @@
         Ok(())
     }
 
-    /// Looks at what the stewards cost now.
+    /// Publishes the changes that are due at the usual rate, and looks at what the stewards cost now.
     ///
     /// # Errors
     /// There are none where there should be.
     pub fn look(&mut self) -> Result<(), Error> {
+        while self.next < Instant::now() {
+            self.rig.discovery.publish();
+            self.next += Duration::from_secs_f64(1.0 / RATE);
+        }
         let Some(group) = &self.rig.stewards else { return Ok(()) };
         // one may be gone right now
         let cpu: f64 =
@@ -182,9 +192,9 @@
     /// # Errors
     /// A process is gone.
     pub fn until_known_within(&mut self, senders: u64, time: Duration) -> Result<u64, Error> {
-        let begun = Instant::now();
+        let (begun, version) = (Instant::now(), self.rig.discovery.version());
         loop {
-            let (known, _) = self.rig.herd.ask(self.rig.discovery.version())?;
+            let (known, _) = self.rig.herd.ask(version)?;
             if known >= senders || begun.elapsed() > time {
                 return Ok(known);
             }
@@ -197,9 +207,9 @@
     /// # Errors
     /// They never do.
     pub fn until_well(&mut self) -> Result<(), Error> {
-        let begun = Instant::now();
+        let (begun, version) = (Instant::now(), self.rig.discovery.version());
         loop {
-            let counts = self.rig.herd.ask(self.rig.discovery.version())?;
+            let counts = self.rig.herd.ask(version)?;
             if counts.0 >= self.size.senders && counts.1 >= self.size.sessions {
                 return Ok(());
             }
@@ -214,11 +224,15 @@
         }
     }
 
-    /// Takes up what was heard so far.
+    /// Takes up what was heard so far, when the last change has had its time to reach the senders that live.
     ///
     /// # Errors
     /// A process is gone.
-    pub fn collect(&mut self) -> Result<(), Error> {
+    pub fn collect(&mut self, senders: u64) -> Result<(), Error> {
+        let (begun, version) = (Instant::now(), self.rig.discovery.version());
+        while self.rig.herd.ask(version)?.0 < senders && begun.elapsed() < PATIENCE {
+            sleep(LOOK);
+        }
         let report = self.rig.herd.report(&self.rig.discovery)?;
         self.collected.add(report);
         Ok(())
@@ -230,7 +244,7 @@
     /// A process is gone.
     pub fn end(&mut self) -> Result<Fault, Error> {
         self.pass(Duration::from_secs(1))?;
-        self.collect()?;
+        self.collect(self.size.senders)?;
         // what was watched before the senders of this fault began anew is watched anew
         self.rig.herd.watch(if self.size.sessions > 0 { 50 } else { 0 })?;
         let report = std::mem::take(&mut self.collected);
@@ -252,6 +266,7 @@
             .map(|(name, peak, mean)| (name.to_string(), peak / mean))
             .collect();
         let mut notes = std::mem::take(&mut self.notes);
+        notes.push(format!("this machine was late by up to {:.2} s", self.rig.ways.late_s()));
         notes.push(format!("{} senders heard the marked change", marked.count));
         if self.size.sessions > 0 {
             notes.push(format!(
@@ -265,6 +280,7 @@
                 ));
             }
         }
+        // no sender heard of it: no time is one
         let known = |seconds: f64| if seconds.is_finite() { seconds } else { -1.0 };
         Ok(Fault {
             name: self.name.clone(),
--- a/crates/scale/src/fleet/thread.rs
+++ b/crates/scale/src/fleet/thread.rs
@@ -4,7 +4,7 @@
 use rustix::time::{ClockId, clock_gettime};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
@@ -16,6 +16,7 @@
 pub struct Thread {
     handle: Handle,
     micros: Arc<AtomicU64>,
+    late: Arc<AtomicU64>,
     _end: oneshot::Sender<()>,
 }
 
@@ -30,15 +31,19 @@
         let handle = runtime.handle().clone();
         let (end, ended) = oneshot::channel::<()>();
         let micros = Arc::new(AtomicU64::new(0));
-        let told = micros.clone();
+        let late = Arc::new(AtomicU64::new(0));
+        let (told, latest) = (micros.clone(), late.clone());
         let run = move || {
             runtime.block_on(async move {
                 tokio::pin!(ended);
                 loop {
+                    let begun = Instant::now();
                     tokio::select! {
                         _ = &mut ended => return,
                         () = tokio::time::sleep(READ) => {}
                     }
+                    let micros = begun.elapsed().saturating_sub(READ).as_micros();
+                    latest.fetch_max(u64::try_from(micros).unwrap_or(u64::MAX), Ordering::Relaxed);
                     let time = clock_gettime(ClockId::ThreadCPUTime);
                     let so_far = time.tv_sec.saturating_mul(1_000_000).saturating_add(time.tv_nsec / 1_000);
                     told.store(so_far.unsigned_abs(), Ordering::Relaxed);
@@ -46,7 +51,7 @@
             });
         };
         std::thread::Builder::new().name(name.to_string()).spawn(run).map_err(Error::io("a thread"))?;
-        Ok(Thread { handle, micros, _end: end })
+        Ok(Thread { handle, micros, late, _end: end })
     }
 
     /// Its runtime.
@@ -54,6 +59,12 @@
         &self.handle
     }
 
+    /// The longest time in seconds, since it was last asked, that a timer of this thread came too late: so long did
+    /// the machine, or a piece of work on the thread, stand in the way of all else.
+    pub fn late_s(&self) -> f64 {
+        self.late.swap(0, Ordering::Relaxed) as f64 / 1e6
+    }
+
     /// Seconds of processor time so far.
     pub fn cpu_s(&self) -> f64 {
         self.micros.load(Ordering::Relaxed) as f64 / 1e6
