--- a/crates/scale/src/fleet/slopes.rs
+++ b/crates/scale/src/fleet/slopes.rs
@@ -86,7 +86,23 @@
         let mut begun = 0;
         for &senders in [&0].into_iter().chain(&self.sessions) {
             if senders > begun {
-                rig.begin(begun..senders)?;
+                if let Err(error) = rig.begin(begun..senders) {
+                    // that they never get there is a figure too
+                    let (know, may) = rig.herd.ask(rig.discovery.version())?;
+                    let report = rig.herd.report(&rig.discovery)?;
+                    eprintln!("{senders} sessions, {setup:?}: {error}; refused {:?}", report.refusals);
+                    let place = Place { axis: "sessions", at: senders as f64, other: set };
+                    for (quantity, value) in [
+                        ("never_well_know", know),
+                        ("never_well_may_act", may),
+                        ("never_well_joined", report.joined),
+                        ("never_well_left", report.left),
+                        ("never_well_refused", report.refused),
+                    ] {
+                        sheet.point("fleet", quantity, "count", &place, value as f64);
+                    }
+                    return Ok(());
+                }
                 begun = senders;
             }
             std::thread::sleep(SETTLE);
--- a/crates/scale/src/fleet/tally.rs
+++ b/crates/scale/src/fleet/tally.rs
@@ -22,7 +22,8 @@
 pub struct Report {
     /// Senders that live.
     pub senders: u64,
-    /// From the publishing of a change until it was in force, for each that came by itself.
+    /// From the publishing of a change until it was in force, for each that came by itself: several that a busy
+    /// machine brought in one line are not among them.
     pub in_force: Times,
     /// From the mark's moment until its version was in force.
     pub marked: Times,
