--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -4,9 +4,9 @@
 //! product has no other way to bring a change to a running sender but files with SIGHUP. In force is it at a sender
 //! at the moment at which the sender's real watch hands the version on as `Input::Listed`.
 //!
-//! - [`rig`]: all parts together, made of [`stewards`], [`discovery`], [`herd`] and [`real`].
+//! - [`rig`]: all parts together, made of [`mod@stewards`], [`discovery`], [`herd`] and [`real`].
 //! - [`hollow`]: the process of hollow senders; [`tally`]: what each has heard.
-//! - [`slopes`], [`compare`] and [`faults`]: what is measured; [`sheet`]: as lines.
+//! - [`slopes`], [`compare`] and [`mod@faults`]: what is measured; [`sheet`]: as lines.
 
 pub mod bare;
 pub mod compare;
