--- /dev/null
+++ b/crates/scale/src/fleet/thread.rs
@@ -0,0 +1,72 @@
+//! A thread with a runtime of its own, and what it has cost.
+
+use crate::Error;
+use rustix::time::{ClockId, clock_gettime};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+
+/// How often the thread's processor time is read.
+const READ: Duration = Duration::from_millis(20);
+
+/// The thread; ends with this value, with all that runs on it.
+#[derive(Debug)]
+pub struct Thread {
+    handle: Handle,
+    micros: Arc<AtomicU64>,
+    late: Arc<AtomicU64>,
+    _end: oneshot::Sender<()>,
+}
+
+impl Thread {
+    /// Starts it.
+    ///
+    /// # Errors
+    /// The system gives no thread or no runtime.
+    pub fn start(name: &str) -> Result<Self, Error> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(Error::io("a runtime"))?;
+        let handle = runtime.handle().clone();
+        let (end, ended) = oneshot::channel::<()>();
+        let micros = Arc::new(AtomicU64::new(0));
+        let late = Arc::new(AtomicU64::new(0));
+        let (told, latest) = (micros.clone(), late.clone());
+        let run = move || {
+            runtime.block_on(async move {
+                tokio::pin!(ended);
+                loop {
+                    let begun = Instant::now();
+                    tokio::select! {
+                        _ = &mut ended => return,
+                        () = tokio::time::sleep(READ) => {}
+                    }
+                    let micros = begun.elapsed().saturating_sub(READ).as_micros();
+                    latest.fetch_max(u64::try_from(micros).unwrap_or(u64::MAX), Ordering::Relaxed);
+                    let time = clock_gettime(ClockId::ThreadCPUTime);
+                    let so_far = time.tv_sec.saturating_mul(1_000_000).saturating_add(time.tv_nsec / 1_000);
+                    told.store(so_far.unsigned_abs(), Ordering::Relaxed);
+                }
+            });
+        };
+        std::thread::Builder::new().name(name.to_string()).spawn(run).map_err(Error::io("a thread"))?;
+        Ok(Thread { handle, micros, late, _end: end })
+    }
+
+    /// Its runtime.
+    pub fn handle(&self) -> &Handle {
+        &self.handle
+    }
+
+    /// The longest time in seconds, since it was last asked, that a timer of this thread came too late: so long did
+    /// the machine, or a piece of work on the thread, stand in the way of all else.
+    pub fn late_s(&self) -> f64 {
+        self.late.swap(0, Ordering::Relaxed) as f64 / 1e6
+    }
+
+    /// Seconds of processor time so far.
+    pub fn cpu_s(&self) -> f64 {
+        self.micros.load(Ordering::Relaxed) as f64 / 1e6
+    }
+}
