--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -89,4 +89,8 @@
     MachineCores "069" "together more cores than the machine has" "The sum of limits.cores is above machine.cores.",
     LimitsDiffer "070" "applications were told different limits for one destination" "A destination has one limit. Ask its owner; until then use the lowest.",
     MachineDiffers "071" "files state different machines" "The files are checked as neighbours on one machine, and say different things of it.",
+    SameSteward "080" "two stewards have one address" "A relay asks the next steward when one does not answer; the same address twice is asked twice in vain. Each steward has an address of its own.",
+    StewardsEven "081" "no group of stewards has so many" "Groups have 1, 3, 5 or 7 stewards. Name all of the group, so that the relay finds whoever leads.",
+    RelayIsSteward "082" "the relay listens where a steward does" "Members would ask the relay, and the relay itself. Give the relay a port of its own.",
+    PlacesPastDescriptors "083" "more places than the process may have descriptors" "Each member's connection is a descriptor. Raise the hard limit of open files (ulimit -Hn) for this process, or lower places.",
 }
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -1,7 +1,7 @@
 //! A file read against the table of settings: values with their places, and all that is wrong with each by itself.
 
 use crate::codes::Code;
-use crate::fields::{FIELDS, Field, Kind, find};
+use crate::fields::{Field, Kind, Table};
 use crate::finding::{Finding, Place};
 use crate::units::{UnitError, size, size_text, time, time_text};
 use std::collections::{BTreeMap, BTreeSet};
@@ -53,6 +53,7 @@
     pub path: PathBuf,
     /// Its text.
     pub text: String,
+    settings: Table,
     values: BTreeMap<String, Found>,
     /// Tables by their path, with the places of their names.
     tables: BTreeMap<String, Range<usize>>,
@@ -70,9 +71,14 @@
 }
 
 impl Document {
-    /// Reads a file.
+    /// Reads a sidecar's file.
     pub fn read(path: &Path) -> Self {
-        let mut document = Document { path: path.to_path_buf(), ..Document::default() };
+        Document::read_by(path, Table::default())
+    }
+
+    /// Reads a file with these settings.
+    pub fn read_by(path: &Path, settings: Table) -> Self {
+        let mut document = Document { path: path.to_path_buf(), settings, ..Document::default() };
         let mut bytes = Vec::new();
         let read =
             std::fs::File::open(path).and_then(|file| file.take(FILE_MOST + 1).read_to_end(&mut bytes));
@@ -88,7 +94,7 @@
             return document;
         }
         match String::from_utf8(bytes) {
-            Ok(text) => Document::parse(path, text),
+            Ok(text) => Document::parse_by(path, text, settings),
             Err(error) => {
                 let at = error.utf8_error().valid_up_to();
                 document.add(Code::NotText, None, format!("byte {at} is not UTF-8"), None);
@@ -97,9 +103,14 @@
         }
     }
 
-    /// Reads the text of a file. A byte order mark and lines that end in CRLF are as good as others.
+    /// Reads the text of a sidecar's file. A byte order mark and lines that end in CRLF are as good as others.
     pub fn parse(path: &Path, text: String) -> Self {
-        let mut document = Document { path: path.to_path_buf(), text, ..Document::default() };
+        Document::parse_by(path, text, Table::default())
+    }
+
+    /// Reads the text of a file with these settings.
+    pub fn parse_by(path: &Path, text: String, settings: Table) -> Self {
+        let mut document = Document { path: path.to_path_buf(), text, settings, ..Document::default() };
         let text = document.text.clone();
         let (table, errors) = DeTable::parse_recoverable(&text);
         for error in errors.iter().take(FINDINGS_MOST) {
@@ -132,23 +143,23 @@
             here.push(name.get_ref());
             let full = joined(&here);
             if let DeValue::Table(inner) = value.get_ref() {
-                if is_table(&here) {
+                if self.is_table(&here) {
                     if here.len() == 2 && !is_name(name.get_ref()) {
                         let label = "letters, digits, '-', '_' and '.' only".to_string();
                         self.add(Code::BadName, Some(name.span()), label, None);
                     }
                     self.tables.insert(full, name.span());
                     self.walk(inner, &here);
-                } else if let Some(field) = find(&full) {
+                } else if let Some(field) = self.settings.find(&full) {
                     self.wrong(field, value, "a table");
                 } else {
                     self.unknown(&here, name);
                 }
                 continue;
             }
-            match find(&full) {
+            match self.settings.find(&full) {
                 Some(field) => self.take(field, full, value),
-                None if is_table(&here) => {
+                None if self.is_table(&here) => {
                     let label = format!("this is {}, and a table is wanted", value.get_ref().type_str());
                     self.add(Code::WrongType, Some(value.span()), label, Some(format!("[{}]", shown(&full))));
                 }
@@ -157,10 +168,18 @@
         }
     }
 
+    /// True if settings stand below this path.
+    fn is_table(&self, path: &[&str]) -> bool {
+        self.settings.0.iter().any(|field| {
+            let mut parts = field.path.split('.');
+            let fits = path.iter().all(|here| parts.next().is_some_and(|part| part == "*" || part == *here));
+            fits && parts.next().is_some()
+        })
+    }
+
     fn unknown(&mut self, path: &[&str], name: &Spanned<std::borrow::Cow<'_, str>>) {
         let depth = path.len() - 1;
-        let known: BTreeSet<&str> = FIELDS
-            .iter()
+        let known: BTreeSet<&str> = (self.settings.0.iter())
             .filter_map(|field| {
                 let parts: Vec<&str> = field.path.split('.').collect();
                 let fits = parts.iter().zip(&path[..depth]).all(|(part, here)| *part == "*" || part == here);
@@ -348,7 +367,7 @@
     fn require(&mut self) {
         let tables: Vec<(String, Range<usize>)> =
             self.tables.iter().map(|(path, span)| (path.clone(), span.clone())).collect();
-        for field in FIELDS.iter().filter(|field| field.required) {
+        for field in self.settings.0.iter().filter(|field| field.required) {
             let parts: Vec<&str> = field.path.split('.').collect();
             match parts[..] {
                 [group, "*", name] => {
@@ -420,7 +439,7 @@
         if let Some(found) = self.given(path) {
             return Some(found.value.clone());
         }
-        let field = find(&joined(path)).filter(|field| !field.default.is_empty())?;
+        let field = self.settings.find(&joined(path)).filter(|field| !field.default.is_empty())?;
         let text = field.default.trim_matches('"');
         Some(match field.kind {
             Kind::Time(..) => Value::Time(time(text).ok()?),
@@ -481,15 +500,6 @@
     if word.starts_with(['a', 'e', 'i', 'o', 'u']) { "an" } else { "a" }
 }
 
-/// True if settings stand below this path.
-fn is_table(path: &[&str]) -> bool {
-    FIELDS.iter().any(|field| {
-        let mut parts = field.path.split('.');
-        let fits = path.iter().all(|here| parts.next().is_some_and(|part| part == "*" || part == *here));
-        fits && parts.next().is_some()
-    })
-}
-
 /// True for names that can stand in paths and headers.
 pub fn is_name(text: &str) -> bool {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -289,9 +289,22 @@
     field("machine.cores", Kind::Number(0.05, 4096.0), "", "The machine's cores."),
 ];
 
-/// The field of a path as a file writes it, with `*` in place of the names that files give.
-pub fn find(path: &str) -> Option<&'static Field> {
-    FIELDS.iter().find(|field| matches(field.path, path))
+/// The settings that a kind of file may have.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Table(pub &'static [Field]);
+
+impl Default for Table {
+    /// A sidecar's.
+    fn default() -> Self {
+        Table(FIELDS)
+    }
+}
+
+impl Table {
+    /// The field of a path as a file writes it, with `*` in place of the names that files give.
+    pub fn find(self, path: &str) -> Option<&'static Field> {
+        self.0.iter().find(|field| matches(field.path, path))
+    }
 }
 
 fn matches(pattern: &str, path: &str) -> bool {
--- a/crates/fleet-wire/src/lib.rs
+++ b/crates/fleet-wire/src/lib.rs
@@ -6,10 +6,12 @@
 //!
 //! - [`words`]: what is said.
 //! - [`mod@line`]: the calling side.
+//! - [`server`]: the answering side.
 //! - [`clock`]: the clock by which both sides count leases.
 
 pub mod clock;
 pub mod line;
+pub mod server;
 pub mod words;
 
 pub use line::{Line, LineError, Reply};
--- a/crates/fleet-wire/src/words.rs
+++ b/crates/fleet-wire/src/words.rs
@@ -22,6 +22,10 @@
 pub const OPEN: &str = "/v1/open";
 /// Renews a session; `POST`, body [`Renewal`], answered with [`Renewed`].
 pub const RENEW: &str = "/v1/renew";
+/// Renews sessions on behalf of a relay's members; `POST`, body [`Renewals`], answered with [`RenewedAll`].
+pub const RENEW_ALL: &str = "/v1/renew-all";
+/// What a relay has counted; `GET`, answered with [`RelayStatus`]. Only relays answer it.
+pub const RELAY: &str = "/v1/relay";
 /// Writes an order into the book; `POST`, body an entry, answered with the book's answer.
 pub const ORDER: &str = "/v1/order";
 /// Shows the book as it is now, by the word of a majority; `GET`, answered with [`Look`].
@@ -39,8 +43,8 @@
 
 /// Largest body of a call by a member or an operator: an entry at its bounds takes some 2 KB.
 pub const CALL_MOST: usize = 16 * 1024;
-/// Largest body between stewards, and of an answer: a full book.
-pub const BODY_MOST: usize = 16 * 1024 * 1024;
+/// Largest body between stewards, and of an answer: a full book with every text at its bound.
+pub const BODY_MOST: usize = 32 * 1024 * 1024;
 
 /// A wish for a session.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +71,49 @@
     pub owns: Vec<(String, Term)>,
 }
 
+/// Renewals that a relay has gathered: [`BATCH`](milletturn_fleet::bounds::BATCH) at most.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewals {
+    /// Each session once, and whether its holder's last safe moment was over when it asked.
+    pub renewals: Vec<(Session, bool)>,
+}
+
+/// What became of renewals that a relay gathered. Sessions that are neither held nor over are unsure.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewedAll {
+    /// The shortest lease of those that hold, in microseconds.
+    pub shortest_lease: Option<u64>,
+    /// Those that hold, with the work that each owns in the book.
+    pub held: Vec<(Session, Vec<(String, Term)>)>,
+    /// Those that are over.
+    pub over: Vec<Session>,
+}
+
+/// What a relay has counted since its start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayStatus {
+    /// The group's name.
+    pub group: String,
+    /// The relay's name.
+    pub name: String,
+    /// Connections of members that are open now, and the most that may be.
+    pub connections: u64,
+    /// See `connections`.
+    pub places: u64,
+    /// Connections turned away for want of a place.
+    pub turned_away: u64,
+    /// Renewals that members asked for.
+    pub renewals: u64,
+    /// Calls to the stewards that carried them.
+    pub batches: u64,
+    /// Batches that no steward answered in time.
+    pub unanswered: u64,
+    /// Openings and orders passed on.
+    pub passed_on: u64,
+    /// Renewals that wait now.
+    pub waiting: u64,
+}
+
 /// The book at one moment.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Look {
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -70,6 +70,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Book {
     sessions: BTreeMap<Session, Member>,
+    #[serde(skip)]
+    names: Names,
     last_session: Session,
     works: BTreeMap<String, Work>,
     /// No term at or below this is given to work that the book doesn't know: where forgotten work leaves its term.
@@ -82,6 +84,23 @@
     resting: Option<u64>,
 }
 
+/// Sessions by their members' names: made of the sessions, so that a book is the same with it or without, and made anew
+/// by a book that was read.
+#[derive(Debug, Clone, Default)]
+struct Names(BTreeMap<String, Session>);
+
+impl PartialEq for Names {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for Names {}
+
+impl std::hash::Hash for Names {
+    fn hash<H: std::hash::Hasher>(&self, _: &mut H) {}
+}
+
 /// Why a book can't be restored.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error(
@@ -161,6 +180,12 @@
         before.into_iter().chain(self.sessions.iter().map(|(&session, member)| (session, Span(member.lease))))
     }
 
+    /// Changes with each change of [`leases`](Self::leases), within one book: sessions that are opened raise the first
+    /// number, and between two of those the second one only falls.
+    pub fn leases_version(&self) -> (Session, usize, bool) {
+        (self.last_session, self.sessions.len(), self.resting.is_some())
+    }
+
     /// Open sessions.
     pub fn sessions(&self) -> &BTreeMap<Session, Member> {
         &self.sessions
@@ -178,9 +203,7 @@
 
     fn open(&mut self, about: About, nonce: u64, lease: u64) -> Result<Answer, Refusal> {
         about.check()?;
-        if let Some((&session, member)) =
-            self.sessions.iter().find(|(_, member)| member.about.name == about.name)
-        {
+        if let Some((session, member)) = self.named(&about.name) {
             if member.nonce == nonce {
                 return Ok(Answer::Opened { session, lease: member.lease });
             }
@@ -190,6 +213,7 @@
             return Err(full("sessions", bounds::SESSIONS));
         }
         self.last_session += 1;
+        self.names.0.insert(about.name.clone(), self.last_session);
         self.sessions.insert(self.last_session, Member { about, nonce, lease });
         Ok(Answer::Opened { session: self.last_session, lease })
     }
@@ -205,7 +229,19 @@
                 work.owner = None;
             }
         }
-        self.sessions.remove(&session);
+        if let Some(member) = self.sessions.remove(&session) {
+            self.names.0.remove(&member.about.name);
+        }
+    }
+
+    /// The session of this name. An open one has its name for itself.
+    fn named(&mut self, name: &str) -> Option<(Session, &Member)> {
+        if self.names.0.len() != self.sessions.len() {
+            let named = |(&session, member): (&Session, &Member)| (member.about.name.clone(), session);
+            self.names = Names(self.sessions.iter().map(named).collect());
+        }
+        let session = *self.names.0.get(name)?;
+        Some((session, self.sessions.get(&session)?))
     }
 
     fn claim(&mut self, session: Session, name: String) -> Result<Answer, Refusal> {
--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -1,8 +1,17 @@
-//! How much the book may hold, and why. A snapshot of a full book is below 8 MB, so that a steward that has lost
-//! its disk gets it in a few seconds over a slow link.
+//! How much the book may hold, and why. A snapshot of a full book with names as they are in use (some 40 bytes in all)
+//! is below 8 MB, and one with every text at its bound below 32 MB, so that a steward that has lost its disk gets it in
+//! seconds over a slow link.
 
-/// Sessions at once. The users run hundreds of senders; a release doubles them for moments.
-pub const SESSIONS: usize = 1_024;
+/// Sessions at once: the users plan with 16,000 senders, and a release doubles them for moments.
+pub const SESSIONS: usize = 32_768;
+/// Members that a steward bears directly; more of them renew through relays. Each is a connection, and each renewal a
+/// question to the majority: a third of a core at 600 a second.
+pub const DIRECT: usize = 1_024;
+/// Renewals that one relay holds at once: a connection each, four times the 842 members that each of 19 relays has when
+/// all are up, so that a fleet goes on when three of four are gone.
+pub const RELAYED: usize = 4_096;
+/// Renewals in one call of a relay: its body, some 24 bytes for each, stays within what a call may have.
+pub const BATCH: usize = 512;
 /// Pieces of work that the book remembers, owned or not. One for each destination with a limit, and some more.
 pub const WORKS: usize = 4_096;
 /// Longest name of a member, a zone, a version or a piece of work, in bytes.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`entry`]: what may be written into the book, and what it answers.
 //! - [`leases`]: the giver's side of a lease, kept by the leading steward and by nobody else.
 //! - [`holder`]: the holder's side: the last safe moment, asked right before each act.
+//! - [`relay`]: what a relay between members and stewards decides: batches of renewals, and whose answer is whose.
 //! - [`fence`]: where an act lands: the highest term seen, and the refusal of a lower one.
 //! - [`time`]: moments of one machine's clock, and how far two clocks may run apart.
 //!
@@ -16,6 +17,7 @@
 pub mod fence;
 pub mod holder;
 pub mod leases;
+pub mod relay;
 pub mod time;
 
 pub use book::Book;
@@ -23,4 +25,5 @@
 pub use fence::Fence;
 pub use holder::Holder;
 pub use leases::Leases;
+pub use relay::Relay;
 pub use time::{LeaseTime, Moment, Span};
--- a/crates/fleet/tests/book.rs
+++ b/crates/fleet/tests/book.rs
@@ -140,7 +140,7 @@
     }
     assert!(matches!(
         write(&mut book, Entry::Open { about: about("more"), nonce: 1, lease: LEASE }),
-        Answer::Refused(Refusal::Full { most: 1_024, .. })
+        Answer::Refused(Refusal::Full { most: 32_768, .. })
     ));
     assert!(matches!(claim(&mut book, 1, &long), Answer::Refused(Refusal::BadText { .. })));
     for number in 0..bounds::WORKS {
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -4,9 +4,10 @@
 
 use milletturn_fleet::entry::{About, BEFORE, Reign, Session, Term};
 use milletturn_fleet::fence::Passed;
-use milletturn_fleet::{Answer, Book, Entry, Fence, Holder, Leases, Moment, Span};
+use milletturn_fleet::relay::{Batch, Next, Ticket, Told, Word};
+use milletturn_fleet::{Answer, Book, Entry, Fence, Holder, Leases, Moment, Relay, Span};
 use stateright::{Checker, HasDiscoveries, Model, Property};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// A tick is 1 on the first member's slow clock and 2 on a right one: the error that holders are told.
@@ -15,6 +16,10 @@
 /// Two ticks of a right clock.
 const LEASE: Span = Span(4);
 
+/// Batches of a relay's life, and calls of its member.
+const BATCHES: u64 = 2;
+const CALLS: Ticket = 2;
+
 /// What is left out, to see that it is missed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Broken {
@@ -31,6 +36,8 @@
     RestoreWithoutJump,
     /// A restored book gives work at once.
     RestoreWithoutWait,
+    /// A relay hands an answer to whoever waits for that session's, also one that asked after the batch had left.
+    RelayAnswersAnyone,
 }
 
 /// The small world and how far it is looked at.
@@ -41,16 +48,55 @@
     elections: Reign,
     restores: bool,
     acts: bool,
+    /// The first member renews through a relay.
+    relayed: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Message {
-    Open { from: usize, sent: Moment, nonce: u64 },
-    Opened { to: usize, sent: Moment, session: Session },
-    Renew { from: usize, sent: Moment, session: Session, run_out: bool },
-    Renewed { to: usize, sent: Moment, session: Session, claimed: Option<Term> },
-    Expire { session: Session, reign: Reign },
-    Act { from: usize, term: Term },
+    Open {
+        from: usize,
+        sent: Moment,
+        nonce: u64,
+    },
+    Opened {
+        to: usize,
+        sent: Moment,
+        session: Session,
+    },
+    Renew {
+        from: usize,
+        sent: Moment,
+        session: Session,
+        run_out: bool,
+    },
+    Renewed {
+        to: usize,
+        sent: Moment,
+        session: Session,
+        claimed: Option<Term>,
+    },
+    ToRelay {
+        from: usize,
+        sent: Moment,
+        session: Session,
+        run_out: bool,
+    },
+    /// What the relay sent, and in which of its lives: an answer finds only the process whose connection it has.
+    Batch(u8, Batch),
+    Told {
+        life: u8,
+        number: u64,
+        told: Told,
+    },
+    Expire {
+        session: Session,
+        reign: Reign,
+    },
+    Act {
+        from: usize,
+        term: Term,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -70,6 +116,12 @@
     last: (Term, usize),
     crossed: bool,
     restarts: u8,
+    relay: Relay,
+    relay_restarts: u8,
+    /// The calls at the relay: whose, when sent, for which session, and whether its caller still waits.
+    at_relay: BTreeMap<Ticket, (usize, Moment, Session, bool)>,
+    tickets: Ticket,
+    given_up: u8,
 }
 
 /// What happened tells nothing of what may happen: the book's history is left out.
@@ -83,7 +135,8 @@
         self.backup.iter().for_each(|book| at(book, hasher));
         (self.now, self.backup.is_some(), self.restored, &self.leases, self.leader, self.reign).hash(hasher);
         (&self.holders, &self.under_way, &self.store, &self.disk, self.last, self.crossed).hash(hasher);
-        self.restarts.hash(hasher);
+        (self.restarts, self.relay_restarts, &self.relay, &self.at_relay).hash(hasher);
+        (self.given_up, self.tickets).hash(hasher);
     }
 }
 
@@ -110,6 +163,11 @@
     RestartStore,
     Backup,
     Restore,
+    /// The relay looks at what it has gathered.
+    Gathered,
+    /// A member no longer waits for the relay; the relay has not noticed.
+    GiveUp(usize),
+    RestartRelay,
 }
 
 impl State {
@@ -126,7 +184,21 @@
     }
 }
 
+/// The term under which a session owns the work, if it can have it.
+fn claim(state: &mut State, session: Session) -> Option<Term> {
+    match state.book.apply(Entry::Claim { session, work: "w".into() }, state.reign) {
+        Answer::Owned { term, .. } => Some(term),
+        _ => None,
+    }
+}
+
 impl World {
+    /// Sessions that are opened anew are the other runs' concern.
+    fn asks(&self, state: &State, member: usize) -> bool {
+        !self.relayed
+            || state.holders[member].known_session().is_some() && (member == 1 || state.tickets < CALLS)
+    }
+
     fn elect(&self, state: &mut State, steward: usize) {
         state.leader = steward;
         state.reign += 1;
@@ -134,6 +206,13 @@
         state.leases[steward].lead(state.reign, now, state.book.leases());
     }
 
+    /// Whether the leading steward renews a session.
+    fn holds(&self, state: &mut State, session: Session, run_out: bool) -> bool {
+        let now = state.at_steward();
+        let leases = &mut state.leases[state.leader];
+        leases.asked(session, run_out).is_some_and(|asked| leases.confirmed(asked, now))
+    }
+
     fn arrive(&self, state: &mut State, message: &Message) {
         let (now, leader) = (state.at_steward(), state.leader);
         match *message {
@@ -153,18 +232,57 @@
             Message::Opened { to, sent, session } => state.holders[to].opened(sent, session, LEASE),
             Message::Renew { from, sent, session, run_out } => {
                 state.leases[leader].seen(now, state.book.leases());
-                let asked = state.leases[leader].asked(session, run_out);
-                if asked.is_some_and(|asked| state.leases[leader].confirmed(asked, now)) {
-                    let claim = Entry::Claim { session, work: "w".into() };
-                    let claimed = match state.book.apply(claim, state.reign) {
-                        Answer::Owned { term, .. } => Some(term),
-                        _ => None,
-                    };
+                if self.holds(state, session, run_out) {
+                    let claimed = claim(state, session);
                     state.under_way.insert(Message::Renewed { to: from, sent, session, claimed });
                 } else if !state.book.sessions().contains_key(&session) {
                     state.holders[from].ended(session);
                 }
             }
+            Message::ToRelay { from, sent, session, run_out } => {
+                state.tickets += 1;
+                if state.relay.ask(session, run_out, state.tickets).is_ok() {
+                    state.at_relay.insert(state.tickets, (from, sent, session, true));
+                }
+            }
+            Message::Batch(life, Batch { number, ref renewals }) => {
+                state.leases[leader].seen(now, state.book.leases());
+                let mut told = Told::default();
+                for &(session, run_out) in renewals {
+                    if self.holds(state, session, run_out) {
+                        let owns = claim(state, session).map(|term| ("w".to_string(), term));
+                        told.held.insert(session, owns.into_iter().collect());
+                    } else if !state.book.sessions().contains_key(&session) {
+                        told.over.push(session);
+                    }
+                }
+                state.under_way.insert(Message::Told { life, number, told });
+            }
+            Message::Told { life, .. } if life != state.relay_restarts => {}
+            Message::Told { number, ref told, .. } => {
+                let mut words = state.relay.answered(number, told);
+                if self.broken == Broken::RelayAnswersAnyone {
+                    let owns = |session| told.held.get(&session).cloned().map(Word::Held);
+                    let waiting = state
+                        .at_relay
+                        .iter()
+                        .filter(|(ticket, _)| words.iter().all(|(answered, _)| answered != *ticket));
+                    let more: Vec<_> =
+                        waiting.filter_map(|(&ticket, call)| Some((ticket, owns(call.2)?))).collect();
+                    words.extend(more);
+                }
+                for (ticket, word) in words {
+                    let Some((to, sent, session, true)) = state.at_relay.remove(&ticket) else { continue };
+                    match word {
+                        Word::Held(owns) => {
+                            let claimed = owns.first().map(|(_, term)| *term);
+                            state.under_way.insert(Message::Renewed { to, sent, session, claimed });
+                        }
+                        Word::Over => state.holders[to].ended(session),
+                        Word::Unsure => {}
+                    }
+                }
+            }
             Message::Renewed { to, sent, session, claimed } => {
                 let counted =
                     if self.broken == Broken::CountedFromAnswer { state.at_member(to) } else { sent };
@@ -210,6 +328,11 @@
             last: (0, 0),
             crossed: false,
             restarts: 0,
+            relay: Relay::new(Span(0)),
+            relay_restarts: 0,
+            at_relay: BTreeMap::new(),
+            tickets: 0,
+            given_up: 0,
         };
         self.elect(&mut state, 0);
         // both have a session, the first one is the owner: how that came to be is the other runs' concern
@@ -238,10 +361,16 @@
         for member in 0..2 {
             let asks = |message: &Message| match message {
                 Message::Open { from, .. } | Message::Renew { from, .. } => *from == member,
+                Message::ToRelay { from, .. } => *from == member,
                 Message::Opened { to, .. } | Message::Renewed { to, .. } => *to == member,
                 Message::Expire { .. } | Message::Act { .. } => false,
+                Message::Batch(..) | Message::Told { .. } => false,
             };
-            if !state.under_way.iter().any(asks) {
+            if state.at_relay.values().any(|(from, _, _, waits)| *waits && *from == member) {
+                if state.relay_restarts + state.given_up == 0 {
+                    steps.push(Step::GiveUp(member));
+                }
+            } else if !state.under_way.iter().any(asks) && self.asks(state, member) {
                 steps.push(Step::Ask(member));
             }
             let acts = |message: &Message| matches!(message, Message::Act { from, .. } if *from == member);
@@ -261,6 +390,15 @@
         if self.acts && state.restarts == 0 {
             steps.push(Step::RestartStore);
         }
+        if self.relayed {
+            if state.relay.sent() < BATCHES {
+                steps.push(Step::Gathered);
+            }
+            // one fault of the two
+            if state.relay_restarts + state.given_up == 0 {
+                steps.push(Step::RestartRelay);
+            }
+        }
         if self.restores {
             steps.push(if state.backup.is_none() { Step::Backup } else { Step::Restore });
         }
@@ -273,10 +411,12 @@
             Step::Ask(from) => {
                 let sent = state.at_member(from);
                 let holder = &state.holders[from];
+                let run_out = holder.session(sent).is_none();
                 let message = match holder.known_session() {
-                    Some(session) => {
-                        Message::Renew { from, sent, session, run_out: holder.session(sent).is_none() }
+                    Some(session) if self.relayed && from == 0 => {
+                        Message::ToRelay { from, sent, session, run_out }
                     }
+                    Some(session) => Message::Renew { from, sent, session, run_out },
                     None => Message::Open { from, sent, nonce: state.now },
                 };
                 state.under_way.insert(message);
@@ -301,6 +441,23 @@
                 state.restarts += 1;
                 state.store = state.disk.clone();
             }
+            Step::Gathered => match state.relay.next(state.at_steward()) {
+                Next::Send(batch) => {
+                    state.under_way.insert(Message::Batch(state.relay_restarts, batch));
+                }
+                Next::At(_) | Next::Idle => return None,
+            },
+            Step::GiveUp(member) => {
+                state.given_up += 1;
+                let mine = state.at_relay.values_mut().filter(|(from, _, _, _)| *from == member);
+                mine.for_each(|(_, _, _, waits)| *waits = false);
+            }
+            Step::RestartRelay => {
+                // its connections end with it; what it had sent may still arrive
+                state.relay_restarts += 1;
+                state.relay = Relay::new(Span(0));
+                state.at_relay.clear();
+            }
             Step::Backup => state.backup = Some(state.book.clone()),
             Step::Restore => {
                 let backup = state.backup.clone().filter(|_| !state.restored)?;
@@ -336,19 +493,24 @@
     checker.discoveries().into_keys().collect()
 }
 
+/// Renewals that a relay gathers, from a member that gives up waiting and asks again; a relay that is started anew.
+fn relays(broken: Broken) -> World {
+    World { broken, ticks: 3, elections: 0, restores: false, acts: false, relayed: true }
+}
+
 /// Elections, late messages and clocks; acts are the fence's concern.
 fn leases(broken: Broken) -> World {
-    World { broken, ticks: 3, elections: 1, restores: false, acts: false }
+    World { broken, ticks: 3, elections: 1, restores: false, acts: false, relayed: false }
 }
 
 /// Acts that land late, and a store that restarts.
 fn fences(broken: Broken) -> World {
-    World { broken, ticks: 3, elections: 0, restores: false, acts: true }
+    World { broken, ticks: 3, elections: 0, restores: false, acts: true, relayed: false }
 }
 
 /// A backup, and a restore after everything behind it was lost.
 fn restores(broken: Broken) -> World {
-    World { broken, ticks: 3, elections: 0, restores: true, acts: false }
+    World { broken, ticks: 3, elections: 0, restores: true, acts: false, relayed: false }
 }
 
 const WELL: &str = "the other one owns";
@@ -376,3 +538,9 @@
         assert!(found(restores(broken)).contains(TWO), "{broken:?}");
     }
 }
+
+#[test]
+fn relayed_renewals_hold_in_every_order() {
+    assert_eq!(found(relays(Broken::Nothing)), BTreeSet::from([WELL]));
+    assert!(found(relays(Broken::RelayAnswersAnyone)).contains(TWO));
+}
--- /dev/null
+++ b/crates/relay/src/service.rs
@@ -0,0 +1,255 @@
+//! A relay from its start to its end.
+
+use crate::settings::Settings;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use milletturn_fleet::relay::{Batch, Next, Told, Word};
+use milletturn_fleet::{Answer, Entry, Refusal, Relay, Span};
+use milletturn_fleet_wire::clock::now;
+use milletturn_fleet_wire::server::{Answered, Handler, Places, read, refused, serve, told};
+use milletturn_fleet_wire::words::{
+    self, Opening, RelayStatus, Renewal, Renewals, Renewed, RenewedAll, Trouble,
+};
+use milletturn_log::{Seldom, log};
+use milletturn_member::Stewards;
+use milletturn_member::stewards::Unanswered;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, Semaphore, oneshot};
+use tokio::time::{Instant, timeout};
+
+/// So many stewards can be asked in the time that a call has, one after the other: a leader that stands still is left,
+/// and the next one asked, while members still wait.
+const TRIES: u32 = 3;
+/// Openings and orders that are passed on at once, each on a connection of its own. Entries are written one after the
+/// other, so more of them would only wait at the leader.
+const LANES: usize = 16;
+
+/// Why a relay can't run.
+#[derive(Debug, thiserror::Error)]
+#[error("{address}: {error}")]
+pub struct RelayError {
+    /// Where it was to listen.
+    pub address: String,
+    /// What failed.
+    pub error: std::io::Error,
+}
+
+struct Service {
+    settings: Settings,
+    relay: RefCell<Relay>,
+    waiters: RefCell<BTreeMap<u64, oneshot::Sender<Word>>>,
+    tickets: Cell<u64>,
+    changed: Notify,
+    lanes: RefCell<Vec<Stewards>>,
+    free: Semaphore,
+    places: Rc<Places>,
+    renewals: Cell<u64>,
+    unanswered: Cell<u64>,
+    passed_on: Cell<u64>,
+}
+
+/// Runs for ever; has to run on a `LocalSet`. Whoever wants to end it drops it: it keeps nothing.
+///
+/// # Errors
+/// If it can't listen.
+pub async fn run(settings: Settings) -> Result<(), RelayError> {
+    let failed = |error| RelayError { address: settings.listen.clone(), error };
+    let listener = TcpListener::bind(&settings.listen).await.map_err(failed)?;
+    let who = format!("relay {} of {}", settings.name, settings.group);
+    log(format_args!("{who}: listens on {}", listener.local_addr().map_err(failed)?));
+    let stewards = || Stewards::new(&settings.group, &settings.stewards);
+    let service = Rc::new(Service {
+        relay: RefCell::new(Relay::new(settings.gather)),
+        waiters: RefCell::default(),
+        tickets: Cell::new(0),
+        changed: Notify::new(),
+        lanes: RefCell::new((0..LANES).map(|_| stewards()).collect()),
+        free: Semaphore::new(LANES),
+        places: Places::new(settings.places),
+        renewals: Cell::new(0),
+        unanswered: Cell::new(0),
+        passed_on: Cell::new(0),
+        settings: settings.clone(),
+    });
+    let pump = service.clone().pump(stewards(), who.clone());
+    tokio::join!(pump, serve(listener, &who, service.places.clone(), service.clone()));
+    Ok(())
+}
+
+/// A call whose answer somebody waits for.
+struct Waiting<'a> {
+    service: &'a Service,
+    session: u64,
+    ticket: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.service.waiters.borrow_mut().remove(&self.ticket);
+        self.service.relay.borrow_mut().gone(self.session, self.ticket);
+    }
+}
+
+impl Service {
+    /// Sends what is gathered, batch after batch.
+    async fn pump(self: Rc<Self>, mut stewards: Stewards, who: String) {
+        let faults = Seldom::default();
+        loop {
+            let next = self.relay.borrow_mut().next(now());
+            match next {
+                Next::Send(batch) => self.send(&mut stewards, batch, &faults, &who).await,
+                Next::Idle => self.changed.notified().await,
+                Next::At(moment) => {
+                    let rest = Duration::from_micros(moment.since(now()).0);
+                    // a full batch does not wait
+                    let _ = timeout(rest, self.changed.notified()).await;
+                }
+            }
+        }
+    }
+
+    async fn send(&self, stewards: &mut Stewards, batch: Batch, faults: &Seldom, who: &str) {
+        let Batch { number, renewals } = batch;
+        let count = renewals.len();
+        let body = Renewals { renewals };
+        let most = self.patience();
+        stewards.wait_no_longer(most / TRIES);
+        let answer = stewards.ask(words::RENEW_ALL, Some(&body), Instant::now() + most).await;
+        let said = match answer {
+            Ok(RenewedAll { shortest_lease, held, over }) => {
+                let held = held.into_iter().collect();
+                let told = Told { shortest: shortest_lease.map(Span), held, over };
+                self.relay.borrow_mut().answered(number, &told)
+            }
+            Err(unanswered) => {
+                self.unanswered.update(|count| count + 1);
+                faults.log(format_args!("{who}: {count} renewals were not answered: {unanswered}"));
+                self.relay.borrow_mut().unanswered(number)
+            }
+        };
+        for (ticket, word) in said {
+            if let Some(waiter) = self.waiters.borrow_mut().remove(&ticket) {
+                // one that has left in this moment asks again
+                let _ = waiter.send(word);
+            }
+        }
+    }
+
+    fn patience(&self) -> Duration {
+        Duration::from_micros(self.relay.borrow().patience().0)
+    }
+
+    async fn renew(&self, renewal: Renewal) -> Answered {
+        let Renewal { session, run_out } = renewal;
+        let ticket = self.tickets.get();
+        self.tickets.set(ticket + 1);
+        let (waiter, word) = oneshot::channel();
+        let asked = self.relay.borrow_mut().ask(session, run_out, ticket);
+        asked.map_err(|no_room| unsure(no_room.to_string(), false))?;
+        self.renewals.update(|count| count + 1);
+        self.waiters.borrow_mut().insert(ticket, waiter);
+        let _waiting = Waiting { service: self, session, ticket };
+        self.changed.notify_one();
+        match word.await {
+            Ok(Word::Held(owns)) => told(&Ok::<_, Refusal>(Renewed { owns })),
+            Ok(Word::Over) => told(&Err::<Renewed, _>(Refusal::NoSession { session })),
+            Ok(Word::Unsure) | Err(_) => Err(unsure("no steward has answered the relay in time", false)),
+        }
+    }
+
+    /// Passes a call on as it is: asking again is safe for each of them.
+    async fn pass_on<A: DeserializeOwned + Serialize>(&self, path: &str, body: &impl Serialize) -> Answered {
+        let most = self.patience();
+        let until = Instant::now() + most;
+        let free = timeout(most / 2, self.free.acquire()).await;
+        let Ok(Ok(_free)) = free else {
+            return Err(unsure(format!("{LANES} calls are on their way and no more can be"), false));
+        };
+        let Some(lane) = self.lanes.borrow_mut().pop() else {
+            return Err(unsure("no connection is free", false));
+        };
+        let mut lane = Lane { service: self, stewards: Some(lane) };
+        self.passed_on.update(|count| count + 1);
+        let Some(stewards) = lane.stewards.as_mut() else {
+            return Err(unsure("no connection is free", false));
+        };
+        stewards.wait_no_longer(most / TRIES);
+        let answer: Result<A, Unanswered> = stewards.ask(path, Some(body), until).await;
+        match answer {
+            Ok(answer) => told(&answer),
+            Err(Unanswered { why, may_have_happened }) => Err(unsure(why, may_have_happened)),
+        }
+    }
+
+    fn status(&self) -> RelayStatus {
+        let (connections, places, turned_away) = self.places.counts();
+        let relay = self.relay.borrow();
+        RelayStatus {
+            group: self.settings.group.clone(),
+            name: self.settings.name.clone(),
+            connections: connections as u64,
+            places: places as u64,
+            turned_away,
+            renewals: self.renewals.get(),
+            batches: relay.sent(),
+            unanswered: self.unanswered.get(),
+            passed_on: self.passed_on.get(),
+            waiting: relay.waiting() as u64,
+        }
+    }
+}
+
+/// A connection to the stewards that goes back when its call has ended, also by its caller's leaving.
+struct Lane<'a> {
+    service: &'a Service,
+    stewards: Option<Stewards>,
+}
+
+impl Drop for Lane<'_> {
+    fn drop(&mut self) {
+        self.service.lanes.borrow_mut().extend(self.stewards.take());
+    }
+}
+
+fn unsure(why: impl Into<String>, may_have_happened: bool) -> (StatusCode, Trouble) {
+    (StatusCode::SERVICE_UNAVAILABLE, Trouble { why: why.into(), leader: None, may_have_happened })
+}
+
+impl Handler for Service {
+    fn group(&self) -> &str {
+        &self.settings.group
+    }
+
+    fn steward(&self) -> Option<u64> {
+        None
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Answered {
+        let path = request.uri().path().to_string();
+        let get = path == words::RELAY;
+        if request.method() != if get { Method::GET } else { Method::POST } {
+            return Err(refused(StatusCode::METHOD_NOT_ALLOWED, "another method, or a call for a steward"));
+        }
+        match path.as_str() {
+            words::RELAY => told(&self.status()),
+            words::RENEW => self.renew(read(request, words::CALL_MOST).await?).await,
+            words::OPEN => {
+                let opening: Opening = read(request, words::CALL_MOST).await?;
+                self.pass_on::<Answer>(words::OPEN, &opening).await
+            }
+            words::ORDER => match read(request, words::CALL_MOST).await? {
+                Entry::Open { .. } | Entry::Expire { .. } => {
+                    Err(refused(StatusCode::FORBIDDEN, "only the leading steward writes this"))
+                }
+                entry => self.pass_on::<Answer>(words::ORDER, &entry).await,
+            },
+            _ => Err(refused(StatusCode::NOT_FOUND, "no such path at a relay: ask a steward")),
+        }
+    }
+}
--- a/crates/steward/src/door.rs
+++ b/crates/steward/src/door.rs
@@ -3,34 +3,19 @@
 use crate::reign::{NotHere, Throne};
 use crate::settings::Settings;
 use crate::{Group, StewardId};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use milletturn_fleet::{Book, Entry};
-use milletturn_fleet_wire::words::{self, Backup, Look, Opening, Renewal, Renewed, Status, Trouble};
-use milletturn_log::Seldom;
+use hyper::{Method, Request, StatusCode};
+use milletturn_fleet::{Book, Entry, bounds};
+use milletturn_fleet_wire::server::{Answered, Handler, header, read, refused, told};
+use milletturn_fleet_wire::words::{
+    self, Backup, Look, Opening, Renewal, Renewals, Renewed, Status, Trouble,
+};
 use openraft::ServerState;
 use openraft::raft::{AppendEntriesRequest, InstallSnapshotRequest, VoteRequest};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
-use tokio::time::{sleep, timeout};
 
-/// Connections at once: a member holds one, so this is room for a full book, the stewards and some operators.
-const PLACES: usize = milletturn_fleet::bounds::SESSIONS + 64;
-/// A connection on which nothing comes for so long is given up; members call several times within a lease.
-const IDLE: Duration = Duration::from_secs(300);
-/// Longest time in which a call's body has to come.
-const BODY: Duration = Duration::from_secs(10);
+/// Connections at once: one for each member that comes directly, and room for relays, the stewards and some operators.
+pub const PLACES: usize = bounds::DIRECT + 64;
 
 /// What calls have in common.
 pub struct Door {
@@ -42,82 +27,18 @@
     pub throne: Rc<Throne>,
 }
 
-/// Serves for ever.
-pub async fn serve(listener: TcpListener, door: Rc<Door>) {
-    let faults = Seldom::default();
-    let free = std::sync::Arc::new(Semaphore::new(PLACES));
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                faults.log(format_args!("steward: no connection accepted: {error}"));
-                sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
-        let Ok(place) = free.clone().try_acquire_owned() else {
-            faults.log(format_args!("steward: all {PLACES} connections are taken, one more is turned away"));
-            continue;
-        };
-        let door = door.clone();
-        tokio::task::spawn_local(async move {
-            serve_one(stream, door).await;
-            drop(place);
-        });
+impl Handler for Door {
+    fn group(&self) -> &str {
+        &self.settings.group
     }
-}
-
-async fn serve_one(stream: TcpStream, door: Rc<Door>) {
-    // without it answers still come, only later
-    let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
-        let door = door.clone();
-        async move { Ok::<_, Infallible>(door.answer(request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE)
-        .serve_connection(TokioIo::new(stream), service);
-    // how a caller leaves is its own affair
-    let _ = connection.await;
-}
-
-type Answered = Result<Vec<u8>, (StatusCode, Trouble)>;
 
-fn refused(status: StatusCode, why: impl Into<String>) -> (StatusCode, Trouble) {
-    (status, Trouble { why: why.into(), leader: None, may_have_happened: false })
-}
-
-fn told(answer: &impl Serialize) -> Answered {
-    serde_json::to_vec(answer).map_err(|error| refused(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()))
-}
-
-impl Door {
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let (status, body) = match self.answered(request).await {
-            Ok(body) => (StatusCode::OK, body),
-            Err((status, trouble)) => (status, serde_json::to_vec(&trouble).unwrap_or_default()),
-        };
-        let mut response = Response::new(Full::new(Bytes::from(body)));
-        *response.status_mut() = status;
-        let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        headers.insert(words::STEWARD_HEADER, HeaderValue::from(self.settings.id));
-        response
+    fn steward(&self) -> Option<u64> {
+        Some(self.settings.id)
     }
 
-    async fn answered(&self, request: Request<Incoming>) -> Answered {
-        let header = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
-        if header(words::GROUP_HEADER) != Some(&self.settings.group) {
-            let why = format!("this is group {:?}: the call is for another one", self.settings.group);
-            return Err(refused(StatusCode::CONFLICT, why));
-        }
-        if header(words::VERSION_HEADER) != Some(words::VERSION) {
-            let why = format!("this steward speaks version {} of the wire, the call another", words::VERSION);
-            return Err(refused(StatusCode::CONFLICT, why));
-        }
+    async fn answer(&self, request: Request<Incoming>) -> Answered {
         let path = request.uri().path().to_string();
-        if path.starts_with("/consensus/") && header(words::ORIGIN_HEADER) != Some(&self.origin) {
+        if path.starts_with("/consensus/") && header(&request, words::ORIGIN_HEADER) != Some(&self.origin) {
             let why = format!("this group began with book {}, the caller's with another", self.origin);
             return Err(refused(StatusCode::CONFLICT, why));
         }
@@ -147,6 +68,20 @@
                 let renewed = renewed.map_err(|not_here| elsewhere(&not_here, false))?;
                 told(&renewed.map(|owns| Renewed { owns }))
             }
+            words::RENEW_ALL => {
+                let Renewals { renewals } = read(request, words::CALL_MOST).await?;
+                if renewals.len() > bounds::BATCH {
+                    let why = format!("{} renewals in one call: {} at most", renewals.len(), bounds::BATCH);
+                    return Err(refused(StatusCode::BAD_REQUEST, why));
+                }
+                told(
+                    &self
+                        .throne
+                        .renew_all(&renewals)
+                        .await
+                        .map_err(|not_here| elsewhere(&not_here, false))?,
+                )
+            }
             words::ORDER => match read(request, words::CALL_MOST).await? {
                 Entry::Open { .. } | Entry::Expire { .. } => {
                     Err(refused(StatusCode::FORBIDDEN, "only the leading steward writes this"))
@@ -168,7 +103,9 @@
             _ => Err(refused(StatusCode::NOT_FOUND, "no such path")),
         }
     }
+}
 
+impl Door {
     async fn write(&self, entry: Entry) -> Answered {
         let answer = self.throne.write(entry).await.map_err(|not_here| elsewhere(&not_here, true))?;
         told(&answer)
@@ -220,13 +157,3 @@
         }
     }
 }
-
-async fn read<T: DeserializeOwned>(
-    request: Request<Incoming>, most: usize,
-) -> Result<T, (StatusCode, Trouble)> {
-    let late = |_| refused(StatusCode::REQUEST_TIMEOUT, "the call's body did not come");
-    let body = timeout(BODY, Limited::new(request.into_body(), most).collect()).await.map_err(late)?;
-    let unread = |error: &dyn std::fmt::Display| refused(StatusCode::BAD_REQUEST, error.to_string());
-    let body = body.map_err(|error| unread(&error))?.to_bytes();
-    serde_json::from_slice(&body).map_err(|error| unread(&error))
-}
--- a/crates/steward/src/reign.rs
+++ b/crates/steward/src/reign.rs
@@ -2,13 +2,15 @@
 
 use crate::machine::Machine;
 use crate::{Raft, StewardId};
-use milletturn_fleet::entry::{Reign, Session};
+use milletturn_fleet::entry::{Reign, Session, Term};
 use milletturn_fleet::{Answer, Book, Entry, Leases, Refusal, Span};
 use milletturn_fleet_wire::clock::now;
+use milletturn_fleet_wire::words::RenewedAll;
 use milletturn_log::log;
 use openraft::error::ForwardToLeader;
 use openraft::{BasicNode, ServerState};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{MissedTickBehavior, interval, timeout};
@@ -25,6 +27,8 @@
     /// The book here.
     pub machine: Machine,
     leases: RefCell<Leases>,
+    /// Which of the book's sessions the leases know.
+    known: Cell<(Session, usize, bool)>,
 }
 
 /// Why the leading steward's work can't be done here.
@@ -49,7 +53,7 @@
 impl Throne {
     /// With no reign yet.
     pub fn new(raft: Raft, machine: Machine) -> Rc<Self> {
-        Rc::new(Self { raft, machine, leases: RefCell::default() })
+        Rc::new(Self { raft, machine, leases: RefCell::default(), known: Cell::default() })
     }
 
     /// The reign that this steward has by its own knowledge, which may be out of date.
@@ -99,14 +103,27 @@
         if self.confirm().await.is_ok() && self.believed() == Some(reign) {
             let counted = self.machine.look(waited_for);
             log(format_args!("steward: leads, reign {reign}; {} leases are counted anew", counted.len()));
+            // what is opened between the two looks is found by the next one
+            self.known.set(Default::default());
             self.leases.borrow_mut().lead(reign, now(), counted);
         }
     }
 
+    /// Tells the leases of sessions that were opened or ended since they were told last.
+    fn look_at_sessions(&self) {
+        let fresh = self.machine.look(|book| {
+            let version = book.leases_version();
+            (self.known.replace(version) != version).then(|| waited_for(book))
+        });
+        if let Some(sessions) = fresh {
+            self.leases.borrow_mut().seen(now(), sessions);
+        }
+    }
+
     async fn end_leases(&self) {
+        self.look_at_sessions();
         let (over, reign) = {
             let mut leases = self.leases.borrow_mut();
-            leases.seen(now(), self.machine.look(waited_for));
             let Some(reign) = leases.reign() else { return };
             (leases.run_out(now()), reign)
         };
@@ -145,28 +162,50 @@
     /// If this steward can't say; then the session may go on or be over.
     pub async fn renew(
         &self, session: Session, run_out: bool,
-    ) -> Result<Result<Vec<(String, u64)>, Refusal>, NotHere> {
+    ) -> Result<Result<Vec<(String, Term)>, Refusal>, NotHere> {
+        let RenewedAll { mut held, over, .. } = self.renew_all(&[(session, run_out)]).await?;
+        match held.pop() {
+            Some((_, owns)) => Ok(Ok(owns)),
+            None if over.contains(&session) => Ok(Err(Refusal::NoSession { session })),
+            // ending, not counted, or opened since the leases were looked at: a later renewal finds out
+            None => Err(NotHere::Leader(None)),
+        }
+    }
+
+    /// Renews sessions by one question to the majority.
+    ///
+    /// # Errors
+    /// If this steward can't say; then each of them may go on or be over.
+    pub async fn renew_all(&self, renewals: &[(Session, bool)]) -> Result<RenewedAll, NotHere> {
         // what the reign's beginning waits for, a renewal waits for too
         if self.leases.borrow().reign().is_none() {
             return Err(NotHere::Leader(self.raft.metrics().borrow().current_leader));
         }
-        let asked = {
-            let mut leases = self.leases.borrow_mut();
-            leases.seen(now(), self.machine.look(waited_for));
-            leases.asked(session, run_out)
+        self.look_at_sessions();
+        let asked: Vec<_> = {
+            let leases = self.leases.borrow();
+            renewals.iter().map(|&(session, run_out)| (session, leases.asked(session, run_out))).collect()
         };
         self.confirm().await?;
-        let held = asked.is_some_and(|asked| self.leases.borrow_mut().confirmed(asked, now()));
-        if held {
-            return Ok(Ok(self.machine.look(|book| {
-                let owns = book.works().iter().filter(|(_, work)| work.owner == Some(session));
-                owns.map(|(name, work)| (name.clone(), work.term)).collect()
-            })));
-        }
-        if self.machine.look(|book| book.sessions().contains_key(&session)) {
-            // ending, not counted, or opened since the leases were looked at: a later renewal finds out
-            return Err(NotHere::Leader(None));
+        let at = now();
+        let mut held: BTreeMap<Session, Vec<(String, Term)>> = BTreeMap::new();
+        let mut others = Vec::new();
+        for (session, asked) in asked {
+            if asked.is_some_and(|asked| self.leases.borrow_mut().confirmed(asked, at)) {
+                held.insert(session, Vec::new());
+            } else {
+                others.push(session);
+            }
         }
-        Ok(Err(Refusal::NoSession { session }))
+        Ok(self.machine.look(|book| {
+            for (name, work) in book.works() {
+                if let Some(owns) = work.owner.and_then(|owner| held.get_mut(&owner)) {
+                    owns.push((name.clone(), work.term));
+                }
+            }
+            let leases = held.keys().filter_map(|session| Some(book.sessions().get(session)?.lease));
+            others.retain(|session| !book.sessions().contains_key(session));
+            RenewedAll { shortest_lease: leases.min(), held: held.into_iter().collect(), over: others }
+        }))
     }
 }
--- a/crates/steward/src/service.rs
+++ b/crates/steward/src/service.rs
@@ -1,7 +1,7 @@
 //! A steward from its start to its end.
 
 use crate::disk::{Disk, DiskError, Identity};
-use crate::door::{Door, serve};
+use crate::door::{Door, PLACES};
 use crate::log_store::LogStore;
 use crate::machine::Machine;
 use crate::peers::Peers;
@@ -9,6 +9,7 @@
 use crate::settings::Settings;
 use milletturn_fleet::Book;
 use milletturn_fleet::book::RestoreError;
+use milletturn_fleet_wire::server::{Places, serve};
 use milletturn_fleet_wire::words::{BACKUP_FORM, Backup};
 use milletturn_log::log;
 use openraft::error::{InitializeError, RaftError};
@@ -127,7 +128,8 @@
         Err(error) => return Err(listening(error)),
     }
     tokio::task::spawn_local(throne.clone().run());
-    tokio::task::spawn_local(serve(listener, Rc::new(Door { settings, origin, throne })));
+    let door = Rc::new(Door { settings, origin, throne });
+    tokio::task::spawn_local(async move { serve(listener, "steward", Places::new(PLACES), door).await });
     let mut metrics = raft.metrics();
     loop {
         if let Err(fatal) = &metrics.borrow().running_state {
--- a/crates/trials/src/group.rs
+++ b/crates/trials/src/group.rs
@@ -20,6 +20,7 @@
 pub struct Group {
     program: PathBuf,
     folder: TempDir,
+    lease: String,
     stewards: Vec<Option<Process>>,
     /// From a steward, by its place, to another.
     between: BTreeMap<(usize, usize), (SocketAddr, Switch)>,
@@ -36,12 +37,34 @@
     addresses: Vec<SocketAddr>,
 }
 
+/// A relay process and its links.
+#[derive(Debug)]
+pub struct RelayProcess {
+    /// The process.
+    pub process: Process,
+    /// Its own links to the stewards.
+    pub stewards: Reach,
+    address: SocketAddr,
+}
+
+impl RelayProcess {
+    /// Where it listens, without a link.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
 impl Group {
     /// Founds a group of so many stewards, and starts them all.
     ///
     /// # Panics
     /// If that can't be done.
     pub fn start(program: &str, count: usize) -> Self {
+        Self::start_with(program, count, LEASE)
+    }
+
+    /// As [`start`](Self::start), with another lease.
+    pub fn start_with(program: &str, count: usize, lease: &str) -> Self {
         let mut between = BTreeMap::new();
         for from in 0..count {
             for to in (0..count).filter(|to| *to != from) {
@@ -51,6 +74,7 @@
         let mut group = Self {
             program: PathBuf::from(program),
             folder: TempDir::new().expect("a folder"),
+            lease: lease.to_string(),
             stewards: (0..count).map(|_| None).collect(),
             between,
             towards: vec![Vec::new(); count],
@@ -90,9 +114,10 @@
 
     fn settings(&self, place: usize) -> String {
         let mut text = format!(
-            "group = \"{NAME}\"\nid = {}\nlisten = \"127.0.0.1:0\"\nstate = \"disk{place}\"\nlease = \"{LEASE}\"\n\
+            "group = \"{NAME}\"\nid = {}\nlisten = \"127.0.0.1:0\"\nstate = \"disk{place}\"\nlease = \"{}\"\n\
              heartbeat = \"{HEARTBEAT}\"\n",
-            place + 1
+            place + 1,
+            self.lease
         );
         for to in 0..self.stewards.len() {
             // nobody calls itself
@@ -166,6 +191,53 @@
         Process::start(&self.program, name, &words)
     }
 
+    /// Starts a relay with links of its own to all stewards.
+    ///
+    /// # Panics
+    /// If it does not come up.
+    pub fn relay(&mut self, name: &str) -> RelayProcess {
+        let stewards = self.way();
+        let file = self.folder.path().join(format!("relay-{name}-{}.toml", self.towards[0].len()));
+        let addresses: Vec<String> =
+            stewards.addresses.iter().map(|address| format!("\"{address}\"")).collect();
+        let text = format!(
+            "group = \"{NAME}\"\nname = \"{name}\"\nlisten = \"127.0.0.1:0\"\nplaces = 256\nstewards = [{}]\n",
+            addresses.join(", ")
+        );
+        std::fs::write(&file, text).expect("written");
+        let words = ["relay".to_string(), "--config".to_string(), file.display().to_string()];
+        let process = Process::start(&self.program, name, &words);
+        process.until_said(1, |line| line.contains("listens on "));
+        let lines = process.lines();
+        let listens = lines.iter().find_map(|line| line.split("listens on ").nth(1));
+        let address = listens.and_then(|text| text.parse().ok()).expect("an address");
+        RelayProcess { process, stewards, address }
+    }
+
+    /// A way through these relays, with a link to each.
+    pub fn way_through(&self, relays: &[&RelayProcess]) -> Reach {
+        let (mut links, mut addresses) = (Vec::new(), Vec::new());
+        for relay in relays {
+            let (address, switch) = switched();
+            switch.lead_to(relay.address);
+            links.push(switch);
+            addresses.push(address);
+        }
+        Reach { links, addresses }
+    }
+
+    /// As [`hold`](Self::hold), through relays.
+    pub fn hold_through(&self, way: &Reach, work: &str, name: &str) -> Process {
+        let mut words = vec!["fleet".to_string(), "hold".to_string(), work.to_string()];
+        words.extend(["--name", name, "--every", "40", "--format", "json"].map(String::from));
+        // no steward is reached directly
+        words.extend(["--group", NAME, "--steward", "127.0.0.1:1"].map(String::from));
+        for address in &way.addresses {
+            words.extend(["--relay".to_string(), address.to_string()]);
+        }
+        Process::start(&self.program, name, &words)
+    }
+
     /// Runs a command of an operator over all stewards, or over those at these places; its exit code and what it
     /// printed.
     ///
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -12,6 +12,6 @@
 pub mod link;
 pub mod process;
 
-pub use group::{Group, Reach};
+pub use group::{Group, Reach, RelayProcess};
 pub use link::{Line, Switch, Way, link, switched};
 pub use process::Process;
--- a/src/fleet/hold.rs
+++ b/src/fleet/hold.rs
@@ -21,6 +21,9 @@
     /// The name under which the fleet sees this command; no member has the same.
     #[arg(long, value_name = "NAME")]
     name: String,
+    /// Ask through relays at these addresses and not the stewards; once for each.
+    #[arg(long, value_name = "ADDRESS")]
+    relay: Vec<String>,
     /// Rest between two acts, in milliseconds.
     #[arg(long, value_name = "MS", default_value_t = 1_000, value_parser = clap::value_parser!(u64).range(10..))]
     every: u64,
@@ -37,7 +40,10 @@
         return Err("--clock-error: a share from 0 to 0.5".into());
     }
     let mut signals = Signals::new()?;
-    let stewards = || Stewards::new(&group.name, &group.addresses);
+    let stewards = || match &arguments.relay[..] {
+        [] => Stewards::new(&group.name, &group.addresses),
+        relays => Stewards::through(&group.name, relays, &arguments.name),
+    };
     let about = About {
         name: arguments.name.clone(),
         zone: String::new(),
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
 mod format;
 mod logger;
 mod operators;
+mod relay;
 mod run;
 mod sidecar;
 mod steward;
@@ -56,6 +57,8 @@
     Account(account::Arguments),
     /// Keep the fleet's book, together with the other stewards of the group.
     Steward(steward::Arguments),
+    /// Stand between many members and the stewards: gather their renewals and ask for many at once.
+    Relay(relay::Arguments),
     /// Look at the fleet's stewards, members and owned work, and change who owns it.
     Fleet(fleet::Arguments),
     /// Write, check, show and explain configurations of sidecars.
@@ -69,6 +72,7 @@
         Some(Command::Account(arguments)) => account::run(&arguments),
         Some(Command::Config(arguments)) => config::run(&arguments),
         Some(Command::Steward(arguments)) => ended(steward::run(&arguments)),
+        Some(Command::Relay(arguments)) => ended(relay::run(&arguments)),
         Some(Command::Fleet(arguments)) => fleet::run(&arguments),
         Some(Command::Demo { once }) => ended(demo::run(once)),
         Some(Command::Sidecar { config }) => ended(sidecar::run(&config)),
