--- a/crates/scale/src/fleet/hollow.rs
+++ b/crates/scale/src/fleet/hollow.rs
@@ -9,7 +9,7 @@
 use milletturn_fleet_wire::clock::now;
 use milletturn_member::{Member, Stewards};
 use milletturn_platform::Asking;
-use milletturn_platform::agent;
+use milletturn_platform::agent::{self, Tcp};
 use milletturn_platform::config::{Config, reload};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -31,6 +31,8 @@
     pub group: String,
     /// The stewards' addresses, by region; empty where there are no sessions.
     pub stewards: Vec<Vec<String>>,
+    /// These are relays' addresses, and each sender has its own order of them.
+    pub through_relays: bool,
     /// Where the list is watched, by region.
     pub discovery: Vec<SocketAddr>,
     /// Destinations of the first list.
@@ -45,6 +47,17 @@
     pub seed: u64,
 }
 
+impl Common {
+    /// A sender's way to the stewards.
+    fn way(&self, region: usize, number: u64) -> Stewards {
+        let addresses = &self.stewards[region];
+        if self.through_relays {
+            return Stewards::through(&self.group, addresses, &format!("hollow-{number}"));
+        }
+        Stewards::new(&self.group, addresses)
+    }
+}
+
 /// An order to the process.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Order {
@@ -90,6 +103,7 @@
 }
 
 struct Sender {
+    number: u64,
     config: Config,
     tally: Rc<RefCell<Tally>>,
     member: Option<Rc<Member>>,
@@ -196,10 +210,10 @@
         for sender in numbers.iter().filter_map(|number| self.senders.remove(number)) {
             let Some(member) = sender.member.clone() else { continue };
             let region = sender.tally.borrow().region;
-            let (group, addresses) = (self.common.group.clone(), self.common.stewards[region].clone());
+            let mut stewards = self.common.way(region, sender.number);
             leaving.push(spawn_local(async move {
                 drop(sender);
-                member.leave(&mut Stewards::new(&group, &addresses)).await;
+                member.leave(&mut stewards).await;
             }));
         }
         for one in leaving {
@@ -249,7 +263,7 @@
         let (inputs, mut listed) = mpsc::unbounded_channel();
         let seed = common.seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let asking = Asking::new(config.settings.senders, !config.settings.list_on_request, seed);
-        tasks.push(spawn_local(agent::watch(agents, 0, asking, inputs)).abort_handle());
+        tasks.push(spawn_local(agent::watch(Tcp, agents, 0, asking, inputs)).abort_handle());
         let (told, marks) = (tally.clone(), self.marks.clone());
         if common.engines {
             tasks.extend(bare::start(&config, listed, told, marks)?);
@@ -270,7 +284,7 @@
             let about = About { name, zone: String::new(), version, serves: "operator".to_string() };
             let wanted = common.works.then(|| work.clone());
             let (joins, mut news) = Member::new(about, 20_000, wanted);
-            let (keeper, stewards) = (joins.clone(), Stewards::new(&common.group, &common.stewards[region]));
+            let (keeper, stewards) = (joins.clone(), common.way(region, number));
             tasks.push(spawn_local(async move { keeper.keep(stewards, seed).await }).abort_handle());
             let told = tally.clone();
             let hearing = spawn_local(async move {
@@ -281,7 +295,7 @@
             tasks.push(hearing.abort_handle());
             member = Some(joins);
         }
-        Ok(Sender { config, tally, member, work, tasks, _agent: agent })
+        Ok(Sender { number, config, tally, member, work, tasks, _agent: agent })
     }
 }
 
--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -18,6 +18,8 @@
 pub mod process;
 pub mod real;
 pub mod relay;
+pub mod relayed;
+pub mod relays;
 pub mod report;
 pub mod rig;
 pub mod sheet;
@@ -108,6 +110,22 @@
     only: Vec<String>,
 }
 
+/// Words of `relays`.
+#[derive(Debug, Clone, Args)]
+pub struct Relayed {
+    #[command(flatten)]
+    common: Common,
+    /// Seconds of one measurement.
+    #[arg(long, default_value_t = 10)]
+    span: u64,
+    /// Hollow senders, all with sessions.
+    #[arg(long, value_delimiter = ',', default_value = "250,500,1000,2000,4000,8000,16000")]
+    senders: Vec<u64>,
+    /// The product's relays between them and three stewards.
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=64))]
+    relays: u64,
+}
+
 fn time(text: &str) -> Result<Duration, String> {
     let (number, unit) = text.split_at(text.len().saturating_sub(1));
     let seconds = match unit {
@@ -157,7 +175,7 @@
             // the first list is told before the span: what is compared are renewals and changes
             "compare" => compare::run(&plan, &mut sheet, words.compare, 10.0)?,
             "sessions" => plan.by_sessions(&mut sheet, stewards(3, 9))?,
-            "beyond" => plan.beyond(&mut sheet, 2 * milletturn_fleet::bounds::SESSIONS as u64)?,
+            "beyond" => plan.beyond(&mut sheet, 2 * milletturn_fleet::bounds::DIRECT as u64)?,
             "lease" => few.by_sessions(&mut sheet, stewards(3, 2))?,
             "five" => few.by_sessions(&mut sheet, stewards(5, 9))?,
             "senders" => plan.by_senders(&mut sheet)?,
@@ -176,6 +194,24 @@
     Ok(())
 }
 
+/// Measures control behind relays.
+///
+/// # Errors
+/// What kept it from its figures.
+pub fn relays(words: &Relayed) -> Result<(), Error> {
+    let plan = Plan {
+        senders: words.senders.clone(),
+        span: Duration::from_secs(words.span),
+        ..words.common.plan()?
+    };
+    let mut sheet = Sheet::default();
+    sheet.lines.push(Line::Head(head(plan.seed)?));
+    let ended = relayed::run(&plan, &mut sheet, words.relays as usize);
+    relayed::fits(&mut sheet, words.relays as usize);
+    write(&words.common.out, &sheet.lines)?;
+    ended
+}
+
 /// Runs the faults at size.
 ///
 /// # Errors
--- a/crates/scale/src/fleet/rig.rs
+++ b/crates/scale/src/fleet/rig.rs
@@ -6,6 +6,7 @@
 use super::meter::Passed;
 use super::process::until;
 use super::real::{Endpoint, config};
+use super::relays::Relays;
 use super::stewards::{GROUP, Group, Setup};
 use super::thread::Thread;
 use crate::Error;
@@ -34,6 +35,10 @@
     pub sessions: u64,
     /// The stewards, if there are any.
     pub stewards: Option<Setup>,
+    /// The product's relays between senders and stewards; none: senders ask the stewards.
+    pub relays: usize,
+    /// Each session wants a piece of work of its own; the book holds 4,096.
+    pub works: bool,
     /// Groups of senders that can be cut off for themselves.
     pub regions: usize,
     /// The first list.
@@ -53,6 +58,8 @@
     pub discovery: Discovery,
     /// The book.
     pub stewards: Option<Group>,
+    /// The relays, if there are any.
+    pub relays: Option<Relays>,
     /// The hollow senders.
     pub herd: Herd,
     /// Where real senders deliver to.
@@ -95,9 +102,19 @@
         let (list, ways) = (Thread::start("list")?, Thread::start("ways")?);
         let endpoint = Endpoint::start(ways.handle())?;
         let discovery = Discovery::start(list.handle(), parts.regions, parts.form, endpoint.address)?;
-        let setup = parts.stewards;
+        // each relay's ways to the stewards are a region of its own
+        let setup = parts.stewards.map(|setup| Setup { regions: parts.regions + parts.relays, ..setup });
         let stewards = setup.map(|setup| Group::start(&programs.sender, setup, ways.handle())).transpose()?;
-        let addresses = |group: &Group| (0..parts.regions).map(|region| group.addresses(region)).collect();
+        let relays = match &stewards {
+            Some(group) if parts.relays > 0 => {
+                Some(Relays::start(&programs.sender, parts.relays, group, parts.regions, ways.handle())?)
+            }
+            _ => None,
+        };
+        let addresses = |group: &Group| {
+            let of = |region| relays.as_ref().map_or_else(|| group.addresses(region), Relays::addresses);
+            (0..parts.regions).map(of).collect()
+        };
         let common = Common {
             config: path.clone(),
             group: GROUP.to_string(),
@@ -105,12 +122,24 @@
             discovery: discovery.addresses.clone(),
             destinations: parts.form.destinations,
             sessions: parts.sessions,
-            works: true,
+            through_relays: relays.is_some(),
+            works: parts.works,
             engines: parts.engines,
             seed: parts.seed,
         };
         let herd = Herd::start(&programs.scale, &common, parts.senders, parts.each)?;
-        Ok(Rig { discovery, stewards, herd, endpoint, config: path, list, ways, parts, _folder: folder })
+        Ok(Rig {
+            discovery,
+            stewards,
+            relays,
+            herd,
+            endpoint,
+            config: path,
+            list,
+            ways,
+            parts,
+            _folder: folder,
+        })
     }
 
     /// What it is made of.
--- a/crates/scale/src/fleet/slopes.rs
+++ b/crates/scale/src/fleet/slopes.rs
@@ -55,6 +55,8 @@
             each: EACH,
             sessions,
             stewards,
+            relays: 0,
+            works: true,
             regions: REGIONS,
             form: Form { destinations: DESTINATIONS, piece: PIECE },
             on_request: false,
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -17,6 +17,8 @@
 enum Command {
     /// Slopes of control by senders, destinations and rate of changes.
     Fleet(fleet::Slopes),
+    /// Slopes of control behind relays, and a relay killed.
+    Relays(fleet::Relayed),
     /// Faults at size.
     Faults(fleet::Faults),
     /// A process of hollow senders, which obeys orders on its standard input.
@@ -31,6 +33,7 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Fleet(words) => fleet::run(&words),
+        Command::Relays(words) => fleet::relays(&words),
         Command::Faults(words) => fleet::faults(&words),
         Command::Hollow => fleet::hollow::run(),
         Command::Roles(words) => roles::run(&words),
