--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`page`]: the tables of docs/CAPACITY.md.
 
 pub mod figures;
+pub mod fit;
 pub mod fleet;
 pub mod page;
 pub mod roles;
--- /dev/null
+++ b/crates/scale/src/page/breaks.rs
@@ -0,0 +1,39 @@
+//! What breaks at which size, in order.
+
+use super::data::Data;
+use super::roles;
+use super::rows::Row;
+use super::words::{amount, digits, table};
+
+/// All that has a budget, with the size up to which it keeps it.
+pub fn list(data: &Data) -> String {
+    let roles: [(&str, Vec<Row>); 8] = [
+        ("data path", roles::path(data)),
+        ("control part", roles::control(data)),
+        ("steward", roles::steward(data)),
+        ("between", roles::between(data)),
+        ("discovery", roles::discovery(data)),
+        ("journal", roles::journal(data)),
+        ("undelivered", roles::undelivered(data)),
+        ("figures", roles::figures(data)),
+    ];
+    let mut found: Vec<(f64, Vec<String>)> = Vec::new();
+    for (role, rows) in &roles {
+        for row in rows.iter().filter(|row| row.grows.1 > 0.0) {
+            let Some(share) = row.breaks() else { continue };
+            let (what, full) = row.grows;
+            let cells = vec![
+                format!("{} %", digits(share * 100.0)),
+                format!("{} {what}", amount(share * full, "")),
+                role.to_string(),
+                row.name().to_string(),
+                row.budget(),
+                row.behind(),
+            ];
+            found.push((share, cells));
+        }
+    }
+    found.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let rows: Vec<Vec<String>> = found.into_iter().map(|(_, cells)| cells).collect();
+    table(&["share of the plan", "at", "role", "what breaks", "its budget", "behind it"], &rows)
+}
--- /dev/null
+++ b/crates/scale/src/page/data.rs
@@ -0,0 +1,142 @@
+//! What was measured, found again by figure.
+
+use crate::Error;
+use crate::figures::{Fault, Fit, Head, Line, Point, read};
+use crate::fit::Form;
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// One figure along one axis: its points, the line through them, and the file that has them.
+#[derive(Debug, Clone)]
+pub struct Slope {
+    /// Name of the file.
+    pub file: String,
+    /// The line, where there are sizes enough.
+    pub fit: Option<Fit>,
+    /// Its points, by size.
+    pub points: Vec<Point>,
+}
+
+/// A value, and whether the very size was measured.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Value {
+    /// How much.
+    pub amount: f64,
+    /// A point stands at this size; else it follows from the line.
+    pub measured: bool,
+}
+
+/// A size counts as measured within this share of it.
+const SAME: f64 = 0.03;
+
+impl Slope {
+    /// The value at a size: the mean of the points that stand there, else by the line.
+    pub fn at(&self, size: f64) -> Option<Value> {
+        let near: Vec<f64> = self
+            .points
+            .iter()
+            .filter(|point| (point.at - size).abs() <= SAME * size)
+            .map(|point| point.value)
+            .collect();
+        if !near.is_empty() {
+            return Some(Value { amount: near.iter().sum::<f64>() / near.len() as f64, measured: true });
+        }
+        Some(Value { amount: self.line(size)?, measured: false })
+    }
+
+    /// The value by the line alone; a line that begins below zero tells nothing of small sizes but zero.
+    pub fn line(&self, size: f64) -> Option<f64> {
+        let fit = self.fit.as_ref()?;
+        let form = Form::ALL.into_iter().find(|form| form.name() == fit.form)?;
+        let [constant, slope] = fit.coefficients[..] else { return None };
+        let value = constant + slope * form.term(size);
+        Some(value.max(0.0))
+    }
+
+    /// The largest size that was measured.
+    pub fn most(&self) -> f64 {
+        self.points.iter().map(|point| point.at).fold(0.0, f64::max)
+    }
+
+    /// What one more costs, where the figure is a straight line.
+    pub fn each(&self) -> Option<f64> {
+        let fit = self.fit.as_ref().filter(|fit| fit.form == Form::Linear.name())?;
+        fit.coefficients.get(1).copied()
+    }
+}
+
+/// All files of figures.
+#[derive(Debug, Clone, Default)]
+pub struct Data {
+    /// Heads, by name of file.
+    pub heads: Vec<(String, Head)>,
+    /// Faults at size, with the file.
+    pub faults: Vec<(String, Fault)>,
+    /// By role, quantity and axis.
+    pub slopes: BTreeMap<(String, String, String), Slope>,
+}
+
+impl Data {
+    /// Reads all of a folder, in the order of their names: of a figure that stands in two, the later file counts.
+    ///
+    /// # Errors
+    /// When a file can't be read, or has no head.
+    pub fn read(folder: &Path) -> Result<Self, Error> {
+        let mut files = Vec::new();
+        for entry in std::fs::read_dir(folder).map_err(Error::io(folder.display().to_string()))? {
+            let path = entry.map_err(Error::io(folder.display().to_string()))?.path();
+            if path.extension().is_some_and(|extension| extension == "jsonl") {
+                files.push(path);
+            }
+        }
+        files.sort();
+        let mut data = Data::default();
+        for path in files {
+            let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+            let lines = read(&path)?;
+            let Some(Line::Head(head)) = lines.first() else {
+                return Err(Error::Wrong(format!("{name} does not begin with a head")));
+            };
+            data.heads.push((name.clone(), head.clone()));
+            data.take(&name, lines)?;
+        }
+        Ok(data)
+    }
+
+    fn take(&mut self, file: &str, lines: Vec<Line>) -> Result<(), Error> {
+        for line in lines {
+            match line {
+                Line::Head(_) => {}
+                Line::Point(point) => {
+                    if !point.value.is_finite() {
+                        return Err(Error::Wrong(format!(
+                            "{file}: {} {} is no number",
+                            point.role, point.quantity
+                        )));
+                    }
+                    self.slope(file, (&point.role, &point.quantity, &point.axis)).points.push(point);
+                }
+                Line::Fit(fit) => {
+                    self.slope(file, (&fit.role, &fit.quantity, &fit.axis)).fit = Some(fit.clone());
+                }
+                Line::Fault(fault) => self.faults.push((file.to_string(), fault)),
+            }
+        }
+        Ok(())
+    }
+
+    fn slope(&mut self, file: &str, (role, quantity, axis): (&str, &str, &str)) -> &mut Slope {
+        let key = (role.to_string(), quantity.to_string(), axis.to_string());
+        let new = || Slope { file: file.to_string(), fit: None, points: Vec::new() };
+        let slope = self.slopes.entry(key).or_insert_with(new);
+        if slope.file != file {
+            *slope = new();
+        }
+        slope
+    }
+
+    /// A figure, if it was measured.
+    pub fn find(&self, role: &str, quantity: &str, axis: &str) -> Option<&Slope> {
+        self.slopes.get(&(role.to_string(), quantity.to_string(), axis.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/scale/src/page/roles.rs
@@ -0,0 +1,495 @@
+//! The rows of each role's table.
+
+use super::data::Data;
+use super::plan::{CALL, CORE, IDLE, LEASE, PLAN, REST, SOCKETS};
+use super::rows::Row;
+use milletturn_fleet::bounds::{SESSIONS, WORKS};
+
+const MEMORY: (f64, &str) = (PLAN.control_memory, "plan: control of a sender");
+const CORES: (f64, &str) = (PLAN.control_cores, "plan: control of a sender");
+const BYTES: (f64, &str) = (PLAN.control_bytes, "plan: control of a sender");
+const ONE: (f64, &str) = (CORE, "the program uses one");
+const READY: (f64, &str) = (PLAN.ready, "users: start to ready");
+
+fn destinations(share: f64) -> f64 {
+    PLAN.destinations * share
+}
+
+fn senders(share: f64) -> f64 {
+    PLAN.senders * share
+}
+
+fn held(share: f64) -> f64 {
+    PLAN.held() * share
+}
+
+fn events(_: f64) -> f64 {
+    PLAN.events_each()
+}
+
+fn served(_: f64) -> f64 {
+    PLAN.served()
+}
+
+fn changes(share: f64) -> f64 {
+    PLAN.change_rate() * share
+}
+
+/// Destinations that a sender meets within a span, where each sender serves all.
+fn met(share: f64, span: f64) -> f64 {
+    (PLAN.events_each() * span).min(destinations(share))
+}
+
+/// A sender's data path.
+pub fn path(data: &Data) -> Vec<Row> {
+    let all = ("destinations", PLAN.destinations);
+    vec![
+        Row::plan("events a second", events, "events/s"),
+        Row::plan("destinations of a sender, if each is served by one", served, ""),
+        Row::plan("of these down", |_| PLAN.served() * PLAN.down, ""),
+        Row::plan(
+            "seconds until a sender meets a destination again, if it serves all",
+            |share| destinations(share) / PLAN.events_each(),
+            "s",
+        ),
+        Row::slope(data, "processor for the events", ("path", "cpu", "messages a second"), events, "core")
+            .within(ONE.0, ONE.1)
+            .by("events a second of one sender", PLAN.events_each()),
+        Row::slope(data, "memory with these events", ("path", "resident", "messages a second"), events, "B"),
+        Row::slope(
+            data,
+            "processor for turns beside calls that last 250 ms (two turns an event)",
+            ("turn", "cpu", "calls out"),
+            |_| PLAN.events_each() * CALL,
+            "core",
+        )
+        .times(|_| 2.0 * PLAN.events_each())
+        .within(ONE.0, ONE.1),
+        Row::slope(
+            data,
+            "a turn beside 4,000 calls at silent endpoints",
+            ("turn", "cpu", "calls out"),
+            |_| 4_000.0,
+            "s",
+        ),
+        Row::slope(
+            data,
+            "a turn beside held messages of destinations that are gone",
+            ("turn", "cpu", "messages held"),
+            held,
+            "s",
+        ),
+        Row::slope(
+            data,
+            "connections to destinations in use, if it serves its part",
+            ("path.sockets", "descriptors", "destinations in use"),
+            served,
+            "descriptors",
+        )
+        .within(SOCKETS, "`limits.sockets` as it comes")
+        .by("destinations of one sender", PLAN.served()),
+        Row::slope(
+            data,
+            "connections within the 5 s that they are kept, if it serves all",
+            ("path.sockets", "descriptors", "destinations in use"),
+            |share| met(share, IDLE),
+            "descriptors",
+        )
+        .within(SOCKETS, "`limits.sockets` as it comes")
+        .by(all.0, all.1),
+        Row::slope(
+            data,
+            "memory of connections in use, if it serves its part",
+            ("path.sockets", "resident", "destinations in use"),
+            served,
+            "B",
+        ),
+        Row::slope(
+            data,
+            "memory of destinations called within 300 s, if it serves its part",
+            ("destination.used", "resident", "destinations in use"),
+            served,
+            "B",
+        ),
+        Row::slope(
+            data,
+            "memory of destinations called within 300 s, if it serves all",
+            ("destination.used", "resident", "destinations in use"),
+            |share| met(share, REST),
+            "B",
+        )
+        .within(MEMORY.0, MEMORY.1)
+        .by(all.0, all.1),
+    ]
+}
+
+/// A sender's control part.
+pub fn control(data: &Data) -> Vec<Row> {
+    let all = ("destinations", PLAN.destinations);
+    let rate = ("changes a day", PLAN.changes);
+    vec![
+        Row::slope(
+            data,
+            "memory of the list, if each sender has all",
+            ("list.engine", "resident", "destinations"),
+            destinations,
+            "B",
+        )
+        .within(MEMORY.0, MEMORY.1)
+        .by(all.0, all.1),
+        Row::slope(
+            data,
+            "memory of the list, if it has its part",
+            ("list.engine", "resident", "destinations"),
+            served,
+            "B",
+        )
+        .within(MEMORY.0, MEMORY.1),
+        Row::slope(
+            data,
+            "processor time of the first list, all of it",
+            ("list.engine", "cpu", "destinations"),
+            destinations,
+            "s",
+        )
+        .within(READY.0, READY.1)
+        .by(all.0, all.1),
+        Row::slope(
+            data,
+            "start to ready on a file of all",
+            ("list.file", "ready", "destinations"),
+            destinations,
+            "s",
+        )
+        .within(READY.0, READY.1)
+        .by(all.0, all.1),
+        Row::slope(
+            data,
+            "bytes of the whole list as discovery tells it",
+            ("list.watch", "wire", "destinations"),
+            destinations,
+            "B",
+        ),
+        Row::slope(
+            data,
+            "time for the whole list at 6 KB/s",
+            ("list.watch", "wire", "destinations"),
+            destinations,
+            "s",
+        )
+        .times(|_| 1.0 / PLAN.control_bytes)
+        .within(PLAN.in_force, "plan: in force")
+        .by(all.0, all.1),
+        Row::slope(
+            data,
+            "time for its part of the list at 6 KB/s",
+            ("list.watch", "wire", "destinations"),
+            served,
+            "s",
+        )
+        .times(|_| 1.0 / PLAN.control_bytes)
+        .within(PLAN.in_force, "plan: in force"),
+        Row::slope(
+            data,
+            "bytes a second of changes, if each sender hears all",
+            ("list.watch", "wire", "destinations"),
+            |_| 1.0,
+            "B/s",
+        )
+        .times(changes)
+        .within(BYTES.0, BYTES.1)
+        .by(rate.0, rate.1),
+        Row::slope(
+            data,
+            "processor for changes told one by one, if it hears all",
+            ("list.engine", "change.cpu", "destinations"),
+            destinations,
+            "core",
+        )
+        .times(changes)
+        .within(CORES.0, CORES.1)
+        .by(rate.0, rate.1),
+        Row::slope(
+            data,
+            "processor for changes told as whole lists",
+            ("list.engine", "whole.cpu", "destinations"),
+            destinations,
+            "core",
+        )
+        .times(changes)
+        .within(CORES.0, CORES.1)
+        .by("destinations and changes", PLAN.destinations),
+        Row::slope(
+            data,
+            "processor for changes of a file that is read whole",
+            ("list.file", "change.cpu", "destinations"),
+            destinations,
+            "core",
+        )
+        .times(changes)
+        .within(CORES.0, CORES.1)
+        .by("destinations and changes", PLAN.destinations),
+        Row::slope(
+            data,
+            "processor of the session, its share of a sender",
+            ("member", "cpu", "senders"),
+            |_| 1.0,
+            "core",
+        )
+        .within(CORES.0, CORES.1),
+    ]
+}
+
+/// The leading steward, and the others.
+pub fn steward(data: &Data) -> Vec<Row> {
+    let all = ("senders", PLAN.senders);
+    vec![
+        Row::plan("sessions", senders, "")
+            .within(SESSIONS as f64, "`milletturn-fleet` `bounds::SESSIONS`")
+            .by(all.0, all.1),
+        Row::plan("pieces of work, one for each destination", destinations, "")
+            .within(WORKS as f64, "`milletturn-fleet` `bounds::WORKS`")
+            .by("destinations", PLAN.destinations),
+        Row::plan("renewals a second, four in each lease of 9 s", |share| senders(share) * 4.0 / LEASE, "/s"),
+        Row::slope(data, "processor of the leader", ("steward.leader", "cpu", "senders"), senders, "core")
+            .within(ONE.0, ONE.1)
+            .by(all.0, all.1),
+        Row::slope(data, "memory of the leader", ("steward.leader", "resident", "senders"), senders, "B"),
+        Row::slope(
+            data,
+            "bytes a second at the leader",
+            ("steward.leader", "bytes", "senders"),
+            senders,
+            "B/s",
+        ),
+        Row::slope(
+            data,
+            "processor of each other steward",
+            ("steward.follower", "cpu", "senders"),
+            senders,
+            "core",
+        )
+        .within(ONE.0, ONE.1)
+        .by(all.0, all.1),
+        Row::plan(
+            "ends of sessions on an ordinary day",
+            |share| (PLAN.failures + PLAN.restarts) * share,
+            "/day",
+        ),
+    ]
+}
+
+/// Whatever stands between stewards and senders.
+pub fn between(_: &Data) -> Vec<Row> {
+    vec![
+        Row::nobody("who serves which destination"),
+        Row::nobody("the carrier of numbered changes to a sender"),
+        Row::nobody("digests of ranges, to catch up"),
+        Row::nobody("a relay that answers renewals for many senders"),
+        Row::plan("senders of one machine, all 19 up", |share| senders(share) / PLAN.machines, ""),
+        Row::plan(
+            "senders of one machine, three away",
+            |share| senders(share) / (PLAN.machines - PLAN.machines_away),
+            "",
+        ),
+        Row::plan(
+            "bytes a second out of one machine at 6 KB/s a sender, three away",
+            |share| senders(share) * PLAN.control_bytes / (PLAN.machines - PLAN.machines_away),
+            "B/s",
+        ),
+        Row::plan(
+            "deliveries of changes a second, if each goes to each sender",
+            |share| changes(share) * senders(share),
+            "/s",
+        ),
+        Row::plan(
+            "deliveries of changes a second, if each goes to three servers",
+            |share| changes(share) * 3.0,
+            "/s",
+        ),
+    ]
+}
+
+/// Discovery, or whatever tells the configuration.
+pub fn discovery(data: &Data) -> Vec<Row> {
+    let all = ("destinations", PLAN.destinations);
+    let mut rows = vec![
+        Row::plan("destinations of one list", destinations, ""),
+        Row::slope(data, "bytes of one list", ("list.watch", "wire", "destinations"), destinations, "B"),
+        Row::slope(
+            data,
+            "bytes of one file of endpoints",
+            ("list.file", "wire", "destinations"),
+            destinations,
+            "B",
+        ),
+        Row::slope(
+            data,
+            "whole lists for all senders, after all lost their watches",
+            ("list.watch", "wire", "destinations"),
+            destinations,
+            "B",
+        )
+        .times(senders),
+        Row::slope(
+            data,
+            "bytes a second of changes to all senders",
+            ("list.watch", "wire", "destinations"),
+            |_| 1.0,
+            "B/s",
+        )
+        .times(|share| changes(share) * senders(share)),
+    ];
+    for (what, role) in [
+        ("destinations that one line of a watch may have", "list.watch"),
+        ("destinations that one file may have", "list.file"),
+    ] {
+        if let Some(most) = data.find(role, "most", "bound").and_then(|slope| slope.points.first()) {
+            let said = if role == "list.watch" {
+                "`milletturn-platform` `Feed`, measured"
+            } else {
+                "`milletturn-sidecar` `endpoints`, measured"
+            };
+            rows.push(Row::plan(what, destinations, "").within(most.value, said).by(all.0, all.1));
+        }
+    }
+    for (what, quantity, unit) in
+        [("processor of the source", "cpu", "core"), ("bytes out of the source", "bytes", "B/s")]
+    {
+        rows.push(Row::slope(data, what, ("discovery", quantity, "senders"), senders, unit));
+    }
+    rows
+}
+
+/// Journal and backlog; its shares are those of the messages that one sender holds.
+pub fn journal(data: &Data) -> Vec<Row> {
+    let one = ("messages held by one sender", PLAN.held());
+    let axis = "messages held";
+    let mut rows = vec![Row::plan("messages held by one sender", held, "")];
+    if let Some(most) = data.find("limits.held", "most", "bound").and_then(|slope| slope.points.first()) {
+        rows.push(
+            Row::plan("messages that a sidecar may be told to hold", held, "")
+                .within(most.value, "`limits.held`, measured")
+                .by(one.0, one.1),
+        );
+    }
+    rows.extend([
+        Row::slope(data, "journal on disk, bodies of 256 B", ("journal", "disk", axis), held, "B"),
+        Row::slope(data, "memory of the journal", ("journal", "resident", axis), held, "B"),
+        Row::slope(data, "processor time to write them down", ("journal", "cpu", axis), held, "s"),
+        Row::slope(
+            data,
+            "memory of the whole sender behind a start",
+            ("restart", "resident", axis),
+            held,
+            "B",
+        ),
+        Row::slope(data, "most memory in a start", ("restart", "peak", axis), held, "B"),
+        Row::slope(data, "start to ready, time on the wall", ("restart", "ready", axis), held, "s")
+            .within(READY.0, READY.1)
+            .by(one.0, one.1),
+        Row::slope(data, "start to ready, processor time", ("restart", "cpu", axis), held, "s")
+            .within(READY.0, READY.1)
+            .by(one.0, one.1),
+        Row::slope(
+            data,
+            "of it: the journal is read and written anew",
+            ("journal.open", "cpu", axis),
+            held,
+            "s",
+        ),
+        Row::slope(
+            data,
+            "of it: the engine takes them back",
+            ("journal.open", "resume.cpu", axis),
+            held,
+            "s",
+        ),
+        Row::slope(data, "cores in the three seconds behind it", ("restart", "beside", axis), held, "core")
+            .within(ONE.0, ONE.1)
+            .by(one.0, one.1),
+        Row::slope(
+            data,
+            "the sender stands still while the journal is written anew",
+            ("journal.compact", "stall", axis),
+            held,
+            "s",
+        ),
+        Row::plan(
+            "hours of all events for destinations that are down",
+            |share| PLAN.backlog * share / (PLAN.events * PLAN.down),
+            "s",
+        ),
+    ]);
+    rows
+}
+
+/// The store of what could not be delivered.
+pub fn undelivered(data: &Data) -> Vec<Row> {
+    let axis = "messages kept";
+    vec![
+        Row::plan("messages kept, if all that is held ends there", held, ""),
+        Row::slope(data, "file, bodies of 256 B", ("undelivered", "disk", axis), held, "B"),
+        Row::slope(data, "memory", ("undelivered", "resident", axis), held, "B"),
+        Row::slope(
+            data,
+            "processor time to keep them, 64 a transaction",
+            ("undelivered", "cpu", axis),
+            held,
+            "s",
+        ),
+        Row::slope(
+            data,
+            "processor time to open it, before ready",
+            ("undelivered", "open.cpu", axis),
+            held,
+            "s",
+        )
+        .within(READY.0, READY.1)
+        .by("messages kept by one sender", PLAN.held()),
+        Row::slope(
+            data,
+            "processor time to check it, on its thread",
+            ("undelivered", "check.cpu", axis),
+            held,
+            "s",
+        ),
+    ]
+}
+
+/// What a sender tells of itself.
+pub fn figures(data: &Data) -> Vec<Row> {
+    vec![
+        Row::slope(
+            data,
+            "bytes of a scrape beside all destinations",
+            ("figures", "scrape", "destinations"),
+            destinations,
+            "B",
+        ),
+        Row::slope(
+            data,
+            "processor time of a scrape beside all destinations",
+            ("figures", "cpu", "destinations"),
+            destinations,
+            "s",
+        ),
+        Row::slope(
+            data,
+            "bytes of a scrape with 256 classes",
+            ("figures", "scrape", "classes"),
+            |_| 256.0,
+            "B",
+        ),
+        Row::slope(
+            data,
+            "bytes of one scrape of all senders",
+            ("figures", "scrape", "destinations"),
+            destinations,
+            "B",
+        )
+        .times(senders),
+        Row::nobody("figures by destination"),
+        Row::nobody("figures of the fleet as a whole, beside `milletturn account` over logs"),
+    ]
+}
--- /dev/null
+++ b/crates/scale/src/page/rows.rs
@@ -0,0 +1,186 @@
+//! A row of a table: what it counts, at which size, behind which figure, under which budget.
+
+use super::data::{Data, Slope, Value};
+use super::words::{amount, margin, parted, table};
+
+/// Shares of the plan that the tables show.
+pub const SHARES: [f64; 3] = [0.01, 0.1, 1.0];
+
+/// What a value follows from.
+enum Behind {
+    /// A slope, at a size that grows with the share of the plan, times a factor that may grow too.
+    Slope { slope: Slope, name: String, size: fn(f64) -> f64, times: fn(f64) -> f64 },
+    /// The plan alone.
+    Plan(fn(f64) -> f64),
+    /// Nothing carries it.
+    Nobody,
+    /// It was not measured.
+    Unmeasured(String),
+}
+
+/// A row.
+pub struct Row {
+    what: &'static str,
+    unit: &'static str,
+    behind: Behind,
+    budget: Option<(f64, &'static str)>,
+    /// What of the plan grows, and how much that is at its full size.
+    pub grows: (&'static str, f64),
+}
+
+fn once(_: f64) -> f64 {
+    1.0
+}
+
+impl Row {
+    /// A measured figure (role, quantity, axis), at a size for each share of the plan.
+    pub fn slope(
+        data: &Data, what: &'static str, (role, quantity, axis): (&str, &str, &str), size: fn(f64) -> f64,
+        unit: &'static str,
+    ) -> Self {
+        let name = format!("`{role} {quantity}` by {axis}");
+        let behind = match data.find(role, quantity, axis) {
+            Some(slope) => Behind::Slope { slope: slope.clone(), name, size, times: once },
+            None => Behind::Unmeasured(name),
+        };
+        Row { what, unit, behind, budget: None, grows: ("", 0.0) }
+    }
+
+    /// A figure that follows from the plan alone.
+    pub fn plan(what: &'static str, value: fn(f64) -> f64, unit: &'static str) -> Self {
+        Row { what, unit, behind: Behind::Plan(value), budget: None, grows: ("", 0.0) }
+    }
+
+    /// What nothing does today.
+    pub fn nobody(what: &'static str) -> Self {
+        Row { what, unit: "", behind: Behind::Nobody, budget: None, grows: ("", 0.0) }
+    }
+
+    /// So often, such as so many a second.
+    pub fn times(mut self, factor: fn(f64) -> f64) -> Self {
+        if let Behind::Slope { times, .. } = &mut self.behind {
+            *times = factor;
+        }
+        self
+    }
+
+    /// What it may be, and who says so.
+    pub fn within(mut self, budget: f64, said: &'static str) -> Self {
+        self.budget = Some((budget, said));
+        self
+    }
+
+    /// What of the plan makes it grow: its full size there.
+    pub fn by(mut self, grows: &'static str, full: f64) -> Self {
+        self.grows = (grows, full);
+        self
+    }
+
+    /// What it is called.
+    pub fn name(&self) -> &'static str {
+        self.what
+    }
+
+    /// Its value at a share of the plan.
+    pub fn at(&self, share: f64) -> Option<Value> {
+        match &self.behind {
+            Behind::Slope { slope, size, times, .. } => {
+                let value = slope.at(size(share))?;
+                let factor = times(share);
+                // what is counted up is derived, also from a size that was measured
+                Some(Value { amount: value.amount * factor, measured: value.measured && factor == 1.0 })
+            }
+            Behind::Plan(value) => Some(Value { amount: value(share), measured: false }),
+            Behind::Nobody | Behind::Unmeasured(_) => None,
+        }
+    }
+
+    /// The share of the plan up to which it stays within its budget: by the line, beyond what was measured too.
+    pub fn breaks(&self) -> Option<f64> {
+        let (budget, _) = self.budget?;
+        let value = |share: f64| match &self.behind {
+            Behind::Slope { slope, size, times, .. } => Some(slope.line(size(share))? * times(share)),
+            Behind::Plan(value) => Some(value(share)),
+            Behind::Nobody | Behind::Unmeasured(_) => None,
+        };
+        let (mut least, mut most) = (1e-7f64, 1e4f64);
+        if value(least)? > budget {
+            return Some(0.0);
+        }
+        if value(most)? <= budget {
+            return None;
+        }
+        for _ in 0..200 {
+            let middle = (least * most).sqrt();
+            if value(middle)? > budget { most = middle } else { least = middle }
+        }
+        Some(least)
+    }
+
+    /// Its budget in words.
+    pub fn budget(&self) -> String {
+        self.budget
+            .map_or("none given".into(), |(budget, said)| format!("{} ({said})", amount(budget, self.unit)))
+    }
+
+    /// What it follows from, in words.
+    pub fn behind(&self) -> String {
+        match &self.behind {
+            Behind::Slope { slope, name, size, .. } => {
+                let beyond = size(1.0) / slope.most();
+                let far = if beyond > 1.03 {
+                    format!(", 100 % is ×{} beyond", super::words::digits(beyond))
+                } else {
+                    String::new()
+                };
+                format!("{name} up to {}{far} ({})", parted(slope.most()), slope.file)
+            }
+            Behind::Plan(_) => "plan".into(),
+            Behind::Nobody => "—".into(),
+            Behind::Unmeasured(name) => format!("{name}: not run yet"),
+        }
+    }
+
+    fn cells(&self) -> Vec<String> {
+        if let Behind::Nobody = self.behind {
+            let nothing = || "no mechanism today".to_string();
+            return vec![
+                self.what.into(),
+                "".into(),
+                nothing(),
+                nothing(),
+                nothing(),
+                "—".into(),
+                "".into(),
+                "".into(),
+            ];
+        }
+        let each = match &self.behind {
+            Behind::Slope { slope, .. } => slope.each().and_then(|each| {
+                let unit = slope.points.first().map(|point| point.unit.as_str()).unwrap_or("");
+                (each > 0.0).then(|| amount(each, unit))
+            }),
+            _ => None,
+        };
+        let shown = |share: f64| match (self.at(share), &self.behind) {
+            (Some(value), _) if value.measured => format!("**{}**", amount(value.amount, self.unit)),
+            (Some(value), _) => format!("*{}*", amount(value.amount, self.unit)),
+            (None, _) => "not run yet".to_string(),
+        };
+        let left = match (self.budget, self.at(1.0)) {
+            (Some((budget, _)), Some(value)) => margin(value.amount, budget),
+            _ => String::new(),
+        };
+        let mut cells = vec![self.what.to_string(), each.unwrap_or_default()];
+        cells.extend(SHARES.map(shown));
+        cells.extend([self.behind(), self.budget(), left]);
+        cells
+    }
+}
+
+/// A table of rows.
+pub fn shown(rows: &[Row]) -> String {
+    let heads = ["what", "one more", "1 %", "10 %", "100 %", "behind it", "budget", "margin at 100 %"];
+    let cells: Vec<Vec<String>> = rows.iter().map(Row::cells).collect();
+    table(&heads, &cells)
+}
--- /dev/null
+++ b/crates/scale/src/page/words.rs
@@ -0,0 +1,82 @@
+//! Numbers as the page shows them: three digits that count, with a unit.
+
+/// A number with its unit.
+pub fn amount(value: f64, unit: &str) -> String {
+    match unit {
+        "B" | "B/s" | "B/message" => bytes(value, unit.strip_prefix('B').unwrap_or("")),
+        "s" => seconds(value),
+        "core" => format!("{} cores", digits(value)),
+        "" => digits(value),
+        other => format!("{} {other}", digits(value)),
+    }
+}
+
+fn bytes(value: f64, per: &str) -> String {
+    let steps = [(1e15, "PB"), (1e12, "TB"), (1e9, "GB"), (1e6, "MB"), (1e3, "KB")];
+    match steps.iter().find(|(step, _)| value.abs() >= *step) {
+        Some((step, name)) => format!("{} {name}{per}", digits(value / step)),
+        None => format!("{} B{per}", digits(value)),
+    }
+}
+
+fn seconds(value: f64) -> String {
+    let steps =
+        [(86_400.0 * 2.0, 86_400.0, "days"), (7_200.0, 3_600.0, "h"), (180.0, 60.0, "min"), (1.0, 1.0, "s")];
+    if let Some((_, step, name)) = steps.iter().find(|(from, ..)| value.abs() >= *from) {
+        return format!("{} {name}", digits(value / step));
+    }
+    let small = [(1e-3, "ms"), (1e-6, "µs"), (1e-9, "ns")];
+    match small.iter().find(|(step, _)| value.abs() >= *step) {
+        Some((step, name)) => format!("{} {name}", digits(value / step)),
+        None => "0 s".to_string(),
+    }
+}
+
+/// Three digits that count; whole thousands are parted.
+pub fn digits(value: f64) -> String {
+    let size = value.abs();
+    if size == 0.0 || !size.is_finite() {
+        return if size == 0.0 { "0".to_string() } else { "no number".to_string() };
+    }
+    let places = (2 - size.log10().floor() as i32).clamp(-12, 12);
+    if places > 0 {
+        let text = format!("{value:.*}", places as usize);
+        return match text.split_once('.') {
+            Some(_) => text.trim_end_matches('0').trim_end_matches('.').to_string(),
+            None => text,
+        };
+    }
+    let step = 10f64.powi(-places);
+    parted((value / step).round() * step)
+}
+
+/// A whole number, its thousands parted.
+pub fn parted(value: f64) -> String {
+    let text = format!("{:.0}", value.abs());
+    let mut parts: Vec<&str> =
+        text.as_bytes().rchunks(3).filter_map(|part| std::str::from_utf8(part).ok()).collect();
+    parts.reverse();
+    format!("{}{}", if value < 0.0 { "-" } else { "" }, parts.join(","))
+}
+
+/// How far a value lies within its budget.
+pub fn margin(value: f64, budget: f64) -> String {
+    if value <= 0.0 {
+        return "free".to_string();
+    }
+    let part = budget / value;
+    if part >= 1.0 {
+        format!("{} times", digits(part))
+    } else {
+        format!("**short by ×{}**", digits(1.0 / part))
+    }
+}
+
+/// A table of Markdown.
+pub fn table(heads: &[&str], rows: &[Vec<String>]) -> String {
+    let line = |cells: &[String]| format!("| {} |\n", cells.join(" | "));
+    let heads: Vec<String> = heads.iter().map(|head| head.to_string()).collect();
+    let rule: Vec<String> = heads.iter().map(|_| "---".to_string()).collect();
+    let body: String = rows.iter().map(|row| line(row)).collect();
+    format!("{}{}{body}", line(&heads), line(&rule))
+}
