--- a/crates/scale/src/page/breaks.rs
+++ b/crates/scale/src/page/breaks.rs
@@ -24,7 +24,7 @@
             let (what, full) = row.grows;
             let cells = vec![
                 format!("{} %", digits(share * 100.0)),
-                format!("{} {what}", amount(share * full, "")),
+                format!("{} {what}", amount((share * full + 1e-6).floor(), "")),
                 role.to_string(),
                 row.name().to_string(),
                 row.budget(),
--- a/crates/scale/src/page/data.rs
+++ b/crates/scale/src/page/data.rs
@@ -49,6 +49,10 @@
         let fit = self.fit.as_ref()?;
         let form = Form::ALL.into_iter().find(|form| form.name() == fit.form)?;
         let [constant, slope] = fit.coefficients[..] else { return None };
+        // what shrinks with size is flat beside the noise of a loaded machine: its mean, and no line below zero
+        if slope < 0.0 {
+            return Some(self.points.iter().map(|point| point.value).sum::<f64>() / self.points.len() as f64);
+        }
         let value = constant + slope * form.term(size);
         Some(value.max(0.0))
     }
@@ -65,6 +69,14 @@
     }
 }
 
+/// Hollow senders make the slopes; another kind of them at the same size is a figure of its own.
+fn role_of(point: &Point) -> String {
+    match point.other.get("kind").and_then(|kind| kind.as_str()) {
+        None | Some("hollow") => point.role.clone(),
+        Some(kind) => format!("{}, {kind}", point.role),
+    }
+}
+
 /// All files of figures.
 #[derive(Debug, Clone, Default)]
 pub struct Data {
@@ -114,7 +126,8 @@
                             point.role, point.quantity
                         )));
                     }
-                    self.slope(file, (&point.role, &point.quantity, &point.axis)).points.push(point);
+                    let role = role_of(&point);
+                    self.slope(file, (&role, &point.quantity, &point.axis)).points.push(point);
                 }
                 Line::Fit(fit) => {
                     self.slope(file, (&fit.role, &fit.quantity, &fit.axis)).fit = Some(fit.clone());
--- a/crates/scale/src/page/events.rs
+++ b/crates/scale/src/page/events.rs
@@ -114,10 +114,10 @@
                 parted(region.senders * PLAN.served())
             ),
             format!(
-                "*{}* changes missed; {} for each of its senders to catch up if it hears all, *{}* times a part of that if it hears its own",
+                "*{}* changes missed; {} for each of its senders to catch up if it hears all; about *{}* of these changes are its own",
                 parted(missed),
                 wire(1.0, missed),
-                amount(PLAN.served() / PLAN.destinations, "")
+                amount(missed * PLAN.served() / PLAN.destinations, "")
             ),
             format!(
                 "*{}*, and *{}* of bytes at 6 KB/s behind it",
--- a/crates/scale/src/page/roles.rs
+++ b/crates/scale/src/page/roles.rs
@@ -229,14 +229,33 @@
         .times(changes)
         .within(CORES.0, CORES.1)
         .by("destinations and changes", PLAN.destinations),
-        Row::slope(
+        Row::largest(
             data,
-            "processor of the session, its share of a sender",
-            ("member", "cpu", "senders"),
-            |_| 1.0,
+            "processor of the session, in a process of its own",
+            ("sender.session, real", "cpu", "senders"),
             "core",
         )
         .within(CORES.0, CORES.1),
+        Row::largest(
+            data,
+            "requests of the session a second",
+            ("sender", "session_messages", "senders"),
+            "/s",
+        ),
+        Row::largest(
+            data,
+            "bytes a second of the session, out",
+            ("sender", "session_bytes_out", "senders"),
+            "B/s",
+        )
+        .within(BYTES.0, BYTES.1),
+        Row::largest(
+            data,
+            "bytes a second of the session, in",
+            ("sender", "session_bytes_in", "senders"),
+            "B/s",
+        )
+        .within(BYTES.0, BYTES.1),
     ]
 }
 
@@ -257,11 +276,46 @@
         Row::slope(data, "memory of the leader", ("steward.leader", "resident", "senders"), senders, "B"),
         Row::slope(
             data,
-            "bytes a second at the leader",
-            ("steward.leader", "bytes", "senders"),
+            "requests a second of members, at the leader",
+            ("steward.leader", "asked_by_senders", "senders"),
+            senders,
+            "/s",
+        ),
+        Row::slope(
+            data,
+            "bytes a second from members, at the leader",
+            ("steward.leader", "bytes_from_senders", "senders"),
+            senders,
+            "B/s",
+        ),
+        Row::slope(
+            data,
+            "bytes a second to members, at the leader",
+            ("steward.leader", "bytes_to_senders", "senders"),
             senders,
             "B/s",
         ),
+        Row::slope(
+            data,
+            "bytes a second to the other stewards, at the leader",
+            ("steward.leader", "bytes_to_stewards", "senders"),
+            senders,
+            "B/s",
+        ),
+        Row::slope(
+            data,
+            "bytes a second written, at the leader",
+            ("steward.leader", "disk", "senders"),
+            senders,
+            "B/s",
+        ),
+        Row::slope(
+            data,
+            "descriptors of the leader",
+            ("steward.leader", "descriptors", "senders"),
+            senders,
+            "",
+        ),
         Row::slope(
             data,
             "processor of each other steward",
@@ -353,10 +407,11 @@
             rows.push(Row::plan(what, destinations, "").within(most.value, said).by(all.0, all.1));
         }
     }
-    for (what, quantity, unit) in
-        [("processor of the source", "cpu", "core"), ("bytes out of the source", "bytes", "B/s")]
-    {
-        rows.push(Row::slope(data, what, ("discovery", quantity, "senders"), senders, unit));
+    for (what, quantity, unit) in [
+        ("processor of a stand-in source, a watch for each sender", "cpu", "core"),
+        ("bytes a second out of it", "bytes_out", "B/s"),
+    ] {
+        rows.push(Row::slope(data, what, ("stand-in.discovery", quantity, "senders"), senders, unit));
     }
     rows
 }
@@ -460,6 +515,13 @@
 /// What a sender tells of itself.
 pub fn figures(data: &Data) -> Vec<Row> {
     vec![
+        Row::slope(
+            data,
+            "the sender stands still for a look at what is listed",
+            ("list.engine", "look.cpu", "destinations"),
+            destinations,
+            "s",
+        ),
         Row::slope(
             data,
             "bytes of a scrape beside all destinations",
--- a/crates/scale/src/page/rows.rs
+++ b/crates/scale/src/page/rows.rs
@@ -10,6 +10,8 @@
 enum Behind {
     /// A slope, at a size that grows with the share of the plan, times a factor that may grow too.
     Slope { slope: Box<Slope>, name: String, size: fn(f64) -> f64, times: fn(f64) -> f64 },
+    /// The largest size that was measured, for what does not grow along the axis.
+    Largest { slope: Box<Slope>, name: String },
     /// The plan alone.
     Plan(fn(f64) -> f64),
     /// Nothing carries it.
@@ -46,6 +48,18 @@
         Row { what, unit, behind, budget: None, grows: ("", 0.0) }
     }
 
+    /// A measured figure that belongs to one sender, whatever their number: at the largest number that was run.
+    pub fn largest(
+        data: &Data, what: &'static str, (role, quantity, axis): (&str, &str, &str), unit: &'static str,
+    ) -> Self {
+        let name = format!("`{role} {quantity}` by {axis}");
+        let behind = match data.find(role, quantity, axis).filter(|slope| !slope.points.is_empty()) {
+            Some(slope) => Behind::Largest { slope: Box::new(slope.clone()), name },
+            None => Behind::Unmeasured(name),
+        };
+        Row { what, unit, behind, budget: None, grows: ("", 0.0) }
+    }
+
     /// A figure that follows from the plan alone.
     pub fn plan(what: &'static str, value: fn(f64) -> f64, unit: &'static str) -> Self {
         Row { what, unit, behind: Behind::Plan(value), budget: None, grows: ("", 0.0) }
@@ -90,6 +104,7 @@
                 // what is counted up is derived, also from a size that was measured
                 Some(Value { amount: value.amount * factor, measured: value.measured && factor == 1.0 })
             }
+            Behind::Largest { slope, .. } => slope.at(slope.most()),
             Behind::Plan(value) => Some(Value { amount: value(share), measured: false }),
             Behind::Nobody | Behind::Unmeasured(_) => None,
         }
@@ -101,7 +116,7 @@
         let value = |share: f64| match &self.behind {
             Behind::Slope { slope, size, times, .. } => Some(slope.line(size(share))? * times(share)),
             Behind::Plan(value) => Some(value(share)),
-            Behind::Nobody | Behind::Unmeasured(_) => None,
+            Behind::Largest { .. } | Behind::Nobody | Behind::Unmeasured(_) => None,
         };
         let (mut least, mut most) = (1e-7f64, 1e4f64);
         if value(least)? > budget {
@@ -135,6 +150,9 @@
                 };
                 format!("{name} up to {}{far} ({})", parted(slope.most()), slope.file)
             }
+            Behind::Largest { slope, name } => {
+                format!("{name}: of one, at {} ({})", parted(slope.most()), slope.file)
+            }
             Behind::Plan(_) => "plan".into(),
             Behind::Nobody => "—".into(),
             Behind::Unmeasured(name) => format!("{name}: not run yet"),
--- a/crates/scale/src/page/words.rs
+++ b/crates/scale/src/page/words.rs
@@ -4,8 +4,13 @@
 pub fn amount(value: f64, unit: &str) -> String {
     match unit {
         "B" | "B/s" | "B/message" => bytes(value, unit.strip_prefix('B').unwrap_or("")),
+        "bytes" | "bytes/s" => bytes(value, unit.strip_prefix("bytes").unwrap_or("")),
+        "count" => digits(value),
         "s" => seconds(value),
+        "core" if value == 1.0 => "1 core".to_string(),
         "core" => format!("{} cores", digits(value)),
+        // a small count is told to the last one
+        "" if value.fract() == 0.0 && value.abs() < 1e6 => parted(value),
         "" => digits(value),
         other => format!("{} {other}", digits(value)),
     }
