--- a/crates/scale/src/roles/list.rs
+++ b/crates/scale/src/roles/list.rs
@@ -241,12 +241,14 @@
     ])
 }
 
-/// The largest size that is taken, to a hundredth; `least` is, `most` is not.
-fn largest(mut least: u64, mut most: u64, taken: impl Fn(u64) -> Result<bool, Error>) -> Result<u64, Error> {
+/// The largest size that is taken, to such a part of it; `least` is, `most` is not.
+fn largest(
+    mut least: u64, mut most: u64, part: u64, taken: impl Fn(u64) -> Result<bool, Error>,
+) -> Result<u64, Error> {
     if taken(most)? {
         return Err(Error::Wrong(format!("{most} is taken")));
     }
-    while most - least > (least / 100).max(1) {
+    while most - least > (least / part).max(1) {
         let middle = least.midpoint(most);
         if taken(middle)? { least = middle } else { most = middle }
     }
@@ -257,7 +259,7 @@
 pub(super) fn bounds(scene: &Scene) -> Result<Vec<Point>, Error> {
     let address = free()?;
     let folder = folder()?;
-    let watch = largest(1_000, 20_000, |count| {
+    let watch = largest(1_000, 20_000, 100, |count| {
         let place = tempfile::tempdir_in(folder.path()).map_err(Error::io("a folder"))?;
         let patience = Duration::from_secs(8);
         Ok(watching(&scene.program, place.path(), line_of(count, address), patience).is_ok())
@@ -281,12 +283,12 @@
         return Err(Error::Wrong("a sound file is refused".into()));
     }
     // the check of a configuration reads no file of endpoints: a start does
-    let file = largest(200_000, 600_000, |count| {
+    let file = largest(200_000, 600_000, 100, |count| {
         let place = tempfile::tempdir_in(folder.path()).map_err(Error::io("a folder"))?;
         let told = Sidecar { limits: &limits(1_024, 1_000), list: &file_of(count, address) };
         Ok(Sender::sidecar(&scene.program, place.path(), &told).is_ok())
     })?;
-    let held = largest(1_000, 1_500_000, |held| sound(&limits(1_024, held), &short))?;
+    let held = largest(1_000, 1_500_000, u64::MAX, |held| sound(&limits(1_024, held), &short))?;
     let most = |role: &str, unit: &str, value: u64| point(role, "most", unit, "bound", 0, value as f64);
     Ok(vec![
         most("list.watch", "destinations", watch),
