Name kinds of fleet in the figures: another lease, five stewards, the list alone

The page of capacity takes a figure by role, quantity and axis: points of another kind of fleet must not stand among those of the usual one.

--- a/crates/scale/src/fleet/compare.rs
+++ b/crates/scale/src/fleet/compare.rs
@@ -26,7 +26,7 @@
     fn name(self) -> &'static str {
         match self {
             Kind::Real => "real",
-            Kind::Hollow => "hollow",
+            Kind::Hollow => "hollow, together",
             Kind::HollowApart => "hollow, a process each",
             Kind::EngineApart => "hollow with engine, a process each",
         }
--- a/crates/scale/src/fleet/report.rs
+++ b/crates/scale/src/fleet/report.rs
@@ -4,7 +4,7 @@
 use super::real::Reals;
 use super::rig::{Parts, Rig};
 use super::sheet::{Other, Sheet, other};
-use super::slopes::{DESTINATIONS, Plan, stewards};
+use super::slopes::{DESTINATIONS, LIST_BUSY, LIST_STILL, Plan, set_of, stewards};
 use crate::Error;
 use serde_json::json;
 use std::path::Path;
@@ -54,14 +54,11 @@
 
 /// Fits all figures along their axes.
 pub fn fits(sheet: &mut Sheet) {
-    let sessions = [(9, 3), (2, 3), (9, 5)];
-    let sets = sessions.map(|(lease, count)| other([("lease_s", json!(lease)), ("stewards", json!(count))]));
+    let setups = [stewards(3, 9), stewards(3, 2), stewards(5, 9)].map(set_of);
+    let kinds = [LIST_STILL, LIST_BUSY].map(|kind| other([("kind", json!(kind))]));
     for (role, quantity, term) in TERMS {
-        for set in &sets {
-            sheet.fit(role, quantity, "sessions", set, term);
-        }
-        for rate in [0.0, 10.0] {
-            sheet.fit(role, quantity, "senders", &other([("rate", json!(rate))]), term);
+        for set in setups.iter().chain(&kinds) {
+            sheet.fit(role, quantity, "senders", set, term);
         }
         sheet.fit(role, quantity, "changes/s", &Other::new(), term);
     }
@@ -87,16 +84,14 @@
 /// A file can't be written.
 pub fn plots(sheet: &Sheet, folder: &Path) -> Result<(), Error> {
     std::fs::create_dir_all(folder).map_err(Error::io(folder.display().to_string()))?;
-    let nine = other([("lease_s", json!(9)), ("stewards", json!(3))]);
-    let two = other([("lease_s", json!(2)), ("stewards", json!(3))]);
-    let five = other([("lease_s", json!(9)), ("stewards", json!(5))]);
-    let (still, busy) = (other([("rate", json!(0.0))]), other([("rate", json!(10.0))]));
+    let [nine, two, five] = [stewards(3, 9), stewards(3, 2), stewards(5, 9)].map(set_of);
+    let [still, busy] = [LIST_STILL, LIST_BUSY].map(|kind| other([("kind", json!(kind))]));
     let pieces = other([("one_line", json!(false))]);
     let none = Other::new();
     sheet.plot(
         &folder.join("fleet-sessions-cpu.svg"),
-        "Stewards: processor time by sessions",
-        "sessions",
+        "Stewards: processor time by senders with a session",
+        "senders",
         "core",
         &[
             ("leader, lease 9 s", "steward.leader", "cpu", &nine),
@@ -107,8 +102,8 @@
     )?;
     sheet.plot(
         &folder.join("fleet-sessions-bytes.svg"),
-        "Stewards: bytes by sessions, lease 9 s",
-        "sessions",
+        "Stewards: bytes by senders with a session, lease 9 s",
+        "senders",
         "bytes/s",
         &[
             ("leader, from senders", "steward.leader", "bytes_from_senders", &nine),
--- a/crates/scale/src/fleet/sheet.rs
+++ b/crates/scale/src/fleet/sheet.rs
@@ -114,6 +114,8 @@
     pub fn points(&self, role: &str, quantity: &str, axis: &str, set: &Other) -> Vec<(f64, f64)> {
         let such = |point: &&Point| {
             (point.role == role && point.quantity == quantity && point.axis == axis)
+                // another kind at the same size is a figure of its own
+                && point.other.get("kind") == set.get("kind")
                 && set.iter().all(|(name, value)| point.other.get(name) == Some(value))
         };
         let points = self
@@ -136,10 +138,14 @@
             }
             _ => None,
         })?;
+        let role = match set.get("kind").and_then(Value::as_str) {
+            Some(kind) => format!("{role}, {kind}"),
+            None => role.to_string(),
+        };
         let set: Vec<String> = set.iter().map(|(name, value)| format!("{name} {value}")).collect();
         let set = if set.is_empty() { String::new() } else { format!(" [{}]", set.join(", ")) };
         self.lines.push(Line::Fit(Fit {
-            role: role.to_string(),
+            role,
             quantity: quantity.to_string(),
             unit,
             axis: axis.to_string(),
--- a/crates/scale/src/fleet/slopes.rs
+++ b/crates/scale/src/fleet/slopes.rs
@@ -47,6 +47,22 @@
     Setup { count, lease_s, heartbeat_ms: if lease_s < 3 { 60 } else { 200 }, regions: REGIONS }
 }
 
+/// A kind of fleet: no session, and a list that does not change.
+pub const LIST_STILL: &str = "list alone, no change";
+/// A kind of fleet: no session, and ten times the usual rate of changes.
+pub const LIST_BUSY: &str = "list alone, 10 times the changes";
+
+/// What is set beside the number of senders with this group of stewards: another kind than the usual one says so.
+pub fn set_of(setup: Setup) -> Other {
+    let mut set = other([("lease_s", json!(setup.lease_s)), ("stewards", json!(setup.count))]);
+    let usual = stewards(3, 9);
+    if (setup.count, setup.lease_s) != (usual.count, usual.lease_s) {
+        let kind = format!("{} stewards, lease {} s", setup.count, setup.lease_s);
+        set.insert("kind".to_string(), json!(kind));
+    }
+    set
+}
+
 impl Plan {
     /// A fleet of so many with the usual list.
     pub fn parts(&self, senders: u64, sessions: u64, stewards: Option<Setup>) -> Parts {
@@ -82,7 +98,7 @@
             return Ok(());
         }
         let mut rig = Rig::start(&self.programs, self.parts(most, most, Some(setup)))?;
-        let set = other([("lease_s", json!(setup.lease_s)), ("stewards", json!(setup.count))]);
+        let set = set_of(setup);
         let mut begun = 0;
         for &senders in [&0].into_iter().chain(&self.sessions) {
             if senders > begun {
@@ -91,7 +107,7 @@
                     let (know, may) = rig.herd.ask(rig.discovery.version())?;
                     let report = rig.herd.report(&rig.discovery)?;
                     eprintln!("{senders} sessions, {setup:?}: {error}; refused {:?}", report.refusals);
-                    let place = Place { axis: "sessions", at: senders as f64, other: set };
+                    let place = Place { axis: "senders", at: senders as f64, other: set };
                     for (quantity, value) in [
                         ("never_well_know", know),
                         ("never_well_may_act", may),
@@ -108,12 +124,12 @@
             std::thread::sleep(SETTLE);
             let leader = rig.stewards.as_ref().and_then(super::stewards::Group::leader);
             let (before, after, _) = rig.span(self.span, RATE)?;
-            let place = Place { axis: "sessions", at: senders as f64, other: set.clone() };
+            let place = Place { axis: "senders", at: senders as f64, other: set.clone() };
             sheet.span(&place, &before, &after, senders, senders, leader);
             eprintln!("sessions {senders}, {setup:?}: leader {:.3} core", cpu_of(sheet, senders, &set));
         }
         let report = rig.herd.report(&rig.discovery)?;
-        let place = Place { axis: "sessions", at: most as f64, other: set };
+        let place = Place { axis: "senders", at: most as f64, other: set };
         for (quantity, value) in [
             ("joined", report.joined),
             ("left", report.left),
@@ -173,9 +189,9 @@
             rig.herd.report(&rig.discovery)?;
             for multiple in [0.0, 10.0] {
                 let (before, after, published) = rig.span(self.span, multiple * RATE)?;
-                let set = other([("changes_per_s", json!(published as f64 / self.span.as_secs_f64()))]);
-                let mut set = set;
-                set.insert("rate".into(), json!(multiple));
+                let kind = if multiple > 0.0 { LIST_BUSY } else { LIST_STILL };
+                let changes = published as f64 / self.span.as_secs_f64();
+                let set = other([("kind", json!(kind)), ("changes_per_s", json!(changes))]);
                 let place = Place { axis: "senders", at: senders as f64, other: set };
                 sheet.span(&place, &before, &after, senders, 0, None);
                 rig.until_all(senders, 0)?;
@@ -281,7 +297,7 @@
 }
 
 fn cpu_of(sheet: &Sheet, sessions: u64, set: &Other) -> f64 {
-    let points = sheet.points("steward.leader", "cpu", "sessions", set);
+    let points = sheet.points("steward.leader", "cpu", "senders", set);
     points.into_iter().find(|point| point.0 == sessions as f64).map_or(f64::NAN, |point| point.1)
 }
 
