--- a/crates/scale/src/fleet/faults.rs
+++ b/crates/scale/src/fleet/faults.rs
@@ -159,14 +159,22 @@
 fn restarts(stage: &mut Stage) -> Result<(), Error> {
     let count = RESTARTS.min(stage.size.senders);
     let begun = Instant::now();
-    for number in 0..count {
-        let due = begun + Duration::from_secs_f64(number as f64 / RESTART_RATE);
-        sleep(due.saturating_duration_since(Instant::now()));
-        stage.rig.herd.leave(&[number])?;
-        stage.rig.herd.begin(&[number])?;
-        if number == count / 2 {
+    let mut next = 0;
+    while next < count {
+        // one by one where the machine keeps up, and otherwise those that are due by now together
+        let due = ((begun.elapsed().as_secs_f64() * RESTART_RATE) as u64 + 1).min(count);
+        let numbers: Vec<u64> = (next..due).collect();
+        if numbers.is_empty() {
+            sleep(LOOK);
+            continue;
+        }
+        stage.rig.herd.leave(&numbers)?;
+        stage.rig.herd.begin(&numbers)?;
+        if numbers.contains(&(count / 2)) {
             stage.publish_marked()?;
         }
+        stage.look()?;
+        next = due;
     }
     stage.note(format!(
         "{count} restarts in {:.1} s, each leaves its session first",
