--- a/crates/scale/src/page/breaks.rs
+++ b/crates/scale/src/page/breaks.rs
@@ -5,6 +5,9 @@
 use super::rows::Row;
 use super::words::{amount, digits, table};
 
+/// What holds beyond so many times the plan is no matter.
+const MOST: f64 = 10.0;
+
 /// All that has a budget, with the size up to which it keeps it.
 pub fn list(data: &Data) -> String {
     let roles: [(&str, Vec<Row>); 8] = [
@@ -21,6 +24,9 @@
     for (role, rows) in &roles {
         for row in rows.iter().filter(|row| row.grows.1 > 0.0) {
             let Some(share) = row.breaks() else { continue };
+            if share > MOST {
+                continue;
+            }
             let (what, full) = row.grows;
             let cells = vec![
                 format!("{} %", digits(share * 100.0)),
--- a/crates/scale/src/page/data.rs
+++ b/crates/scale/src/page/data.rs
@@ -30,22 +30,39 @@
 const SAME: f64 = 0.03;
 
 impl Slope {
-    /// The value at a size: the mean of the points that stand there, else by the line.
+    /// The value at a size: of the points that stand there, else between the two beside it, else by the line.
     pub fn at(&self, size: f64) -> Option<Value> {
-        let near: Vec<f64> = self
-            .points
-            .iter()
-            .filter(|point| (point.at - size).abs() <= SAME * size)
-            .map(|point| point.value)
-            .collect();
-        if !near.is_empty() {
-            return Some(Value { amount: near.iter().sum::<f64>() / near.len() as f64, measured: true });
+        let measured = self.points.iter().any(|point| (point.at - size).abs() <= SAME * size);
+        Some(Value { amount: self.amount(size)?, measured })
+    }
+
+    /// The value alone.
+    pub fn amount(&self, size: f64) -> Option<f64> {
+        let points = self.means();
+        let near = points.iter().find(|(at, _)| (at - size).abs() <= SAME * size);
+        if let Some((_, value)) = near {
+            return Some(*value);
+        }
+        let beside = points.windows(2).find(|two| two[0].0 <= size && size <= two[1].0);
+        match beside {
+            Some(two) => {
+                let ((from, low), (to, high)) = (two[0], two[1]);
+                Some(low + (high - low) * (size - from) / (to - from))
+            }
+            None => self.line(size),
         }
-        Some(Value { amount: self.line(size)?, measured: false })
+    }
+
+    /// The mean of the points of each size, by size.
+    fn means(&self) -> Vec<(f64, f64)> {
+        let mut sorted: Vec<(f64, f64)> = self.points.iter().map(|point| (point.at, point.value)).collect();
+        sorted.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let same = sorted.chunk_by(|a, b| a.0 == b.0);
+        same.map(|few| (few[0].0, few.iter().map(|point| point.1).sum::<f64>() / few.len() as f64)).collect()
     }
 
     /// The value by the line alone; a line that begins below zero tells nothing of small sizes but zero.
-    pub fn line(&self, size: f64) -> Option<f64> {
+    fn line(&self, size: f64) -> Option<f64> {
         let fit = self.fit.as_ref()?;
         let form = Form::ALL.into_iter().find(|form| form.name() == fit.form)?;
         let [constant, slope] = fit.coefficients[..] else { return None };
@@ -53,8 +70,7 @@
         if slope < 0.0 {
             return Some(self.points.iter().map(|point| point.value).sum::<f64>() / self.points.len() as f64);
         }
-        let value = constant + slope * form.term(size);
-        Some(value.max(0.0))
+        Some((constant + slope * form.term(size)).max(0.0))
     }
 
     /// The largest size that was measured.
--- a/crates/scale/src/page/roles.rs
+++ b/crates/scale/src/page/roles.rs
@@ -103,14 +103,16 @@
             ("path.sockets", "resident", "destinations in use"),
             served,
             "B",
-        ),
+        )
+        .alone(),
         Row::slope(
             data,
             "memory of destinations called within 300 s, if it serves its part",
             ("destination.used", "resident", "destinations in use"),
             served,
             "B",
-        ),
+        )
+        .alone(),
         Row::slope(
             data,
             "memory of destinations called within 300 s, if it serves all",
@@ -144,6 +146,7 @@
             served,
             "B",
         )
+        .alone()
         .within(MEMORY.0, MEMORY.1),
         Row::slope(
             data,
@@ -187,6 +190,7 @@
             served,
             "s",
         )
+        .alone()
         .times(|_| 1.0 / PLAN.control_bytes)
         .within(PLAN.in_force, "plan: in force"),
         Row::slope(
@@ -196,6 +200,7 @@
             |_| 1.0,
             "B/s",
         )
+        .alone()
         .times(changes)
         .within(BYTES.0, BYTES.1)
         .by(rate.0, rate.1),
@@ -392,6 +397,7 @@
             |_| 1.0,
             "B/s",
         )
+        .alone()
         .times(|share| changes(share) * senders(share)),
     ];
     for (what, role) in [
@@ -460,9 +466,7 @@
             held,
             "s",
         ),
-        Row::slope(data, "cores in the three seconds behind it", ("restart", "beside", axis), held, "core")
-            .within(ONE.0, ONE.1)
-            .by(one.0, one.1),
+        Row::slope(data, "cores in the three seconds behind it", ("restart", "beside", axis), held, "core"),
         Row::slope(
             data,
             "the sender stands still while the journal is written anew",
--- a/crates/scale/src/page/rows.rs
+++ b/crates/scale/src/page/rows.rs
@@ -9,7 +9,7 @@
 /// What a value follows from.
 enum Behind {
     /// A slope, at a size that grows with the share of the plan, times a factor that may grow too.
-    Slope { slope: Box<Slope>, name: String, size: fn(f64) -> f64, times: fn(f64) -> f64 },
+    Slope { slope: Box<Slope>, name: String, size: fn(f64) -> f64, times: fn(f64) -> f64, alone: bool },
     /// The largest size that was measured, for what does not grow along the axis.
     Largest { slope: Box<Slope>, name: String },
     /// The plan alone.
@@ -42,7 +42,9 @@
     ) -> Self {
         let name = format!("`{role} {quantity}` by {axis}");
         let behind = match data.find(role, quantity, axis) {
-            Some(slope) => Behind::Slope { slope: Box::new(slope.clone()), name, size, times: once },
+            Some(slope) => {
+                Behind::Slope { slope: Box::new(slope.clone()), name, size, times: once, alone: false }
+            }
             None => Behind::Unmeasured(name),
         };
         Row { what, unit, behind, budget: None, grows: ("", 0.0) }
@@ -70,6 +72,14 @@
         Row { what, unit: "", behind: Behind::Nobody, budget: None, grows: ("", 0.0) }
     }
 
+    /// By what one more costs alone: the part that does not grow belongs to something else.
+    pub fn alone(mut self) -> Self {
+        if let Behind::Slope { alone, .. } = &mut self.behind {
+            *alone = true;
+        }
+        self
+    }
+
     /// So often, such as so many a second.
     pub fn times(mut self, factor: fn(f64) -> f64) -> Self {
         if let Behind::Slope { times, .. } = &mut self.behind {
@@ -98,6 +108,10 @@
     /// Its value at a share of the plan.
     pub fn at(&self, share: f64) -> Option<Value> {
         match &self.behind {
+            Behind::Slope { slope, size, times, alone: true, .. } => {
+                let amount = slope.each()? * size(share) * times(share);
+                Some(Value { amount, measured: false })
+            }
             Behind::Slope { slope, size, times, .. } => {
                 let value = slope.at(size(share))?;
                 let factor = times(share);
@@ -110,14 +124,13 @@
         }
     }
 
-    /// The share of the plan up to which it stays within its budget: by the line, beyond what was measured too.
+    /// The share of the plan up to which it stays within its budget: beyond what was measured by the line.
     pub fn breaks(&self) -> Option<f64> {
         let (budget, _) = self.budget?;
-        let value = |share: f64| match &self.behind {
-            Behind::Slope { slope, size, times, .. } => Some(slope.line(size(share))? * times(share)),
-            Behind::Plan(value) => Some(value(share)),
-            Behind::Largest { .. } | Behind::Nobody | Behind::Unmeasured(_) => None,
-        };
+        if let Behind::Largest { .. } = self.behind {
+            return None;
+        }
+        let value = |share: f64| self.at(share).map(|value| value.amount);
         let (mut least, mut most) = (1e-7f64, 1e4f64);
         if value(least)? > budget {
             return Some(0.0);
--- a/crates/scale/src/page/words.rs
+++ b/crates/scale/src/page/words.rs
@@ -8,6 +8,7 @@
         "count" => digits(value),
         "s" => seconds(value),
         "core" if value == 1.0 => "1 core".to_string(),
+        "core" if value > 0.0 && value < 1e-3 => format!("{} µcores", digits(value * 1e6)),
         "core" => format!("{} cores", digits(value)),
         // a small count is told to the last one
         "" if value.fract() == 0.0 && value.abs() < 1e6 => parted(value),
@@ -20,6 +21,8 @@
     let steps = [(1e15, "PB"), (1e12, "TB"), (1e9, "GB"), (1e6, "MB"), (1e3, "KB")];
     match steps.iter().find(|(step, _)| value.abs() >= *step) {
         Some((step, name)) => format!("{} {name}{per}", digits(value / step)),
+        // parts of a byte are noise
+        None if value.abs() < 0.01 => format!("0 B{per}"),
         None => format!("{} B{per}", digits(value)),
     }
 }
