Run the faults with 200 hollow senders a process: one thread of 2,000 was what they waited for

A trial with 2,000 in one process lost 347 of 900 sessions in 1,000 restarts: the process took a whole core, so renewals came late. Each fault now says how busy the processes of hollow senders were.

--- a/crates/scale/src/fleet/faults.rs
+++ b/crates/scale/src/fleet/faults.rs
@@ -26,6 +26,8 @@
     pub sessions: u64,
     /// Real senders that deliver.
     pub real: u64,
+    /// Hollow senders in one process.
+    pub each: u64,
 }
 
 /// A zone: 3.2% of the senders, one of so many.
@@ -63,8 +65,8 @@
 pub fn run(plan: &Plan, sheet: &mut Sheet, size: Size, only: &[String], out: &Path) -> Result<(), Error> {
     let chosen = |name: &str| only.is_empty() || only.iter().any(|word| name.contains(word.as_str()));
     if FAULTS.iter().any(|(name, _)| chosen(name)) {
-        let mut rig =
-            Rig::start(&plan.programs, plan.parts(size.senders, size.sessions, Some(stewards(3, 9))))?;
+        let parts = plan.parts(size.senders, size.sessions, Some(stewards(3, 9)));
+        let mut rig = Rig::start(&plan.programs, Parts { each: size.each, ..parts })?;
         rig.begin(0..size.senders)?;
         let group = rig.stewards.as_ref().ok_or_else(|| Error::Wrong("no stewards".into()))?;
         let (discovery, addresses) = (rig.discovery.addresses[0], group.addresses(0));
@@ -290,7 +292,8 @@
     let (before, after, _) = rig.span(Duration::from_secs(5), RATE)?;
     rig.until_all(senders, 0)?;
     rig.herd.report(&rig.discovery)?;
-    let mut stage = Stage::new(rig, Size { senders, sessions: 0, real: 0 }, mean(&before, &after));
+    let mut stage =
+        Stage::new(rig, Size { senders, sessions: 0, real: 0, each: senders }, mean(&before, &after));
     stage.begin(name)?;
     stage.all_regions(Way::Down);
     sleep(Duration::from_secs(10));
--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -103,6 +103,9 @@
     /// Real senders beside them, which deliver.
     #[arg(long, default_value_t = 20)]
     real: u64,
+    /// Hollow senders in one process: one thread serves them, and must not be what senders wait for.
+    #[arg(long, default_value_t = 200)]
+    each: u64,
     /// Which faults are run; all unless said otherwise.
     #[arg(long, value_delimiter = ',')]
     only: Vec<String>,
@@ -182,7 +185,8 @@
 /// What kept it from its figures.
 pub fn faults(words: &Faults) -> Result<(), Error> {
     let plan = words.common.plan()?;
-    let size = faults::Size { senders: words.senders, sessions: words.sessions, real: words.real };
+    let size =
+        faults::Size { senders: words.senders, sessions: words.sessions, real: words.real, each: words.each };
     let mut sheet = Sheet::default();
     sheet.lines.push(Line::Head(head(plan.seed)?));
     faults::run(&plan, &mut sheet, size, &words.only, &words.common.out)
--- a/crates/scale/src/fleet/stage.rs
+++ b/crates/scale/src/fleet/stage.rs
@@ -49,6 +49,8 @@
     /// Processor time of the stewards at the last look, and the highest second so far.
     cpu: Option<(Instant, f64)>,
     cpu_peak: f64,
+    /// Processor time of the hollow senders as the fault began.
+    herd: (Instant, f64),
     /// When the next change of the usual rate is due.
     next: Instant,
 }
@@ -66,6 +68,7 @@
             collected: Report::default(),
             cpu: None,
             cpu_peak: 0.0,
+            herd: (Instant::now(), 0.0),
             next: Instant::now(),
         }
     }
@@ -79,6 +82,7 @@
         (self.name, self.begun, self.notes) = (name.to_string(), now().0, Vec::new());
         (self.collected, self.cpu, self.cpu_peak) = (Report::default(), None, 0.0);
         self.rig.ways.late_s();
+        self.herd = (Instant::now(), self.rig.herd.cost()?.cpu_s);
         self.next = Instant::now();
         self.look()
     }
@@ -266,6 +270,10 @@
             .map(|(name, peak, mean)| (name.to_string(), peak / mean))
             .collect();
         let mut notes = std::mem::take(&mut self.notes);
+        let (from, before) = self.herd;
+        let (cpu, processes) = (self.rig.herd.cost()?.cpu_s - before, self.rig.herd.ids().len());
+        let load = cpu / processes.max(1) as f64 / from.elapsed().as_secs_f64();
+        notes.push(format!("{processes} processes of hollow senders, {load:.2} core each"));
         notes.push(format!("this machine was late by up to {:.2} s", self.rig.ways.late_s()));
         notes.push(format!("{} senders heard the marked change", marked.count));
         if self.size.sessions > 0 {
