--- a/crates/scale/src/page/events.rs
+++ b/crates/scale/src/page/events.rs
@@ -25,8 +25,9 @@
     fn moves(&self) -> String {
         let (senders, held) = (self.senders, self.senders * PLAN.held());
         format!(
-            "*{}* senders, *{}* destinations without a server, *{}* events held in their folders",
+            "*{}* {}, *{}* destinations without a server, *{}* events held in their folders",
             parted(senders),
+            if senders == 1.0 { "sender" } else { "senders" },
             parted(senders * PLAN.served()),
             amount(held, "")
         )
@@ -40,8 +41,11 @@
 /// The table of events.
 pub fn list(data: &Data) -> String {
     let ready = |senders: f64| shown(data, ("restart", "ready", "messages held"), PLAN.held(), senders, "s");
-    let wire =
-        |entries: f64, times: f64| shown(data, ("list.watch", "wire", "destinations"), entries, times, "B");
+    let entry_bytes = data.find("list.watch", "wire", "destinations").and_then(|slope| slope.each());
+    let told = |value: Option<f64>, unit: &str| match value {
+        Some(value) => format!("*{}*", amount(value, unit)),
+        None => "not run yet".to_string(),
+    };
     let one = Gone { senders: 1.0 };
     let (rack, zone, region) =
         (Gone { senders: RACK }, Gone { senders: PLAN.zone() }, Gone { senders: PLAN.region() });
@@ -116,16 +120,13 @@
             format!(
                 "*{}* changes missed; {} for each of its senders to catch up if it hears all; about *{}* of these changes are its own",
                 parted(missed),
-                wire(1.0, missed),
+                told(entry_bytes.map(|bytes| missed * bytes), "B"),
                 amount(missed * PLAN.served() / PLAN.destinations, "")
             ),
             format!(
-                "*{}*, and *{}* of bytes at 6 KB/s behind it",
+                "*{}*, and {} of bytes at 6 KB/s behind it",
                 amount(PLAN.cut, "s"),
-                match data.find("list.watch", "wire", "destinations").and_then(|slope| slope.each()) {
-                    Some(each) => amount(missed * each / PLAN.control_bytes, "s"),
-                    None => "not run yet".into(),
-                }
+                told(entry_bytes.map(|bytes| missed * bytes / PLAN.control_bytes), "s")
             ),
             "no new owners there; what it owns rests when its leases end; delivery goes on".to_string(),
         ),
@@ -134,11 +135,13 @@
             format!("*{}* sessions, no change in force", parted(PLAN.senders)),
             format!("*{}* sessions opened again, an entry of the book each ({entry})", parted(PLAN.senders)),
             format!(
-                "at least *{}* at one core of the leader, by the cost of an entry",
-                match data.find("steward.leader", "entry", "entries").and_then(|slope| slope.at(1.0)) {
-                    Some(entry) => amount(entry.amount * PLAN.senders / CORE, "s"),
-                    None => "not run yet".into(),
-                }
+                "at least {} at one core of the leader, by the cost of an entry",
+                told(
+                    data.find("steward.leader", "entry", "entries")
+                        .and_then(|slope| slope.at(1.0))
+                        .map(|entry| entry.amount * PLAN.senders / CORE),
+                    "s"
+                )
             ),
             "delivery goes on with what each sender knew last".to_string(),
         ),
