--- a/crates/scale/src/fleet/hollow.rs
+++ b/crates/scale/src/fleet/hollow.rs
@@ -9,7 +9,7 @@
 use milletturn_fleet_wire::clock::now;
 use milletturn_member::{Member, Stewards};
 use milletturn_platform::Asking;
-use milletturn_platform::agent;
+use milletturn_platform::agent::{self, Tcp};
 use milletturn_platform::config::{Config, reload};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -249,7 +249,7 @@
         let (inputs, mut listed) = mpsc::unbounded_channel();
         let seed = common.seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let asking = Asking::new(config.settings.senders, !config.settings.list_on_request, seed);
-        tasks.push(spawn_local(agent::watch(agents, 0, asking, inputs)).abort_handle());
+        tasks.push(spawn_local(agent::watch(Tcp, agents, 0, asking, inputs)).abort_handle());
         let (told, marks) = (tally.clone(), self.marks.clone());
         if common.engines {
             tasks.extend(bare::start(&config, listed, told, marks)?);
