--- a/crates/scale/src/page/breaks.rs
+++ b/crates/scale/src/page/breaks.rs
@@ -1,6 +1,7 @@
 //! What breaks at which size, in order.
 
 use super::data::Data;
+use super::kept;
 use super::roles;
 use super::rows::Row;
 use super::words::{amount, digits, table};
@@ -16,9 +17,9 @@
         ("steward", roles::steward(data)),
         ("between", roles::between(data)),
         ("discovery", roles::discovery(data)),
-        ("journal", roles::journal(data)),
-        ("undelivered", roles::undelivered(data)),
-        ("figures", roles::figures(data)),
+        ("journal", kept::journal(data)),
+        ("undelivered", kept::undelivered(data)),
+        ("figures", kept::figures(data)),
     ];
     let mut found: Vec<(f64, Vec<String>)> = Vec::new();
     for (role, rows) in &roles {
--- a/crates/scale/src/page/mod.rs
+++ b/crates/scale/src/page/mod.rs
@@ -6,6 +6,7 @@
 mod breaks;
 mod data;
 mod events;
+mod kept;
 mod plan;
 mod roles;
 mod rows;
@@ -103,9 +104,9 @@
         "steward" => rows::shown(&roles::steward(data)),
         "between" => rows::shown(&roles::between(data)),
         "discovery" => rows::shown(&roles::discovery(data)),
-        "journal" => rows::shown(&roles::journal(data)),
-        "undelivered" => rows::shown(&roles::undelivered(data)),
-        "figures" => rows::shown(&roles::figures(data)),
+        "journal" => rows::shown(&kept::journal(data)),
+        "undelivered" => rows::shown(&kept::undelivered(data)),
+        "figures" => rows::shown(&kept::figures(data)),
         "events" => events::list(data),
         "breaks" => breaks::list(data),
         "slopes" => slopes(data),
