--- a/crates/scale/src/page/mod.rs
+++ b/crates/scale/src/page/mod.rs
@@ -10,6 +10,7 @@
 mod plan;
 mod roles;
 mod rows;
+mod sums;
 mod words;
 
 use crate::Error;
@@ -108,6 +109,7 @@
         "undelivered" => rows::shown(&kept::undelivered(data)),
         "figures" => rows::shown(&kept::figures(data)),
         "events" => events::list(data),
+        "sums" => sums::list(data),
         "breaks" => breaks::list(data),
         "slopes" => slopes(data),
         "faults" => faults(data),
--- a/crates/scale/src/page/roles.rs
+++ b/crates/scale/src/page/roles.rs
@@ -418,7 +418,7 @@
     }
     for (what, quantity, unit) in [
         ("processor of a stand-in source, a watch for each sender", "cpu", "core"),
-        ("bytes a second out of it", "bytes_out", "B/s"),
+        ("messages a second out of it", "messages", "/s"),
     ] {
         rows.push(Row::slope(data, what, ("stand-in.discovery", quantity, "senders"), senders, unit));
     }
--- a/crates/scale/src/page/words.rs
+++ b/crates/scale/src/page/words.rs
@@ -8,7 +8,7 @@
         "count" => digits(value),
         "s" => seconds(value),
         "core" if value == 1.0 => "1 core".to_string(),
-        "core" if value > 0.0 && value < 1e-3 => format!("{} µcores", digits(value * 1e6)),
+        "core" if value != 0.0 && value.abs() < 1e-3 => format!("{} µcores", digits(value * 1e6)),
         "core" => format!("{} cores", digits(value)),
         // a small count is told to the last one
         "" if value.fract() == 0.0 && value.abs() < 1e6 => parted(value),
