--- a/crates/scale/src/fleet/faults.rs
+++ b/crates/scale/src/fleet/faults.rs
@@ -96,15 +96,21 @@
             write(out, &sheet.lines)?;
         }
         clients.iter().for_each(tokio::task::AbortHandle::abort);
-        sleep(Duration::from_secs(2));
+        // a message has 20 s, and its notice may have to wait for discovery
+        sleep(Duration::from_secs(22));
+        let noticed = stage.rig.discovery.notices();
         let ((handed, taken), (seen, again)) = (reals.handed(), stage.rig.endpoint.seen());
         eprintln!(
-            "real senders: {handed} handed in, {taken} taken on, {seen} delivered, {again} calls beyond"
+            "real senders: {handed} handed in, {taken} taken on, {seen} delivered, {noticed} notices, {again} calls beyond"
         );
         let place = super::sheet::Place { axis: "senders", at: size.real as f64, other: Default::default() };
-        for (quantity, value) in
-            [("handed", handed), ("taken", taken), ("delivered", seen), ("called_again", again)]
-        {
+        for (quantity, value) in [
+            ("handed", handed),
+            ("taken", taken),
+            ("delivered", seen),
+            ("called_again", again),
+            ("noticed", noticed),
+        ] {
             sheet.point("sender.real", quantity, "count", &place, value as f64);
         }
         write(out, &sheet.lines)?;
