--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -77,7 +77,7 @@
     /// Destinations of the list.
     #[arg(long, value_delimiter = ',', default_value = "1000,5000,10000,50000,200000,1700000")]
     destinations: Vec<u64>,
-    /// Which parts are run.
+    /// Which parts are run. `refit` alone: none; the points that the file has are fitted and drawn anew.
     #[arg(
         long,
         value_delimiter = ',',
@@ -152,7 +152,18 @@
         ..words.common.plan()?
     };
     let mut sheet = Sheet::default();
-    sheet.lines.push(Line::Head(head(plan.seed)?));
+    let refit = words.parts.iter().any(|part| part == "refit");
+    if refit {
+        // what was measured stays, with its head
+        sheet.lines = crate::figures::read(&words.common.out)?;
+        sheet.lines.retain(|line| match line {
+            Line::Fit(_) => false,
+            Line::Point(point) => !(point.role == "sender" && point.at == 0.0),
+            _ => true,
+        });
+    } else {
+        sheet.lines.push(Line::Head(head(plan.seed)?));
+    }
     let middle = [250, 500, 1000].into_iter().filter(|size| Some(size) <= plan.sessions.iter().max());
     let few = Plan { sessions: middle.collect(), ..plan.clone() };
     for part in &words.parts {
@@ -167,6 +178,7 @@
             "rates" => plan.by_rate(&mut sheet, 1_000)?,
             "destinations" => plan.by_destinations(&mut sheet)?,
             "reloads" => plan.reloads(&mut sheet, 1_000)?,
+            "refit" => {}
             other => return Err(Error::Wrong(format!("no part is named {other:?}"))),
         }
         write(&words.common.out, &sheet.lines)?;
--- a/crates/scale/src/fleet/sheet.rs
+++ b/crates/scale/src/fleet/sheet.rs
@@ -76,6 +76,9 @@
                 self.point(role, quantity, unit, place, value);
             }
         }
+        if senders == 0 {
+            return;
+        }
         let all = |of: fn(&Reading) -> super::meter::Passed| of(after) - of(before);
         let list = all(|reading| reading.list);
         let session =
