A figure that never came is read as such, and left out of the tables

A run of lists that a sender can't take writes null for its time; the page's reader ended there (seen: line 327 'invalid type: null' with the mend taken out).

--- a/crates/scale/src/figures.rs
+++ b/crates/scale/src/figures.rs
@@ -1,7 +1,7 @@
 //! The lines of a file of figures (`docs/capacity/NAME.jsonl`): the head first, then points, fits and faults.
 
 use crate::Error;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
@@ -53,7 +53,8 @@
     pub axis: String,
     /// Its size here.
     pub at: f64,
-    /// The figure.
+    /// The figure; not a number where it never came, which a file has as `null`.
+    #[serde(deserialize_with = "or_never")]
     pub value: f64,
     /// What else was set.
     #[serde(default)]
@@ -108,6 +109,10 @@
     pub note: String,
 }
 
+fn or_never<'a, D: Deserializer<'a>>(from: D) -> Result<f64, D::Error> {
+    Ok(Option::<f64>::deserialize(from)?.unwrap_or(f64::NAN))
+}
+
 /// Reads a file of figures.
 ///
 /// # Errors
@@ -127,7 +132,7 @@
 /// Writes a file of figures, the one before it replaced whole.
 ///
 /// # Errors
-/// The file can't be written, or a figure is none (not a number, infinite).
+/// The file can't be written.
 pub fn write(path: &Path, lines: &[Line]) -> Result<(), Error> {
     let mut text = String::new();
     for line in lines {
--- a/crates/scale/src/page/data.rs
+++ b/crates/scale/src/page/data.rs
@@ -126,21 +126,19 @@
                 return Err(Error::Wrong(format!("{name} does not begin with a head")));
             };
             data.heads.push((name.clone(), head.clone()));
-            data.take(&name, lines)?;
+            data.take(&name, lines);
         }
         Ok(data)
     }
 
-    fn take(&mut self, file: &str, lines: Vec<Line>) -> Result<(), Error> {
+    fn take(&mut self, file: &str, lines: Vec<Line>) {
         for line in lines {
             match line {
                 Line::Head(_) => {}
                 Line::Point(point) => {
+                    // what never came is no figure to draw a line through
                     if !point.value.is_finite() {
-                        return Err(Error::Wrong(format!(
-                            "{file}: {} {} is no number",
-                            point.role, point.quantity
-                        )));
+                        continue;
                     }
                     let role = role_of(&point);
                     self.slope(file, (&role, &point.quantity, &point.axis)).points.push(point);
@@ -151,7 +149,6 @@
                 Line::Fault(fault) => self.faults.push((file.to_string(), fault)),
             }
         }
-        Ok(())
     }
 
     fn slope(&mut self, file: &str, (role, quantity, axis): (&str, &str, &str)) -> &mut Slope {
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -61,6 +61,18 @@
         check(&page, folder.path()).expect_err("another figure makes another page");
     }
 
+    // a figure that never came stands as null in a file, and in no table
+    let mut lines = sound.clone();
+    let last = lines.iter_mut().rev().find_map(|line| match line {
+        Line::Point(point) => Some(point),
+        _ => None,
+    });
+    last.expect("a point").value = f64::NAN;
+    write(&file, &lines).expect("written");
+    let again = read(&file).expect("read again");
+    assert_eq!(again.len(), sound.len());
+    made("<!-- made: breaks -->\n<!-- end -->\n", folder.path()).expect("it is left out");
+
     let by_hand = folder.path().join("page.md");
     let text = std::fs::read_to_string(&page).expect("the page");
     let at = text.find("| **").expect("a measured figure") + "| **".len();
