--- a/crates/scale/src/fleet/faults.rs
+++ b/crates/scale/src/fleet/faults.rs
@@ -96,15 +96,21 @@
             write(out, &sheet.lines)?;
         }
         clients.iter().for_each(tokio::task::AbortHandle::abort);
-        sleep(Duration::from_secs(2));
+        // a message has 20 s, and its notice may have to wait for discovery
+        sleep(Duration::from_secs(22));
+        let noticed = stage.rig.discovery.notices();
         let ((handed, taken), (seen, again)) = (reals.handed(), stage.rig.endpoint.seen());
         eprintln!(
-            "real senders: {handed} handed in, {taken} taken on, {seen} delivered, {again} calls beyond"
+            "real senders: {handed} handed in, {taken} taken on, {seen} delivered, {noticed} notices, {again} calls beyond"
         );
         let place = super::sheet::Place { axis: "senders", at: size.real as f64, other: Default::default() };
-        for (quantity, value) in
-            [("handed", handed), ("taken", taken), ("delivered", seen), ("called_again", again)]
-        {
+        for (quantity, value) in [
+            ("handed", handed),
+            ("taken", taken),
+            ("delivered", seen),
+            ("called_again", again),
+            ("noticed", noticed),
+        ] {
             sheet.point("sender.real", quantity, "count", &place, value as f64);
         }
         write(out, &sheet.lines)?;
@@ -203,11 +209,11 @@
 }
 
 fn leader_killed(stage: &mut Stage) -> Result<(), Error> {
-    let leader = stage.group()?.until_led()?;
+    let leader = stage.until_led()?;
     stage.group_mut()?.kill(leader);
     let begun = Instant::now();
     stage.publish_marked()?;
-    let next = stage.group()?.until_led()?;
+    let next = stage.until_led()?;
     stage.note(format!("steward {} led {:.2} s later", next + 1, begun.elapsed().as_secs_f64()));
     stage.until_well()?;
     // renewals of a whole lease pass under the new leader
@@ -258,7 +264,7 @@
 }
 
 fn stalled(stage: &mut Stage) -> Result<(), Error> {
-    let leader = stage.group()?.until_led()?;
+    let leader = stage.until_led()?;
     stage.group()?.process(leader)?.signal(Signal::STOP)?;
     stage.publish_marked()?;
     stage.pass(AWAY)?;
@@ -276,7 +282,7 @@
         }
         stage.pass(Duration::from_secs(1))?;
         stage.group_mut()?.start_one(place)?;
-        stage.group()?.until_led()?;
+        stage.until_led()?;
         stage.pass(Duration::from_secs(2))?;
     }
     stage.note("each steward killed and started again on its disk; an empty disk has no way in".to_string());
