Keep each client's descriptor within its share until it is closed; figures of relays at size

A connection that was to be closed had given its share back before it had another one, and what was closed or turned away had no bound (door.rs, serve and close); in small limits the one that is being accepted had no share (budget.rs). Change: the share goes with the stream until there is another or it is closed.

--- a/crates/platform/src/budget.rs
+++ b/crates/platform/src/budget.rs
@@ -28,11 +28,13 @@
     /// The shares of so many descriptors and bytes, for a sender with so many slots for calls.
     pub fn new(sockets: usize, memory: u64, slots: usize) -> Self {
         let room = sockets.saturating_sub(Self::REST);
-        // a tenth stays free: a closed socket counts until its task has run, an accepted one before it has a place
         let clients = (room * 2 / 5).max(1);
-        // half of that tenth, in two parts
+        // half of a tenth, in two parts
         let beside = (room / 10 / 4).max(1);
-        let endpoints = (room - room / 10).saturating_sub(clients).max(1);
+        // a tenth stays free: a closed socket counts until its task has run. Of a small number it is more: those beside,
+        // and one that is accepted before it waits for a place
+        let free = (room / 10).max(2 * beside + 1);
+        let endpoints = room.saturating_sub(free + clients).max(1);
         // calls come first; a quarter of the connections may be idle even where slots are many
         let idle = endpoints.saturating_sub(slots).max(endpoints / 4);
         let bodies = usize::try_from(memory / 8).unwrap_or(usize::MAX);
@@ -48,11 +50,11 @@
     fn the_parts_never_exceed_the_descriptors() {
         // guards against shares that are each sound and together too much: 256 once had to bear 128 clients,
         // 200 idle connections and the calls
-        for sockets in [64, 256, 384, 1024, 65_536] {
+        for sockets in [50, 64, 256, 384, 1024, 65_536] {
             for slots in [3, 40, 120, 2000] {
                 let budget = Budget::new(sockets, 32_000_000, slots);
                 assert!(
-                    budget.clients + 2 * budget.beside + budget.endpoints + Budget::REST < sockets,
+                    budget.clients + 2 * budget.beside + 1 + budget.endpoints + Budget::REST <= sockets,
                     "{sockets}: {budget:?}"
                 );
                 assert!(budget.idle > 0 && budget.idle <= budget.endpoints, "{sockets}: {budget:?}");
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -214,25 +214,25 @@
                 Some(permit) => Some(permit),
                 None => places.get(&server.places).await,
             };
-            drop(waits);
-            let left = match permit {
+            // its descriptor has one share of the budget from its accept to its end
+            let (left, share) = match permit {
                 Some(permit) => {
+                    drop(waits);
                     let place = Rc::new(Place::new());
                     places.open.borrow_mut().insert(number, place.clone());
                     let left = serve_one(stream, &server, &places, place).await;
                     places.open.borrow_mut().remove(&number);
-                    drop(permit);
-                    left
+                    (left, Some(permit))
                 }
                 None => {
                     faults.log(format_args!("clients: all {} places have an open request", server.most));
                     // one that does not take these few bytes has no use for them
                     let _ = stream.try_write(TURNED_AWAY);
-                    Some(stream)
+                    (Some(stream), waits)
                 }
             };
             if let Some(stream) = left {
-                close(stream, &server.closed).await;
+                close(stream, share, &server.closed).await;
             }
             drop(inside);
         });
@@ -311,14 +311,22 @@
 }
 
 /// Closes a connection with no reset, which would take an answer with it that the client has not read: ends the
-/// sending, and reads what still comes for a while.
-async fn close(mut stream: TcpStream, closed: &Arc<Semaphore>) {
+/// sending, and reads what still comes for a while. Its share is given back when there is another for that while, or
+/// when it is closed.
+async fn close(mut stream: TcpStream, share: Option<OwnedSemaphorePermit>, closed: &Arc<Semaphore>) {
     // one that is gone needs no end
     let _ = stream.shutdown().await;
     let time = match closed.clone().try_acquire_owned() {
-        Ok(_beside) => timeout(LINGER, read_off(&mut stream)).await,
+        Ok(_beside) => {
+            drop(share);
+            timeout(LINGER, read_off(&mut stream)).await
+        }
         // no descriptor may rest any longer: only what is here already
-        Err(_) => timeout(Duration::ZERO, read_off(&mut stream)).await,
+        Err(_) => {
+            let read = timeout(Duration::ZERO, read_off(&mut stream)).await;
+            drop((stream, share));
+            read
+        }
     };
     // its client has not ended in time: what more it writes is reset
     drop(time);
--- a/crates/scale/src/page/roles.rs
+++ b/crates/scale/src/page/roles.rs
@@ -3,7 +3,7 @@
 use super::data::Data;
 use super::plan::{CALL, CORE, IDLE, LEASE, PLAN, REST, SOCKETS};
 use super::rows::Row;
-use milletturn_fleet::bounds::{SESSIONS, WORKS};
+use milletturn_fleet::bounds::{DIRECT, RELAYED, SESSIONS, WORKS};
 
 const MEMORY: (f64, &str) = (PLAN.control_memory, "plan: control of a sender");
 const CORES: (f64, &str) = (PLAN.control_cores, "plan: control of a sender");
@@ -274,13 +274,38 @@
         Row::plan("sessions", senders, "")
             .within(SESSIONS as f64, "`milletturn-fleet` `bounds::SESSIONS`")
             .by(all.0, all.1),
+        Row::plan("members, if none has a relay", senders, "")
+            .within(DIRECT as f64, "`milletturn-fleet` `bounds::DIRECT`")
+            .by(all.0, all.1),
         Row::plan("pieces of work, one for each destination", destinations, "")
             .within(WORKS as f64, "`milletturn-fleet` `bounds::WORKS`")
             .by("destinations", PLAN.destinations),
         Row::plan("renewals a second, four in each lease of 9 s", |share| senders(share) * 4.0 / LEASE, "/s"),
-        Row::slope(data, "processor of the leader", ("steward.leader", "cpu", "senders"), senders, "core")
-            .within(ONE.0, ONE.1)
-            .by(all.0, all.1),
+        Row::slope(
+            data,
+            "processor of the leader, members behind relays",
+            ("steward.leader", "cpu", "sessions"),
+            senders,
+            "core",
+        )
+        .within(ONE.0, ONE.1)
+        .by(all.0, all.1),
+        Row::slope(
+            data,
+            "memory of the leader, members behind relays",
+            ("steward.leader", "resident", "sessions"),
+            senders,
+            "B",
+        ),
+        Row::slope(
+            data,
+            "processor of the leader, no relays",
+            ("steward.leader", "cpu", "senders"),
+            senders,
+            "core",
+        )
+        .within(ONE.0, ONE.1)
+        .by(all.0, all.1),
         Row::slope(data, "memory of the leader", ("steward.leader", "resident", "senders"), senders, "B"),
         Row::slope(
             data,
@@ -342,12 +367,23 @@
 }
 
 /// Whatever stands between stewards and senders.
-pub fn between(_: &Data) -> Vec<Row> {
+pub fn between(data: &Data) -> Vec<Row> {
+    // all have eight relays behind the figures
+    let relay = |what, quantity, unit| Row::slope(data, what, ("relay", quantity, "sessions"), senders, unit);
     vec![
         Row::nobody("who serves which destination"),
         Row::nobody("the carrier of numbered changes to a sender"),
         Row::nobody("digests of ranges, to catch up"),
-        Row::nobody("a relay that answers renewals for many senders"),
+        relay(
+            "renewals of members (`milletturn-relay`, `fleet::Relay`): processor of each of 8",
+            "cpu",
+            "core",
+        )
+        .within(ONE.0, ONE.1),
+        relay("memory of each of 8 relays", "resident", "B"),
+        relay("descriptors of each of 8 relays", "descriptors", "")
+            .within(RELAYED as f64, "`milletturn-fleet` `bounds::RELAYED`"),
+        relay("messages a second of each of 8 relays", "messages", "/s"),
         Row::plan("senders of one machine, all 19 up", |share| senders(share) / PLAN.machines, ""),
         Row::plan(
             "senders of one machine, three away",
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -112,7 +112,7 @@
     let answer = answer_to(address, &call("GET", "/v1/relay", "trial", "1", ""));
     let body = answer.split("\r\n\r\n").nth(1).unwrap_or_default();
     let status: RelayStatus = serde_json::from_str(body).expect("a relay's figures");
-    status.batches - status.unanswered - u64::from(status.waiting > 0)
+    status.batches.saturating_sub(status.unanswered + u64::from(status.waiting > 0))
 }
 
 #[test]
