--- a/crates/scale/src/fleet/faults.rs
+++ b/crates/scale/src/fleet/faults.rs
@@ -26,6 +26,8 @@
     pub sessions: u64,
     /// Real senders that deliver.
     pub real: u64,
+    /// Hollow senders in one process.
+    pub each: u64,
 }
 
 /// A zone: 3.2% of the senders, one of so many.
@@ -63,8 +65,8 @@
 pub fn run(plan: &Plan, sheet: &mut Sheet, size: Size, only: &[String], out: &Path) -> Result<(), Error> {
     let chosen = |name: &str| only.is_empty() || only.iter().any(|word| name.contains(word.as_str()));
     if FAULTS.iter().any(|(name, _)| chosen(name)) {
-        let mut rig =
-            Rig::start(&plan.programs, plan.parts(size.senders, size.sessions, Some(stewards(3, 9))))?;
+        let parts = plan.parts(size.senders, size.sessions, Some(stewards(3, 9)));
+        let mut rig = Rig::start(&plan.programs, Parts { each: size.each, ..parts })?;
         rig.begin(0..size.senders)?;
         let group = rig.stewards.as_ref().ok_or_else(|| Error::Wrong("no stewards".into()))?;
         let (discovery, addresses) = (rig.discovery.addresses[0], group.addresses(0));
@@ -94,15 +96,21 @@
             write(out, &sheet.lines)?;
         }
         clients.iter().for_each(tokio::task::AbortHandle::abort);
-        sleep(Duration::from_secs(2));
+        // a message has 20 s, and its notice may have to wait for discovery
+        sleep(Duration::from_secs(22));
+        let noticed = stage.rig.discovery.notices();
         let ((handed, taken), (seen, again)) = (reals.handed(), stage.rig.endpoint.seen());
         eprintln!(
-            "real senders: {handed} handed in, {taken} taken on, {seen} delivered, {again} calls beyond"
+            "real senders: {handed} handed in, {taken} taken on, {seen} delivered, {noticed} notices, {again} calls beyond"
         );
         let place = super::sheet::Place { axis: "senders", at: size.real as f64, other: Default::default() };
-        for (quantity, value) in
-            [("handed", handed), ("taken", taken), ("delivered", seen), ("called_again", again)]
-        {
+        for (quantity, value) in [
+            ("handed", handed),
+            ("taken", taken),
+            ("delivered", seen),
+            ("called_again", again),
+            ("noticed", noticed),
+        ] {
             sheet.point("sender.real", quantity, "count", &place, value as f64);
         }
         write(out, &sheet.lines)?;
@@ -159,14 +167,22 @@
 fn restarts(stage: &mut Stage) -> Result<(), Error> {
     let count = RESTARTS.min(stage.size.senders);
     let begun = Instant::now();
-    for number in 0..count {
-        let due = begun + Duration::from_secs_f64(number as f64 / RESTART_RATE);
-        sleep(due.saturating_duration_since(Instant::now()));
-        stage.rig.herd.leave(&[number])?;
-        stage.rig.herd.begin(&[number])?;
-        if number == count / 2 {
+    let mut next = 0;
+    while next < count {
+        // one by one where the machine keeps up, and otherwise those that are due by now together
+        let due = ((begun.elapsed().as_secs_f64() * RESTART_RATE) as u64 + 1).min(count);
+        let numbers: Vec<u64> = (next..due).collect();
+        if numbers.is_empty() {
+            sleep(LOOK);
+            continue;
+        }
+        stage.rig.herd.leave(&numbers)?;
+        stage.rig.herd.begin(&numbers)?;
+        if numbers.contains(&(count / 2)) {
             stage.publish_marked()?;
         }
+        stage.look()?;
+        next = due;
     }
     stage.note(format!(
         "{count} restarts in {:.1} s, each leaves its session first",
@@ -193,11 +209,11 @@
 }
 
 fn leader_killed(stage: &mut Stage) -> Result<(), Error> {
-    let leader = stage.group()?.until_led()?;
+    let leader = stage.until_led()?;
     stage.group_mut()?.kill(leader);
     let begun = Instant::now();
     stage.publish_marked()?;
-    let next = stage.group()?.until_led()?;
+    let next = stage.until_led()?;
     stage.note(format!("steward {} led {:.2} s later", next + 1, begun.elapsed().as_secs_f64()));
     stage.until_well()?;
     // renewals of a whole lease pass under the new leader
@@ -248,7 +264,7 @@
 }
 
 fn stalled(stage: &mut Stage) -> Result<(), Error> {
-    let leader = stage.group()?.until_led()?;
+    let leader = stage.until_led()?;
     stage.group()?.process(leader)?.signal(Signal::STOP)?;
     stage.publish_marked()?;
     stage.pass(AWAY)?;
@@ -266,7 +282,7 @@
         }
         stage.pass(Duration::from_secs(1))?;
         stage.group_mut()?.start_one(place)?;
-        stage.group()?.until_led()?;
+        stage.until_led()?;
         stage.pass(Duration::from_secs(2))?;
     }
     stage.note("each steward killed and started again on its disk; an empty disk has no way in".to_string());
@@ -282,7 +298,8 @@
     let (before, after, _) = rig.span(Duration::from_secs(5), RATE)?;
     rig.until_all(senders, 0)?;
     rig.herd.report(&rig.discovery)?;
-    let mut stage = Stage::new(rig, Size { senders, sessions: 0, real: 0 }, mean(&before, &after));
+    let mut stage =
+        Stage::new(rig, Size { senders, sessions: 0, real: 0, each: senders }, mean(&before, &after));
     stage.begin(name)?;
     stage.all_regions(Way::Down);
     sleep(Duration::from_secs(10));
--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -18,6 +18,8 @@
 pub mod process;
 pub mod real;
 pub mod relay;
+pub mod relayed;
+pub mod relays;
 pub mod report;
 pub mod rig;
 pub mod sheet;
@@ -77,7 +79,7 @@
     /// Destinations of the list.
     #[arg(long, value_delimiter = ',', default_value = "1000,5000,10000,50000,200000,1700000")]
     destinations: Vec<u64>,
-    /// Which parts are run.
+    /// Which parts are run. `refit` alone: none; the points that the file has are fitted and drawn anew.
     #[arg(
         long,
         value_delimiter = ',',
@@ -103,11 +105,30 @@
     /// Real senders beside them, which deliver.
     #[arg(long, default_value_t = 20)]
     real: u64,
+    /// Hollow senders in one process: one thread serves them, and must not be what senders wait for.
+    #[arg(long, default_value_t = 200)]
+    each: u64,
     /// Which faults are run; all unless said otherwise.
     #[arg(long, value_delimiter = ',')]
     only: Vec<String>,
 }
 
+/// Words of `relays`.
+#[derive(Debug, Clone, Args)]
+pub struct Relayed {
+    #[command(flatten)]
+    common: Common,
+    /// Seconds of one measurement.
+    #[arg(long, default_value_t = 10)]
+    span: u64,
+    /// Hollow senders, all with sessions.
+    #[arg(long, value_delimiter = ',', default_value = "250,500,1000,2000,4000,8000,16000")]
+    senders: Vec<u64>,
+    /// The product's relays between them and three stewards.
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=64))]
+    relays: u64,
+}
+
 fn time(text: &str) -> Result<Duration, String> {
     let (number, unit) = text.split_at(text.len().saturating_sub(1));
     let seconds = match unit {
@@ -149,7 +170,18 @@
         ..words.common.plan()?
     };
     let mut sheet = Sheet::default();
-    sheet.lines.push(Line::Head(head(plan.seed)?));
+    let refit = words.parts.iter().any(|part| part == "refit");
+    if refit {
+        // what was measured stays, with its head
+        sheet.lines = crate::figures::read(&words.common.out)?;
+        sheet.lines.retain(|line| match line {
+            Line::Fit(_) => false,
+            Line::Point(point) => !(point.role == "sender" && point.at == 0.0),
+            _ => true,
+        });
+    } else {
+        sheet.lines.push(Line::Head(head(plan.seed)?));
+    }
     let middle = [250, 500, 1000].into_iter().filter(|size| Some(size) <= plan.sessions.iter().max());
     let few = Plan { sessions: middle.collect(), ..plan.clone() };
     for part in &words.parts {
@@ -157,13 +189,14 @@
             // the first list is told before the span: what is compared are renewals and changes
             "compare" => compare::run(&plan, &mut sheet, words.compare, 10.0)?,
             "sessions" => plan.by_sessions(&mut sheet, stewards(3, 9))?,
-            "beyond" => plan.beyond(&mut sheet, 2 * milletturn_fleet::bounds::SESSIONS as u64)?,
+            "beyond" => plan.beyond(&mut sheet, 2 * milletturn_fleet::bounds::DIRECT as u64)?,
             "lease" => few.by_sessions(&mut sheet, stewards(3, 2))?,
             "five" => few.by_sessions(&mut sheet, stewards(5, 9))?,
             "senders" => plan.by_senders(&mut sheet)?,
             "rates" => plan.by_rate(&mut sheet, 1_000)?,
             "destinations" => plan.by_destinations(&mut sheet)?,
             "reloads" => plan.reloads(&mut sheet, 1_000)?,
+            "refit" => {}
             other => return Err(Error::Wrong(format!("no part is named {other:?}"))),
         }
         write(&words.common.out, &sheet.lines)?;
@@ -176,13 +209,32 @@
     Ok(())
 }
 
+/// Measures control behind relays.
+///
+/// # Errors
+/// What kept it from its figures.
+pub fn relays(words: &Relayed) -> Result<(), Error> {
+    let plan = Plan {
+        senders: words.senders.clone(),
+        span: Duration::from_secs(words.span),
+        ..words.common.plan()?
+    };
+    let mut sheet = Sheet::default();
+    sheet.lines.push(Line::Head(head(plan.seed)?));
+    let ended = relayed::run(&plan, &mut sheet, words.relays as usize);
+    relayed::fits(&mut sheet, words.relays as usize);
+    write(&words.common.out, &sheet.lines)?;
+    ended
+}
+
 /// Runs the faults at size.
 ///
 /// # Errors
 /// What kept it from its figures.
 pub fn faults(words: &Faults) -> Result<(), Error> {
     let plan = words.common.plan()?;
-    let size = faults::Size { senders: words.senders, sessions: words.sessions, real: words.real };
+    let size =
+        faults::Size { senders: words.senders, sessions: words.sessions, real: words.real, each: words.each };
     let mut sheet = Sheet::default();
     sheet.lines.push(Line::Head(head(plan.seed)?));
     faults::run(&plan, &mut sheet, size, &words.only, &words.common.out)
--- a/crates/scale/src/fleet/sheet.rs
+++ b/crates/scale/src/fleet/sheet.rs
@@ -36,8 +36,11 @@
 }
 
 impl Sheet {
-    /// One figure.
+    /// One figure; what is no number, such as the longest of no times, is none.
     pub fn point(&mut self, role: &str, quantity: &str, unit: &str, place: &Place<'_>, value: f64) {
+        if !value.is_finite() {
+            return;
+        }
         self.lines.push(Line::Point(Point {
             role: role.to_string(),
             quantity: quantity.to_string(),
@@ -76,6 +79,9 @@
                 self.point(role, quantity, unit, place, value);
             }
         }
+        if senders == 0 {
+            return;
+        }
         let all = |of: fn(&Reading) -> super::meter::Passed| of(after) - of(before);
         let list = all(|reading| reading.list);
         let session =
@@ -114,6 +120,8 @@
     pub fn points(&self, role: &str, quantity: &str, axis: &str, set: &Other) -> Vec<(f64, f64)> {
         let such = |point: &&Point| {
             (point.role == role && point.quantity == quantity && point.axis == axis)
+                // another kind at the same size is a figure of its own
+                && point.other.get("kind") == set.get("kind")
                 && set.iter().all(|(name, value)| point.other.get(name) == Some(value))
         };
         let points = self
@@ -136,10 +144,14 @@
             }
             _ => None,
         })?;
+        let role = match set.get("kind").and_then(Value::as_str) {
+            Some(kind) => format!("{role}, {kind}"),
+            None => role.to_string(),
+        };
         let set: Vec<String> = set.iter().map(|(name, value)| format!("{name} {value}")).collect();
         let set = if set.is_empty() { String::new() } else { format!(" [{}]", set.join(", ")) };
         self.lines.push(Line::Fit(Fit {
-            role: role.to_string(),
+            role,
             quantity: quantity.to_string(),
             unit,
             axis: axis.to_string(),
