Show each of the relay's codes by a case: broken.rs wants one for each, MT083 by a process

The whole test command on the state before failed in this one test (each_code_has_a_case_...): the relay's codes had their cases in its own package, and MT083 had none.

--- a/crates/config/tests/broken.rs
+++ b/crates/config/tests/broken.rs
@@ -453,10 +453,13 @@
         Code::StateLocked,
         Code::PortTaken,
         Code::EndpointsFile,
+        Code::PlacesPastDescriptors,
     ];
+    // a relay's file has settings of its own: crates/relay/tests/settings.rs shows each of these
+    let relays = [Code::SameSteward, Code::StewardsEven, Code::RelayIsSteward];
     let files = [Code::Unreadable, Code::NotText, Code::MachineDiffers];
     let covered: BTreeSet<Code> =
-        CASES.iter().chain(PAIRS).map(|case| case.2).chain(environment).chain(files).collect();
+        CASES.iter().chain(PAIRS).map(|case| case.2).chain(environment).chain(relays).chain(files).collect();
     let missing: Vec<&Code> = Code::ALL.iter().filter(|code| !covered.contains(code)).collect();
     assert!(missing.is_empty(), "{missing:?}");
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -195,3 +195,24 @@
     assert_eq!(highest(&a), term);
     check(&group, &[&a]);
 }
+
+#[test]
+fn a_relay_with_more_places_than_descriptors_does_not_start() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("relay.toml");
+    let text =
+        "group = \"g\"\nname = \"r\"\nlisten = \"127.0.0.1:0\"\nstewards = [\"127.0.0.1:1\"]\nplaces = 300\n";
+    std::fs::write(&file, text).expect("written");
+    let check = |most: u32| {
+        let line = format!("ulimit -n {most} && exec \"$0\" relay --check --config \"$1\"");
+        let mut command = std::process::Command::new("sh");
+        let output = command.args(["-c", &line, PROGRAM]).arg(&file).output().expect("it starts");
+        (output.status.success(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    let (sound, said) = check(200);
+    assert!(
+        !sound && said.contains("MT083") && said.contains("364 descriptors in all, 200 are allowed"),
+        "{said}"
+    );
+    assert_eq!(check(400), (true, String::new()));
+}
