--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -115,7 +115,7 @@
 
 /// How much later than here the far side may see that a call has been left: "each time limit is 50 ms longer" on
 /// sockets, as the protocol page has it. Until then the next message of its key would meet a call that is still out.
-const SOCKET_SLACK: Micros = 50 * MILLISECOND;
+pub const SOCKET_SLACK: Micros = 50 * MILLISECOND;
 
 /// What a body takes up at most is small beside any machine's memory; this stands in where the file tells none.
 fn unknown_memory() -> f64 {
@@ -179,8 +179,12 @@
     }
 }
 
-/// Figures that must stand as numbers: text that looks like one is a mistake.
-fn settings_of(value: &Value) -> Result<(Settings, Names), ConfigError> {
+/// The settings of the decisions, in microseconds where the platform's are seconds, and the platform's names. Figures must
+/// stand as numbers: text that looks like one is a mistake.
+///
+/// # Errors
+/// The first figure that is missing or makes no sense, by its name.
+pub fn settings_of(value: &Value) -> Result<(Settings, Names), ConfigError> {
     let number = |name: &'static str, value: &Value| match value {
         Value::Number(_) => Ok(()),
         other => Err(ConfigError::Value { name, found: other.to_string(), wanted: "a number" }),
@@ -320,25 +324,3 @@
         other => other.to_string(),
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_key_rests_until_the_far_side_can_have_seen_that_a_call_was_left() {
-        for (told, rest) in [(serde_json::json!(0.0), 0), (serde_json::json!(0.7), 700), (Value::Null, 0)] {
-            let value = serde_json::json!({
-                "balancers": 1,
-                "caps": {"maxOpen": 50, "mostTries": 12},
-                "classes": [{"name": "a", "aim": 4.0, "deadline": 20.0, "effect": "idempotent"}],
-                "specifics": {"callSlots": 8},
-                "safety": {"stopSendingWithin": 1.0, "cold": 11.0, "startCapacity": 0.18, "fallMultiple": 2.0,
-                           "fall": 3.0, "turnGap": told}
-            });
-            let (settings, _) = settings_of(&value).expect("sound");
-            assert_eq!(settings.safety.key_rest, rest * MILLISECOND + SOCKET_SLACK);
-            assert!(settings.notices, "ends are told by notices");
-        }
-    }
-}
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -6,13 +6,13 @@
 use serde_json::{Deserializer, Value};
 
 /// A longer object is not kept: read, it takes up several times its size.
-const LONGEST: usize = 1 << 20;
+pub const LONGEST: usize = 1 << 20;
 /// So much of what can't be read is shown.
 const SHOWN: usize = 80;
 
 /// One thing that a watch brought.
 #[derive(Debug, PartialEq)]
-pub(crate) enum Told {
+pub enum Told {
     /// The end of a line outside any object: while nothing changes, an empty one comes now and then.
     Alive,
     /// News; so many entries of it can't be read.
@@ -23,7 +23,7 @@
 
 /// Takes the bytes in. An object may run over several lines.
 #[derive(Debug, Default)]
-pub(crate) struct Feed {
+pub struct Feed {
     /// What has come of the next object.
     text: Vec<u8>,
     /// The rest of a line that was too long is passed over.
@@ -31,8 +31,13 @@
 }
 
 impl Feed {
+    /// Bytes that are kept of an object whose end has not come.
+    pub fn kept(&self) -> usize {
+        self.text.len()
+    }
+
     /// What these bytes complete.
-    pub(crate) fn take(&mut self, bytes: &[u8]) -> Vec<Told> {
+    pub fn take(&mut self, bytes: &[u8]) -> Vec<Told> {
         let mut told = Vec::new();
         self.text.extend_from_slice(bytes);
         // only these bytes complete anything: an object that is still coming is not read again for each piece
@@ -87,57 +92,3 @@
 fn shown(text: &[u8]) -> String {
     String::from_utf8_lossy(&text[..text.len().min(SHOWN)]).trim_end().to_string()
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const FIRST: &str = r#"{"rev":41,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9","pod_group":3,"state":"up"}]}"#;
-
-    /// Versions of lists, `-` for signs of life, `?` for what can't be read.
-    fn read(pieces: &[&str]) -> String {
-        let mut feed = Feed::default();
-        let told = pieces.iter().flat_map(|piece| feed.take(piece.as_bytes()));
-        told.map(|told| match told {
-            Told::Alive => "-".to_string(),
-            Told::List(update, unread) => format!("{}/{unread} ", update.version),
-            Told::Unread(_) => "?".to_string(),
-        })
-        .collect()
-    }
-
-    #[test]
-    fn lists_are_read_in_whatever_pieces_and_lines_they_come() {
-        let second = r#"{"rev":42,"all":false,"targets":[]}"#;
-        assert_eq!(read(&[&format!("{FIRST}\n\n{second}\n")]), "41/0 --42/0 -");
-        let indented = FIRST.replace(',', ",\n  ").replace('[', "[\n\t");
-        let text = format!("{indented}\n\n{second}");
-        assert_eq!(read(&[&text]), "41/0 --42/0 ");
-        let pieces: Vec<&str> = text.split_inclusive(|_: char| true).collect();
-        assert_eq!(read(&pieces), "41/0 --42/0 ", "byte by byte");
-    }
-
-    #[test]
-    fn what_can_not_be_read_is_told_and_spoils_nothing_behind_it() {
-        for bad in ["{not json", "[1", "5", "{\"rev\":4}", "{\"rev\":4,\"all\":tr", "\u{0}", "}"] {
-            let told = read(&[&format!("{bad}\n{FIRST}\n")]);
-            assert!(told.starts_with('?') && told.contains("41/0"), "{bad}: {told}");
-        }
-        let odd = FIRST.replace("\"up\"", "\"odd\"");
-        assert_eq!(read(&[&odd]), "41/1 ", "an entry of no known state");
-    }
-
-    #[test]
-    fn a_line_without_end_takes_no_more_than_its_room_and_is_no_sign_of_life() {
-        let mut feed = Feed::default();
-        let piece = vec![b' '; 1 << 16];
-        let mut told = feed.take(b"{\"rev\":41,");
-        for _ in 0..40 {
-            told.extend(feed.take(&piece));
-            assert!(feed.text.len() <= LONGEST + piece.len());
-        }
-        assert_eq!(told.len(), 1, "{told:?}");
-        assert!(matches!(&told[..], [Told::Unread(_)]));
-        assert_eq!(feed.take(format!("\n{FIRST}").as_bytes()).len(), 1, "the next line is read");
-    }
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod calls;
 pub mod config;
 pub mod door;
-mod feed;
+pub mod feed;
 mod gate;
 mod list;
 pub mod notices;
--- a/crates/trials/src/history.rs
+++ b/crates/trials/src/history.rs
@@ -1,5 +1,6 @@
 //! What was done in the fleet's name, and what must hold of it.
 
+use crate::group::Group;
 use crate::process::Process;
 use milletturn_fleet::book;
 use milletturn_fleet::book::Happening;
@@ -115,3 +116,45 @@
     };
     lines.iter().filter_map(read).collect()
 }
+
+/// Whether a line of `milletturn fleet hold --format json` tells of an act that was done.
+pub fn acted(line: &str) -> bool {
+    line.contains("\"acted\"")
+}
+
+/// Whether such a line tells of a session that was opened.
+pub fn joined(line: &str) -> bool {
+    line.contains("\"joined\"")
+}
+
+/// How often the process opened a session.
+pub fn joins(process: &Process) -> usize {
+    process.lines().iter().filter(|line| joined(line)).count()
+}
+
+/// The highest term under which the process acted; 0 if it never did.
+pub fn highest(process: &Process) -> u64 {
+    acts(process).last().map_or(0, |(term, _)| *term)
+}
+
+/// How many acts the process did under terms above this one.
+pub fn acts_above(process: &Process, term: u64) -> usize {
+    acts(process).iter().filter(|(under, _)| *under > term).count()
+}
+
+/// All that must hold of the piece of work `w` and of those who did it; the book's events.
+///
+/// # Panics
+/// If it does not hold.
+pub fn check(group: &Group, processes: &[&Process]) -> Vec<Event> {
+    // what they said before the book is looked at: what they do meanwhile is not yet in what it shows
+    let said: Vec<_> = processes.iter().map(|process| (process.name.clone(), acts(process))).collect();
+    let events = group.history("w");
+    let told = format!("{events:#?}");
+    one_owner_at_a_time(&events).unwrap_or_else(|why| panic!("{why}\n{told}"));
+    said_and_done(&events, &said).unwrap_or_else(|why| panic!("{why}\n{told}"));
+    for process in processes {
+        none_too_late(process).unwrap_or_else(|why| panic!("{why}"));
+    }
+    events
+}
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -119,6 +119,20 @@
     LocalSet::new().block_on(&runtime, future)
 }
 
+/// Runs a service that keeps nothing to be drained until SIGTERM, or until it can't go on; `name` stands in the log.
+pub async fn until_terminated<E: Error + 'static>(
+    name: String, service: impl Future<Output = Result<(), E>>,
+) -> Result<(), Box<dyn Error>> {
+    let mut signals = Signals::new()?;
+    tokio::select! {
+        ended = service => Ok(ended?),
+        () = signals.until_terminated() => {
+            log(format_args!("{name}: SIGTERM, ends"));
+            Ok(())
+        }
+    }
+}
+
 /// The classes that clients may name: the sender's own are none.
 pub fn of_clients(classes: impl Iterator<Item = (usize, Class)>) -> Vec<(usize, Class)> {
     classes.filter(|(_, class)| !is_own_class(&class.name)).collect()
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -1,9 +1,8 @@
 //! `milletturn relay`: stands between many members of a fleet and its stewards.
 
-use crate::assemble::{Signals, block_on};
+use crate::assemble::{block_on, until_terminated};
 use crate::config::{findings, report};
 use clap::Args;
-use milletturn_log::log;
 use milletturn_relay::{service, settings};
 use std::error::Error;
 use std::path::PathBuf;
@@ -48,15 +47,6 @@
         println!("{}: sound", arguments.config.display());
         return Ok(());
     }
-    block_on(async move {
-        let mut signals = Signals::new()?;
-        let name = format!("relay {} of {}", settings.name, settings.group);
-        tokio::select! {
-            ended = service::run(settings) => Ok(ended?),
-            () = signals.until_terminated() => {
-                log(format_args!("{name}: SIGTERM, ends"));
-                Ok(())
-            }
-        }
-    })
+    let name = format!("relay {} of {}", settings.name, settings.group);
+    block_on(until_terminated(name, service::run(settings)))
 }
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1,8 +1,7 @@
 //! `milletturn steward`: keeps the fleet's book, together with the other stewards of the group.
 
-use crate::assemble::{Signals, block_on};
+use crate::assemble::{block_on, until_terminated};
 use clap::Args;
-use milletturn_log::log;
 use milletturn_steward::service;
 use milletturn_steward::settings::Settings;
 use std::error::Error;
@@ -57,15 +56,6 @@
         println!("steward {id} of {group}: its disk is in {folder}, first book {origin}");
         return Ok(());
     }
-    block_on(async move {
-        let mut signals = Signals::new()?;
-        let name = format!("steward {} of {}", settings.id, settings.group);
-        tokio::select! {
-            ended = service::run(settings) => Ok(ended?),
-            () = signals.until_terminated() => {
-                log(format_args!("{name}: SIGTERM, ends"));
-                Ok(())
-            }
-        }
-    })
+    let name = format!("steward {} of {}", settings.id, settings.group);
+    block_on(until_terminated(name, service::run(settings)))
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,52 +2,19 @@
 //! owner that wakes up late does no harm.
 
 use milletturn_fleet::book::Happening;
-use milletturn_trials::history::{Event, acts, none_too_late, one_owner_at_a_time, said_and_done};
+use milletturn_trials::history::{
+    Event, acted, acts, acts_above, check, highest, joined, joins, none_too_late, one_owner_at_a_time,
+};
 use milletturn_trials::process::until;
 use milletturn_trials::{Group, Process, Reach, Way};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_milletturn");
 
-fn acted(line: &str) -> bool {
-    line.contains("\"acted\"")
-}
-
-fn joined(line: &str) -> bool {
-    line.contains("\"joined\"")
-}
-
-fn check(group: &Group, processes: &[&Process]) -> Vec<Event> {
-    // what they said before the book is looked at: what they do meanwhile is not yet in what it shows
-    let said: Vec<_> = processes.iter().map(|process| (process.name.clone(), acts(process))).collect();
-    let events = group.history("w");
-    let told = format!("{events:#?}");
-    one_owner_at_a_time(&events).unwrap_or_else(|why| panic!("{why}\n{told}"));
-    said_and_done(&events, &said).unwrap_or_else(|why| panic!("{why}\n{told}"));
-    for process in processes {
-        none_too_late(process).unwrap_or_else(|why| panic!("{why}"));
-    }
-    events
-}
-
-fn joins(process: &Process) -> usize {
-    process.lines().iter().filter(|line| joined(line)).count()
-}
-
 /// How many acts the process did under this term.
 fn acts_under(process: &Process, term: u64) -> usize {
     acts(process).iter().filter(|(under, _)| *under == term).count()
 }
 
-/// The highest term under which the process acted; 0 if it never did.
-fn highest(process: &Process) -> u64 {
-    acts(process).last().map_or(0, |(term, _)| *term)
-}
-
-/// How many acts the process did under terms above this one.
-fn acts_above(process: &Process, term: u64) -> usize {
-    acts(process).iter().filter(|(under, _)| *under > term).count()
-}
-
 /// Holds what leaves a member by its links, until an act and a renewal are on their way.
 fn hold_what_leaves(reach: &Reach) {
     reach.links.iter().for_each(|link| link.set_each(Way::Hold, Way::Pass));
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -2,47 +2,16 @@
 //! late, doubled or gone does no harm.
 
 use milletturn_fleet_wire::words::RelayStatus;
-use milletturn_trials::history::{acts, none_too_late, one_owner_at_a_time, said_and_done};
+use milletturn_trials::history::{acted, acts, acts_above, check, highest, joined, joins};
 use milletturn_trials::process::until;
-use milletturn_trials::{Group, Process, RelayProcess, Way};
+use milletturn_trials::{Group, Process, Reach, RelayProcess, Way};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_milletturn");
 
-fn acted(line: &str) -> bool {
-    line.contains("\"acted\"")
-}
-
-fn joined(line: &str) -> bool {
-    line.contains("\"joined\"")
-}
-
-fn joins(process: &Process) -> usize {
-    process.lines().iter().filter(|line| joined(line)).count()
-}
-
-fn highest(process: &Process) -> u64 {
-    acts(process).last().map_or(0, |(term, _)| *term)
-}
-
-fn acts_above(process: &Process, term: u64) -> usize {
-    acts(process).iter().filter(|(under, _)| *under > term).count()
-}
-
-fn check(group: &Group, processes: &[&Process]) {
-    let said: Vec<_> = processes.iter().map(|process| (process.name.clone(), acts(process))).collect();
-    let events = group.history("w");
-    let told = format!("{events:#?}");
-    one_owner_at_a_time(&events).unwrap_or_else(|why| panic!("{why}\n{told}"));
-    said_and_done(&events, &said).unwrap_or_else(|why| panic!("{why}\n{told}"));
-    for process in processes {
-        none_too_late(process).unwrap_or_else(|why| panic!("{why}"));
-    }
-}
-
-#[test]
-fn the_owner_behind_a_stopped_relay_stops_by_itself_and_what_the_relay_held_is_worth_nothing() {
+/// An owner behind a relay of its own, another member behind another one, and the first one's way.
+fn owner_and_next() -> (Group, RelayProcess, RelayProcess, Reach, Process, Process) {
     let mut group = Group::start(PROGRAM, 3);
     let (mine, others) = (group.relay("r1"), group.relay("r2"));
     let (way_a, way_b) = (group.way_through(&[&mine]), group.way_through(&[&others]));
@@ -50,6 +19,12 @@
     a.until_said(3, acted);
     let b = group.hold_through(&way_b, "w", "b");
     b.until_said(1, joined);
+    (group, mine, others, way_a, a, b)
+}
+
+#[test]
+fn the_owner_behind_a_stopped_relay_stops_by_itself_and_what_the_relay_held_is_worth_nothing() {
+    let (group, mine, _others, _way, a, b) = owner_and_next();
     let (term, before) = (highest(&a), joins(&a));
     mine.process.stop();
     until("the other one acts", || acts_above(&b, term) >= 3);
@@ -117,13 +92,7 @@
 
 #[test]
 fn answers_that_come_late_to_a_relay_hold_nothing() {
-    let mut group = Group::start(PROGRAM, 3);
-    let (mine, others) = (group.relay("r1"), group.relay("r2"));
-    let (way_a, way_b) = (group.way_through(&[&mine]), group.way_through(&[&others]));
-    let a = group.hold_through(&way_a, "w", "a");
-    a.until_said(3, acted);
-    let b = group.hold_through(&way_b, "w", "b");
-    b.until_said(1, joined);
+    let (group, mine, _others, _way, a, b) = owner_and_next();
     let (term, before) = (highest(&a), joins(&a));
     // batches reach the stewards, and their answers hang on the way back until others own
     mine.stewards.links.iter().for_each(|link| link.set_each(Way::Pass, Way::Hold));
