Give tests ports on which nothing listens: a started process kept a probe's listener alive

The port was probed by a listener that was dropped; a process that another test thread starts in that moment holds a copy of the descriptor until its exec and goes on accepting. Ruled out: a connection to itself (1.7 million tries from 127.0.0.1 to a free port on another loopback address), the order in which the sidecar opens its doors (the clients' comes first).

Change: Unused (stand-ins) binds and never listens; it is used wherever a test or bench wants a free or refusing address. The sidecar's rig goes by the process's own word that both doors are open, and fails with its log when it has ended.

--- a/benches/common/mod.rs
+++ b/benches/common/mod.rs
@@ -1,17 +1,17 @@
 //! A sidecar of some program, on files that a bench writes.
 #![allow(dead_code)]
 
-use milletturn_stand_ins::{Client, wait_until};
+use milletturn_stand_ins::{Client, Unused, wait_until};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 /// An address that is free.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.77.0.1:0").expect("a port").local_addr().expect("bound")
+    Unused::on([127, 77, 0, 1]).address
 }
 
 /// A running program; it ends with this.
--- a/benches/sidecar.rs
+++ b/benches/sidecar.rs
@@ -2,7 +2,7 @@
 //! and calls through it beside direct calls to the same endpoint, in turns.
 
 use milletturn_stand_ins::*;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -10,7 +10,7 @@
 const CALLS: usize = 400;
 
 fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound")
+    Unused::on([127, 0, 0, 1]).address
 }
 
 fn config(http: SocketAddr, outcomes: SocketAddr, endpoints: &str) -> String {
--- a/crates/sidecar/tests/environment.rs
+++ b/crates/sidecar/tests/environment.rs
@@ -4,6 +4,7 @@
 use milletturn_config::codes::Code;
 use milletturn_config::document::Document;
 use milletturn_sidecar::environment;
+use milletturn_stand_ins::Unused;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
@@ -27,7 +28,7 @@
 #[test]
 fn a_check_of_a_port_never_answers_a_client() {
     let folder = tempfile::tempdir().expect("a folder");
-    let address = TcpListener::bind("127.77.1.1:0").and_then(|free| free.local_addr()).expect("a port");
+    let address = Unused::on([127, 77, 1, 1]).address;
     let (over, looks) = (AtomicBool::new(false), AtomicUsize::new(0));
     let mut document = document(folder.path(), address);
     std::thread::scope(|scope| {
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod limited_fleet;
 mod memory_ledger;
 mod power;
+mod unused;
 mod variants;
 mod virtual_transport;
 
@@ -14,6 +15,7 @@
 pub use handed::{Caught, START, arrival, listed, ports};
 pub use memory_ledger::MemoryLedger;
 pub use power::Power;
+pub use unused::Unused;
 pub use variants::variants;
 pub use virtual_transport::{Fate, Fates, Outside, VirtualTransport};
 
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -136,7 +136,8 @@
     let folder =
         Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("folder-of-another-{}", std::process::id()));
     create_dir_all(folder.join("state")).expect("a folder");
-    Node::write_config(&folder, silent().local_addr().expect("bound"), 3.0, 5.0, 1024);
+    let agent = Unused::on([127, 0, 0, 1]);
+    Node::write_config(&folder, agent.address, 3.0, 5.0, 1024);
     let lock = File::create(folder.join("state/lock")).expect("a file");
     lock.lock().expect("ours");
     let mut process = command(&folder).spawn().expect("it starts");
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -3,7 +3,7 @@
 use milletturn_stand_ins::*;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -27,8 +27,7 @@
     static ADDRESSES: AtomicUsize = AtomicUsize::new(1);
     let number = ADDRESSES.fetch_add(1, Ordering::SeqCst) as u32 + (std::process::id() << 8);
     let [_, b, c, d] = number.to_be_bytes();
-    let address = SocketAddr::from(([127, b | 1, c, d], 0));
-    TcpListener::bind(address).expect("a port").local_addr().expect("bound")
+    Unused::on([127, b | 1, c, d]).address
 }
 
 fn command(words: &[&str]) -> Command {
@@ -74,8 +73,13 @@
                 here.lock().expect("not poisoned").push(line);
             }
         });
-        let sidecar = Sidecar { file, http, outcomes, process, log };
-        wait_until("it listens for readers", || TcpStream::connect(outcomes).is_ok());
+        let mut sidecar = Sidecar { file, http, outcomes, process, log };
+        // by its own word: it says so once both doors are open
+        wait_until("it listens for readers", || {
+            let ended = sidecar.process.try_wait().expect("asked");
+            assert!(ended.is_none(), "{ended:?}: {:#?}", sidecar.log.lock().expect("not poisoned"));
+            sidecar.logged("outcomes on")
+        });
         wait_until("it is ready", || sidecar.status(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n") == 200);
         sidecar
     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -4,7 +4,6 @@
 
 use node::*;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -19,11 +18,6 @@
     list(&[("s-1", endpoint.address, "one", 7, "up"), away("d-8", 8), away("d-9", 9), away("d-99", 99)])
 }
 
-/// An address that refuses connections.
-fn refusing() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound")
-}
-
 #[test]
 fn a_message_goes_on_unchanged_and_is_over() {
     let endpoint = Endpoint::new(|_, _| OK);
@@ -208,7 +202,8 @@
 
 #[test]
 fn a_refused_connection_never_ran() {
-    let agent = Agent::new(vec![list(&[("s-1", refusing(), "one", 7, "up")])]);
+    let refusing = Unused::on([127, 0, 0, 1]);
+    let agent = Agent::new(vec![list(&[("s-1", refusing.address, "one", 7, "up")])]);
     let node = Node::new(&agent).ready();
     assert_eq!(node.hand_in("order", "m1", 7, 700, b"x"), 202);
     wait_until("its notice", || !agent.notices().is_empty());
