--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -84,6 +84,28 @@
     assert!(matches!(node.hand_in("webhook", "new", 8, 20_000, b"x"), 202 | 429));
 }
 
+#[test]
+fn starts_at_one_moment_on_one_disk_are_all_ready() {
+    const STARTS: usize = 30;
+    let hangs = silent();
+    let address = hangs.local_addr().expect("bound");
+    let known = list(&[("s-1", address, "one", 7, "up")]);
+    let together = std::sync::Barrier::new(STARTS);
+    std::thread::scope(|scope| {
+        for _ in 0..STARTS {
+            scope.spawn(|| {
+                let node = Node::prepared(address, 3.0, &known, |state| {
+                    owing(state, 1000);
+                    together.wait();
+                });
+                let node = node.ready();
+                assert!(node.logged("1000 messages owed"));
+                together.wait();
+            });
+        }
+    });
+}
+
 #[test]
 fn a_damaged_and_full_journal_does_not_keep_a_process_from_being_ready() {
     let endpoint = Endpoint::new(|_, _| OK);
