Show that a restart sheds nothing untried where it may hold less than was taken on

The test resumes 12 untried messages where 5 may be held, at a destination that is away at first; with the guard (Held::owes_call in end_hopeless) taken out they are shed before any call.

--- a/crates/policy/tests/resumed.rs
+++ b/crates/policy/tests/resumed.rs
@@ -51,6 +51,33 @@
     }
 }
 
+#[test]
+fn more_than_may_be_held_are_not_shed_before_their_call() {
+    // the settings of the new life let fewer be held than the earlier one took on, and the destination is away at
+    // first: what is too much is shed there
+    for seed in 0..20 {
+        let mut told = settings(4);
+        told.max_held = 5;
+        let mut rig = Rig::new(told.clone(), vec![]);
+        rig.sender = Sender::new(told.clone(), seed).expect("settings make sense");
+        rig.tell(vec![Event::Listed { listing: Listing::Full, entries: vec![entry(1, 7), entry(2, 7)] }]);
+        rig.tell((0..12).map(|id| resumed(id, 9 * SECOND)).collect());
+        let mut ended = 0;
+        for step in 0..170 {
+            rig.run(T0 + step * 50 * MILLISECOND);
+            while let Some((at, id, ..)) =
+                rig.sends.get(ended).copied().filter(|send| send.0 + 40 * MILLISECOND <= rig.now)
+            {
+                ended += 1;
+                let away = at < T0 + 500 * MILLISECOND;
+                rig.end(id, if away { Outcome::NoConnection } else { Outcome::Success }, rig.now - at);
+            }
+        }
+        let shed = (0..12).filter(|&id| rig.sends_of(id).is_empty() && rig.refused(id)).count();
+        assert_eq!(shed, 0, "seed {seed}");
+    }
+}
+
 #[test]
 fn one_whose_time_was_up_brings_no_senders_together() {
     // guards against 300 senders that all begin at once since the first of their messages was over
