--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -26,7 +26,7 @@
 
 /// The form of snapshots and frames. It is raised with each change of any of their types: a test holds the bytes of
 /// a known snapshot against it.
-pub const FORM: u32 = 6;
+pub const FORM: u32 = 7;
 
 /// Why a process could not take another's place.
 #[derive(Debug, Error)]
--- a/crates/handover/tests/form.rs
+++ b/crates/handover/tests/form.rs
@@ -15,7 +15,7 @@
 /// Changes with each change of any type in a snapshot. When it does, raise `FORM` and take the new value over: a
 /// process of the other form must go on from the journal. A change of decisions that this small run makes changes
 /// the value too; then the form stays.
-const FINGERPRINT: (u32, u64) = (6, 6_366_388_931_565_678_098);
+const FINGERPRINT: (u32, u64) = (7, 6_957_180_694_112_498_467);
 
 struct Life {
     ports: Ports,
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -250,15 +250,15 @@
 
     /// Messages that come back with their process begin their calls at a random part of an interval. Guards
     /// against all senders restarted at once: each begins with a whole call, and none knows a limit. Could
-    /// cost worth where this sender alone was restarted.
+    /// cost worth where this sender alone was restarted. A later one with less time shortens the rest.
     pub(crate) fn begin_apart(&mut self, class: usize, destination: DestinationId, left: Micros) {
         let span = self.settings.classes.get(class).map_or(0, |class| class.aim.min(left));
         for endpoint in self.routes.get(&destination).cloned().unwrap_or_default() {
             let (id, phase) = (self.unit_of(endpoint), self.phase());
-            if !self.units.contains_key(&id) {
-                let unit = self.unit(id);
-                unit.tokens -= phase * (unit.pace * RESUMED_REST * seconds(span)).min(1.0);
-            }
+            let (known, unit) = (self.units.contains_key(&id), self.unit(id));
+            let most = (unit.pace * RESUMED_REST * seconds(span)).min(1.0);
+            let least = if unit.last_sent == 0 { 1.0 - most } else { f64::MIN };
+            unit.tokens = if known { unit.tokens.max(least) } else { unit.tokens - phase * most };
         }
         self.agenda.stir(destination);
     }
--- a/crates/policy/tests/resumed.rs
+++ b/crates/policy/tests/resumed.rs
@@ -78,6 +78,21 @@
     }
 }
 
+#[test]
+fn the_rest_behind_a_start_leaves_time_for_a_later_one_with_less() {
+    // the first of the destination has all its time, the next one 0.4 s
+    let mut told = settings(4);
+    (told.report_left, told.report_limit, told.senders, told.max_held) = (Some(0), Some(1), 300, 4);
+    for seed in 0..100 {
+        let mut rig = Rig::new(told.clone(), vec![]);
+        rig.sender = Sender::new(told.clone(), seed).expect("settings make sense");
+        rig.tell(vec![Event::Listed { listing: Listing::Full, entries: vec![entry(1, 7)] }]);
+        rig.tell(vec![resumed(1, 9 * SECOND), resumed(2, 400 * MILLISECOND)]);
+        rig.run(T0 + SECOND);
+        assert_eq!(rig.sends_of(2).len(), 1, "seed {seed}");
+    }
+}
+
 #[test]
 fn one_whose_time_was_up_brings_no_senders_together() {
     // guards against 300 senders that all begin at once since the first of their messages was over
