Count the lease of an opening from its first call: asked again, a member believed too long

The stewards count a lease from when an opening first came to them. A member whose opening had no answer within 3 s read its clock anew, asked again with the same number, was told the same session, and counted from the second call: it could act some seconds after the stewards had ended its lease and given its work on (a claim right behind the opening needs no renewal in between). Now it counts from the first call.

--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -17,8 +17,7 @@
 
 /// Renewals in the time for which a session may be believed: two may be lost.
 const RENEWALS: u32 = 4;
-/// Longest wait for a session to open before it is asked for again with a new reading of the clock: the lease
-/// counts from before the request.
+/// Longest wait for a session to open before that is told, and it is asked for again as the same request.
 const OPENING: Duration = Duration::from_millis(3_000);
 /// Rest before a name that is taken is asked for again.
 const TAKEN: Duration = Duration::from_millis(200);
@@ -109,6 +108,11 @@
         self.holder.borrow().may(work, now())
     }
 
+    /// The session, if its last safe moment is ahead.
+    pub fn session(&self) -> Option<Session> {
+        self.holder.borrow().session(now())
+    }
+
     /// What the last act on a piece of work left, by whichever owner, as far as this member's claim was told.
     pub fn cursor(&self, work: &str) -> Option<String> {
         self.stands.borrow().get(work).map(|(_, _, cursor)| cursor.clone())
@@ -144,8 +148,9 @@
 
     async fn open(&self, stewards: &mut Stewards, nonce: u64) {
         let opening = Opening { about: self.about.clone(), nonce };
+        // the stewards count from when this opening first came to them, whichever of its calls is answered
+        let sent = now();
         loop {
-            let sent = now();
             match stewards.ask(OPEN, Some(&opening), Instant::now() + OPENING).await {
                 Ok(Answer::Opened { session, lease }) => {
                     self.holder.borrow_mut().opened(sent, session, Span(lease));
