--- a/crates/scale/src/roles/mod.rs
+++ b/crates/scale/src/roles/mod.rs
@@ -4,6 +4,7 @@
 //! counts, not time on the wall: a loaded machine makes a run slower and its figures no larger. Where time on the wall is
 //! what is asked (a start until it is ready), the point says so and carries the machine's load beside it.
 
+mod catalog;
 mod journal;
 mod list;
 mod path;
@@ -123,6 +124,17 @@
         sizes: &[1_000, 3_000, 10_000, 30_000, 100_000, 300_000],
         measure: list::figures,
     },
+    Subject {
+        name: "catalog.assign",
+        sizes: &[250, 500, 1_000, 2_000, 4_000, 8_000, 16_000],
+        measure: catalog::assign,
+    },
+    Subject {
+        name: "catalog.holder",
+        sizes: &[106, 319, 1_000, 5_000, 17_000, 170_000, 1_700_000],
+        measure: catalog::held,
+    },
+    Subject { name: "catalog.missed", sizes: &[0, 20, 200, 2_000, 20_000], measure: catalog::missed },
     Subject { name: "figures.classes", sizes: &[1, 4, 16, 64, 128, 256], measure: turn::figures },
 ];
 
@@ -230,6 +242,15 @@
         ("list.engine" | "list.file", "cpu" | "whole.cpu" | "ready") => "a whole list is read entry by entry",
         ("list.engine", "change.cpu") => "a change costs what it names",
         ("list.engine", "look.cpu") => "a look counts what the module avoids",
+        ("catalog.assign", "cpu") => "Assignment::look: a hash for each range and sender",
+        ("catalog.assign", "loss.cpu" | "zone.cpu" | "join.cpu") => {
+            "Assignment::place: all ranges are placed anew"
+        }
+        ("catalog.assign", _) => "Assignment: 16 bids of each range, and the ranges of each sender",
+        ("catalog.holder", "wire" | "cpu" | "resident") => "each row is told, read and kept",
+        ("catalog.holder", _) => "Shelf: a change costs the rows of its range; a check asks for each range",
+        ("catalog.relay", _) => "a change costs its bytes, and the digests on the way to its range",
+        ("catalog.sender", _) => "a check asks for each of its ranges, and changes come for these alone",
         (_, "wire") => "each destination is told in full",
         ("journal", "disk") => "a record for each message that is owed",
         ("journal", _) => "the journal keeps each owed message whole in memory",
