--- a/crates/catalog/src/holder.rs
+++ b/crates/catalog/src/holder.rs
@@ -55,7 +55,7 @@
 }
 
 /// A copy.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Holder {
     ranges: Ranges,
     bounds: Bounds,
--- a/crates/catalog/src/source.rs
+++ b/crates/catalog/src/source.rs
@@ -8,10 +8,10 @@
 use crate::row::{Change, Refused, Step};
 use crate::shelf::{Numbered, Position, Shelf, Term};
 use crate::talk::{self, Ask, BadAsk, Shelves, Told};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// The list as its source has it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Source {
     ranges: Ranges,
     bounds: Bounds,
@@ -19,7 +19,7 @@
     leads: bool,
     shelves: Shelves,
     /// Whose endpoint each is: names are unique in the whole list, and senders go by them.
-    places: HashMap<Box<str>, u64>,
+    places: BTreeMap<Box<str>, u64>,
     size: usize,
 }
 
@@ -42,7 +42,7 @@
             (range, shelf)
         };
         let shelves = ranges.all().map(empty).collect();
-        Self { ranges, bounds, term, leads: true, shelves, places: HashMap::new(), size: 0 }
+        Self { ranges, bounds, term, leads: true, shelves, places: BTreeMap::new(), size: 0 }
     }
 
     /// Leads under a later term with the list as it is here: the runner has made sure that all that was agreed is in
