--- a/crates/catalog/src/bounds.rs
+++ b/crates/catalog/src/bounds.rs
@@ -10,6 +10,9 @@
 pub const HISTORY: usize = 8;
 /// Ranges of one question: 40 bytes each, so that a question is 20 KB at most.
 pub const ASKED: usize = 512;
+/// Bytes of rows in one answer, by [`crate::Row::size`]; what is beyond has no answer yet, and is asked for again. A question about
+/// 512 ranges of the plan has 3 MB, one about ranges at their bound would have 52.
+pub const ANSWER: usize = 4 << 20;
 /// Parts into which a span is divided: 16 take 65,536 ranges apart in four steps, with 16 digests in each.
 pub const PARTS: u32 = 16;
 /// Members of a membership; as many as the fleet's book has sessions.
--- a/crates/catalog/src/row.rs
+++ b/crates/catalog/src/row.rs
@@ -74,6 +74,16 @@
     Remove(Box<str>),
 }
 
+impl Step {
+    /// Bytes of its row, by [`Row::size`].
+    pub fn size(&self) -> usize {
+        match self {
+            Step::Put(row) => row.size(),
+            Step::Remove(uid) => 2 * uid.len(),
+        }
+    }
+}
+
 /// A change: all of its steps together or none of them. They are of one destination, so that no holder of some ranges
 /// ever has a part of it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/catalog/src/talk.rs
+++ b/crates/catalog/src/talk.rs
@@ -2,7 +2,7 @@
 
 use crate::bounds;
 use crate::ranges::{Digest, Range, Ranges};
-use crate::row::Row;
+use crate::row::{Row, Step};
 use crate::shelf::{Numbered, Position, Shelf, Term};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -90,6 +90,15 @@
             Told::Same { term, .. } | Told::Parts { term, .. } => *term,
         }
     }
+
+    /// Bytes of its rows, by [`Row::size`].
+    fn size(&self) -> usize {
+        match self {
+            Told::Change(numbered) => numbered.change.steps.iter().map(Step::size).sum(),
+            Told::Whole { rows, .. } => rows.iter().map(Row::size).sum(),
+            Told::Stand(_) | Told::Same { .. } | Told::Parts { .. } => 0,
+        }
+    }
 }
 
 /// Why a question has no answer.
@@ -148,7 +157,16 @@
             if stands.iter().any(|stand| !ranges.has(stand.range)) {
                 return Err(BadAsk::NoSuchRange);
             }
-            Ok(stands.iter().flat_map(|asked| one(shelves, known, asked)).collect())
+            let (mut told, mut size) = (Vec::new(), 0);
+            for asked in stands {
+                if size >= bounds::ANSWER {
+                    break;
+                }
+                let one = one(shelves, known, asked);
+                size += one.iter().map(Told::size).sum::<usize>();
+                told.extend(one);
+            }
+            Ok(told)
         }
         Ask::Span { first, count, digest, .. } => {
             let inside = first.checked_add(*count).is_some_and(|end| end <= ranges.count());
--- a/crates/catalog/tests/holder.rs
+++ b/crates/catalog/tests/holder.rs
@@ -364,6 +364,34 @@
     }
 }
 
+#[test]
+fn an_answer_is_bounded_and_what_is_missing_is_asked_for_again() {
+    // ranges at their bound: 64 of 100 KB
+    let all = ranges(64);
+    let mut source = Source::new(all, bounds(), 1);
+    for n in 0..40_000 {
+        // a full range takes no more
+        let _full = source.propose(put(n, &format!("{n}{}", "u".repeat(100)), 80));
+    }
+    assert!(source.size() > 6_000_000);
+    let mut holder = Holder::new(all, bounds());
+    holder.want(all.all().take(63));
+    let (mut rounds, mut asks) = (0, holder.check());
+    while holder.held().any(|range| holder.shelf(range).expect("held").rows().is_empty()) {
+        rounds += 1;
+        assert!(rounds <= 2, "each answer has as much as it may");
+        let answer = source.answer(&asks[0]).expect("a question");
+        let text = serde_json::to_string(&answer).expect("written");
+        assert!(text.len() < (4 << 20) + 102_000, "{}", text.len());
+        for told in answer {
+            holder.take(told).expect("whole");
+        }
+        asks = holder.check();
+    }
+    same(&holder, &source);
+    assert_eq!(rounds, 2);
+}
+
 #[test]
 fn a_question_that_is_none_is_refused_by_name() {
     let source = filled(ranges(64), 10);
