Carry the catalog over JSON and HTTP: a call to ask a source or another holder

/v1/catalog beside the fleet's own calls, with their group and version. No program answers or asks it yet. A question of another number of ranges, a span that does not exist, one too long, cut or of another group or version is refused by name; a teller that makes spans up is asked 1,024 times and no more.

--- a/crates/catalog/tests/assignment.rs
+++ b/crates/catalog/tests/assignment.rs
@@ -208,10 +208,11 @@
         sum += moves.gained as f64;
         worst = worst.max(moves.gained as f64 / load.max(1) as f64);
     }
-    // a lost copy takes a place that someone else had wanted less, who goes on: a chain, and a short one
+    // a lost copy takes a place that someone else had wanted less, who goes on: a chain, and a short one; where who came
+    // first kept its place, it were 1.36 moves for a copy here, and 1.41 for a zone's
     let mean_moves = sum / 100.0;
     println!("worst {worst} moves for each copy lost, {mean_moves} moves a loss of {mean} copies");
-    assert!(mean_moves <= 1.5 * mean, "{mean_moves} moves a loss");
+    assert!(mean_moves <= 1.3 * mean, "{mean_moves} moves a loss");
     assert!(worst <= 3.0, "{worst}");
 
     // a zone at once
@@ -224,7 +225,7 @@
     assert_eq!(after.places(), now.places());
     let moves = assignment.follow(after);
     println!("a zone of {} with {lost} copies: {moves:?}", zone.len());
-    assert!(moves.gained as f64 <= 1.5 * lost as f64, "{moves:?} for {lost}");
+    assert!(moves.gained as f64 <= 1.3 * lost as f64, "{moves:?} for {lost}");
 }
 
 #[test]
--- a/crates/fleet-wire/src/lib.rs
+++ b/crates/fleet-wire/src/lib.rs
@@ -7,8 +7,10 @@
 //! - [`words`]: what is said.
 //! - [`mod@line`]: the calling side.
 //! - [`server`]: the answering side.
+//! - [`catalog`]: the list by numbered changes and digests.
 //! - [`clock`]: the clock by which both sides count leases.
 
+pub mod catalog;
 pub mod clock;
 pub mod line;
 pub mod server;
