--- a/crates/catalog/tests/assignment.rs
+++ b/crates/catalog/tests/assignment.rs
@@ -78,6 +78,31 @@
     }
 }
 
+#[test]
+fn what_is_kept_of_scores_is_right_however_many_come_and_go() {
+    // so many that of the scores that are kept of a range few are left, and those who came are mixed with them
+    let count = 512;
+    let mut random = Pcg64::seed_from_u64(11);
+    let mut now = membership(80, 6, 3, count);
+    let mut follower = Assignment::new(ranges(count), now.clone());
+    for step in 0..24 {
+        let mut members = now.members().clone();
+        let part = [30, 10, 60, 5][step % 4];
+        members.retain(|_, _| random.next_u32() % 100 >= part);
+        while members.len() < 80 {
+            let zone = format!("zone-{}", random.next_u32() % 6).into();
+            members.insert(format!("new-{step}-{}", members.len()).into(), Member { zone, shares: 1 });
+        }
+        now = now.next(members, count).expect("sound");
+        follower.follow(now.clone());
+        assert_eq!(
+            served(&follower, count),
+            served(&Assignment::new(ranges(count), now.clone()), count),
+            "{step}"
+        );
+    }
+}
+
 #[test]
 fn an_older_membership_changes_nothing() {
     let count = 512;
--- a/crates/catalog/tests/holder.rs
+++ b/crates/catalog/tests/holder.rs
@@ -90,6 +90,9 @@
     assert_eq!(holder.take(cut), Err(Ignored::NotWhole));
     let twice = Told::Whole { stand: *stand, rows: [&rows[..], &rows[2..]].concat() };
     assert_eq!(holder.take(twice), Err(Ignored::NotWhole));
+    // the sum is the same in any order, what is looked up is not
+    let mixed = Told::Whole { stand: *stand, rows: rows.iter().rev().cloned().collect() };
+    assert_eq!(holder.take(mixed), Err(Ignored::NotWhole));
     assert_eq!(holder, before);
     holder.take(answer[0].clone()).expect("whole");
     same(&holder, &source);
