--- a/crates/policy/tests/resumed.rs
+++ b/crates/policy/tests/resumed.rs
@@ -4,6 +4,14 @@
 use common::*;
 use milletturn_policy::*;
 
+/// A module of a new process that has just heard of these endpoints.
+fn restarted(told: &Settings, seed: u64, entries: Vec<Entry>) -> Rig {
+    let mut rig = Rig::new(told.clone(), vec![]);
+    rig.sender = Sender::new(told.clone(), seed).expect("settings make sense");
+    rig.tell(vec![Event::Listed { listing: Listing::Full, entries }]);
+    rig
+}
+
 fn resumed(id: u64, left: Micros) -> Event {
     Event::Resumed { message: NewMessage::new(MessageId(id), FREE, 7, left), attempts: vec![] }
 }
@@ -13,9 +21,7 @@
     // long past their aim they are worth less than any fresh one, and fresh ones never cease
     const OWED: u64 = 12;
     for seed in 0..20 {
-        let mut rig = Rig::new(settings(2), vec![]);
-        rig.sender = Sender::new(settings(2), seed).expect("settings make sense");
-        rig.tell(vec![Event::Listed { listing: Listing::Full, entries: vec![entry(1, 7), entry(2, 7)] }]);
+        let mut rig = restarted(&settings(2), seed, vec![entry(1, 7), entry(2, 7)]);
         rig.tell((0..OWED).map(|id| resumed(id, 2_400 * MILLISECOND)).collect());
         let (mut next, mut ended) = (100, 0);
         for step in 0..240 {
@@ -42,9 +48,7 @@
     let mut told = settings(4);
     (told.report_left, told.report_limit, told.senders, told.max_held) = (Some(0), Some(1), 300, 4);
     for seed in 0..100 {
-        let mut rig = Rig::new(told.clone(), vec![]);
-        rig.sender = Sender::new(told.clone(), seed).expect("settings make sense");
-        rig.tell(vec![Event::Listed { listing: Listing::Full, entries: vec![entry(1, 7)] }]);
+        let mut rig = restarted(&told, seed, vec![entry(1, 7)]);
         rig.tell(vec![resumed(1, 400 * MILLISECOND)]);
         rig.run(T0 + SECOND);
         assert_eq!(rig.sends_of(1).len(), 1, "seed {seed}");
@@ -58,9 +62,7 @@
     for seed in 0..20 {
         let mut told = settings(4);
         told.max_held = 5;
-        let mut rig = Rig::new(told.clone(), vec![]);
-        rig.sender = Sender::new(told.clone(), seed).expect("settings make sense");
-        rig.tell(vec![Event::Listed { listing: Listing::Full, entries: vec![entry(1, 7), entry(2, 7)] }]);
+        let mut rig = restarted(&told, seed, vec![entry(1, 7), entry(2, 7)]);
         rig.tell((0..12).map(|id| resumed(id, 9 * SECOND)).collect());
         let mut ended = 0;
         for step in 0..170 {
@@ -84,9 +86,7 @@
     let mut told = settings(4);
     (told.report_left, told.report_limit, told.senders, told.max_held) = (Some(0), Some(1), 300, 4);
     for seed in 0..100 {
-        let mut rig = Rig::new(told.clone(), vec![]);
-        rig.sender = Sender::new(told.clone(), seed).expect("settings make sense");
-        rig.tell(vec![Event::Listed { listing: Listing::Full, entries: vec![entry(1, 7)] }]);
+        let mut rig = restarted(&told, seed, vec![entry(1, 7)]);
         rig.tell(vec![resumed(1, 9 * SECOND), resumed(2, 400 * MILLISECOND)]);
         rig.run(T0 + SECOND);
         assert_eq!(rig.sends_of(2).len(), 1, "seed {seed}");
@@ -100,9 +100,7 @@
     (told.report_left, told.report_limit, told.senders, told.max_held) = (Some(0), Some(1), 300, 4);
     let mut at_once = 0;
     for seed in 0..100 {
-        let mut rig = Rig::new(told.clone(), vec![]);
-        rig.sender = Sender::new(told.clone(), seed).expect("settings make sense");
-        rig.tell(vec![Event::Listed { listing: Listing::Full, entries: vec![entry(1, 7)] }]);
+        let mut rig = restarted(&told, seed, vec![entry(1, 7)]);
         rig.tell(vec![resumed(1, -SECOND), resumed(2, 9 * SECOND)]);
         rig.run(T0 + 9 * SECOND);
         assert!(rig.sends_of(1).is_empty());
@@ -162,9 +160,7 @@
     let mut told = a_second_for_repeats();
     (told.report_left, told.report_limit, told.senders, told.max_held) = (Some(0), Some(1), 300, 4);
     for seed in 0..100 {
-        let mut rig = Rig::new(told.clone(), vec![]);
-        rig.sender = Sender::new(told.clone(), seed).expect("settings make sense");
-        rig.tell(vec![Event::Listed { listing: Listing::Full, entries: vec![entry(1, 7)] }]);
+        let mut rig = restarted(&told, seed, vec![entry(1, 7)]);
         rig.tell(vec![under_way(1, 300 * MILLISECOND, 15 * SECOND)]);
         rig.run(T0 + 3 * SECOND);
         assert_eq!(rig.sends_of(1).len(), 1, "seed {seed}");
