--- a/crates/catalog/src/assignment.rs
+++ b/crates/catalog/src/assignment.rs
@@ -107,12 +107,18 @@
     /// The best bids for a range, so many, the best first.
     fn look(&self, range: Range, many: usize) -> Vec<Bid> {
         let mut bids: Vec<Bid> = Vec::with_capacity(self.seats.len().min(2 * many + 1));
+        let mut least = None;
         for (number, seat) in self.seats.iter().enumerate() {
             let Some(seat) = seat else { continue };
-            bids.push(seat.bid(number as u32, range));
+            let bid = seat.bid(number as u32, range);
+            if least.is_some_and(|least| bid < least) {
+                continue;
+            }
+            bids.push(bid);
             if bids.len() > 2 * many {
                 bids.sort_unstable_by_key(|bid| Reverse(*bid));
                 bids.truncate(many);
+                least = bids.last().copied();
             }
         }
         bids.sort_unstable_by_key(|bid| Reverse(*bid));
