--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -63,7 +63,7 @@
 
 /// No more can wait here; another relay may have room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("{} renewals wait here and no more can: another relay may have room", bounds::RELAYED)]
+#[error("{} calls wait here and no more can: another relay may have room", bounds::RELAYED)]
 pub struct NoRoom;
 
 /// A relay's state.
--- a/crates/fleet/src/writes.rs
+++ b/crates/fleet/src/writes.rs
@@ -82,7 +82,7 @@
     }
 
     /// The next batch, if one may leave now: as many as keep [`bounds::BATCH`] and [`bounds::WRITTEN`].
-    pub fn next(&mut self) -> Option<Wishes<W>> {
+    pub fn send(&mut self) -> Option<Wishes<W>> {
         if self.out.is_some() || self.gathered.is_empty() {
             return None;
         }
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -578,7 +578,7 @@
                 Next::At(_) | Next::Idle => return None,
             },
             Step::SendWrites => {
-                state.under_way.insert(Message::Writes(state.writes.next()?));
+                state.under_way.insert(Message::Writes(state.writes.send()?));
             }
             Step::GiveUpWrites => {
                 let nobody = state.writes.unanswered(state.writes.sent());
--- a/crates/fleet/tests/writes.rs
+++ b/crates/fleet/tests/writes.rs
@@ -12,7 +12,7 @@
 }
 
 fn sent(writes: &mut Writes<u64>) -> Wishes<u64> {
-    writes.next().expect("a batch")
+    writes.send().expect("a batch")
 }
 
 #[test]
@@ -21,11 +21,11 @@
     asked(&mut writes, [1]);
     assert_eq!(sent(&mut writes), Wishes { number: 1, wishes: vec![101] }, "a lone wish waits for nothing");
     asked(&mut writes, [2, 3]);
-    assert_eq!(writes.next(), None, "one batch is out at a time");
+    assert_eq!(writes.send(), None, "one batch is out at a time");
     assert_eq!(writes.answered(1, vec!["a"]), [(1, Some("a"))]);
     assert_eq!(sent(&mut writes), Wishes { number: 2, wishes: vec![102, 103] });
     assert_eq!(writes.answered(2, vec!["b", "c"]), [(2, Some("b")), (3, Some("c"))]);
-    assert_eq!(writes.next(), None);
+    assert_eq!(writes.send(), None);
 }
 
 #[test]
@@ -77,7 +77,7 @@
         writes.ask(ticket, ticket, bounds::WRITTEN / 2 + 1, false).expect("room");
     }
     let mut batches = Vec::new();
-    while let Some(batch) = writes.next() {
+    while let Some(batch) = writes.send() {
         writes.unanswered(batch.number);
         batches.push(batch.wishes);
     }
@@ -142,7 +142,7 @@
                     open.remove(&ticket);
                 }
                 Step::Look => {
-                    let Some(batch) = writes.next() else { continue };
+                    let Some(batch) = writes.send() else { continue };
                     prop_assert!(out.is_none() && !batch.wishes.is_empty());
                     prop_assert!(batch.wishes.iter().map(|wish| bytes_of[wish]).sum::<usize>() <= bounds::WRITTEN);
                     for wish in &batch.wishes {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -179,7 +179,7 @@
     async fn write_pump(self: Rc<Self>, mut stewards: Stewards, who: String) {
         let faults = Seldom::default();
         loop {
-            let next = self.writes.borrow_mut().next();
+            let next = self.writes.borrow_mut().send();
             match next {
                 Some(batch) => self.write(&mut stewards, batch, &faults, &who).await,
                 None => self.wished.notified().await,
--- a/crates/scale/src/fleet/herd.rs
+++ b/crates/scale/src/fleet/herd.rs
@@ -168,10 +168,23 @@
     /// # Errors
     /// A process is gone.
     pub fn ask(&mut self, version: u64) -> Result<(u64, u64), Error> {
-        let mut sum = (0, 0);
+        let (know, may, _) = self.counts(version)?;
+        Ok((know, may))
+    }
+
+    /// How many hold a session that they may believe now.
+    ///
+    /// # Errors
+    /// A process is gone.
+    pub fn holding(&mut self) -> Result<u64, Error> {
+        Ok(self.counts(0)?.2)
+    }
+
+    fn counts(&mut self, version: u64) -> Result<(u64, u64, u64), Error> {
+        let mut sum = (0, 0, 0);
         for answer in self.all(&Order::Ask(version))? {
-            if let Answer::Counts { know, may } = answer {
-                sum = (sum.0 + know, sum.1 + may);
+            if let Answer::Counts { know, may, hold } = answer {
+                sum = (sum.0 + know, sum.1 + may, sum.2 + hold);
             }
         }
         Ok(sum)
--- a/crates/scale/src/fleet/hollow.rs
+++ b/crates/scale/src/fleet/hollow.rs
@@ -97,6 +97,8 @@
         know: u64,
         /// Senders that have leave to act for their work.
         may: u64,
+        /// Senders that hold a session whose last safe moment is ahead.
+        hold: u64,
     },
     /// It could not be done.
     Failed(String),
@@ -199,7 +201,11 @@
                 let know =
                     self.senders.values().filter(|sender| sender.tally.borrow().knows(version)).count();
                 let may = self.senders.values().filter(|sender| sender.may()).count();
-                return Ok(Some(Answer::Counts { know: know as u64, may: may as u64 }));
+                let holds =
+                    |sender: &&Sender| sender.member.as_ref().is_some_and(|one| one.session().is_some());
+                let hold = self.senders.values().filter(holds).count();
+                let counts = Answer::Counts { know: know as u64, may: may as u64, hold: hold as u64 };
+                return Ok(Some(counts));
             }
         }
         Ok(None)
--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod real;
 pub mod relay;
 pub mod relayed;
+pub mod relayed_faults;
 pub mod relays;
 pub mod report;
 pub mod rig;
@@ -130,6 +131,9 @@
     /// Hollow senders in one process: one thread serves them, and must not be what their renewals wait for.
     #[arg(long, default_value_t = 200)]
     each: u64,
+    /// Faults at the largest size: a zone, all control, a release.
+    #[arg(long)]
+    faults: bool,
     /// Destinations of the list, which does not go through relays.
     #[arg(long, default_value_t = slopes::DESTINATIONS / 10)]
     destinations: u64,
@@ -227,8 +231,12 @@
     };
     let mut sheet = Sheet::default();
     sheet.lines.push(Line::Head(head(plan.seed)?));
-    let shape =
-        relayed::Shape { relays: words.relays as usize, each: words.each, destinations: words.destinations };
+    let shape = relayed::Shape {
+        relays: words.relays as usize,
+        each: words.each,
+        destinations: words.destinations,
+        faults: words.faults,
+    };
     let ended = relayed::run(&plan, &mut sheet, shape);
     relayed::fits(&mut sheet, words.relays as usize);
     write(&words.common.out, &sheet.lines)?;
--- a/crates/scale/src/fleet/relayed.rs
+++ b/crates/scale/src/fleet/relayed.rs
@@ -32,6 +32,8 @@
     pub each: u64,
     /// Destinations of the list, which is no part of what is measured: a whole list of 1,000 is 17 ms of processor time.
     pub destinations: u64,
+    /// A zone, all control and a release at the largest size, instead of a relay killed.
+    pub faults: bool,
 }
 
 /// Sessions behind so many relays by their number; then a relay is killed.
@@ -39,7 +41,7 @@
 /// # Errors
 /// A part does not come up, or a process ends.
 pub fn run(plan: &Plan, sheet: &mut Sheet, shape: Shape) -> Result<(), Error> {
-    let Shape { relays, each, destinations } = shape;
+    let Shape { relays, each, destinations, faults } = shape;
     let Some(&most) = plan.senders.iter().max() else { return Ok(()) };
     let parts = plan.parts(most, most, Some(stewards(3, LEASE)));
     let works = most <= WORKS;
@@ -82,6 +84,9 @@
         eprintln!("{senders} sessions behind {relays} relays done");
         last = Some(senders);
     }
+    if let Some(senders) = last.filter(|_| faults) {
+        return super::relayed_faults::run(sheet, &mut rig, senders, plan.until);
+    }
     if let Some(senders) = last.filter(|_| relays > 1) {
         kill_one(plan, sheet, &mut rig, senders)?;
     }
@@ -141,7 +146,8 @@
     Ok(())
 }
 
-fn sessions(rig: &Rig) -> u64 {
+/// Sessions in the book now.
+pub fn sessions(rig: &Rig) -> u64 {
     let look = rig.stewards.as_ref().and_then(super::stewards::Group::look);
     look.map_or(0, |look| look.sessions.len() as u64)
 }
--- a/crates/scale/src/fleet/relays.rs
+++ b/crates/scale/src/fleet/relays.rs
@@ -11,7 +11,7 @@
 use milletturn_fleet_wire::Line;
 use milletturn_fleet_wire::words::{RELAY, RelayStatus};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
 use tempfile::TempDir;
@@ -30,7 +30,8 @@
     /// A counted way to each, or none where members reach them directly.
     front: Vec<Passage>,
     runtime: Handle,
-    _folder: TempDir,
+    program: PathBuf,
+    folder: TempDir,
 }
 
 /// Whether this process can count what so many senders say to relays: a way takes two descriptors for each, and its
@@ -40,6 +41,23 @@
     most.is_none_or(|most| 3 * senders + OTHERS <= most)
 }
 
+fn file(folder: &TempDir, number: usize) -> PathBuf {
+    folder.path().join(format!("relay{number}.toml"))
+}
+
+fn start_one(
+    program: &Path, folder: &TempDir, number: usize, text: &str,
+) -> Result<(Process, SocketAddr), Error> {
+    let file = file(folder, number);
+    std::fs::write(&file, text).map_err(Error::io(file.display().to_string()))?;
+    let mut command = Command::new(program);
+    command.args(["relay", "--config"]).arg(&file);
+    let mut process = Process::start(&mut command, &folder.path().join(format!("relay{number}.log")))?;
+    let said = process.until_said("listens on ")?;
+    let address = said.parse().map_err(|_| Error::Wrong(format!("no address: {said}")))?;
+    Ok((process, address))
+}
+
 impl Relays {
     /// Starts so many. The stewards' regions from `first` on are their ways to the stewards.
     ///
@@ -59,15 +77,11 @@
                 bounds::RELAYED,
                 stewards.join(", ")
             );
-            let file = folder.path().join(format!("relay{number}.toml"));
+            let (process, address) = start_one(program, &folder, number, &text)?;
+            // members know it by this address, also when it is started again
+            let text = text.replace("127.0.0.1:0", &address.to_string());
+            let file = file(&folder, number);
             std::fs::write(&file, text).map_err(Error::io(file.display().to_string()))?;
-            let mut command = Command::new(program);
-            command.args(["relay", "--config"]).arg(&file);
-            let mut process =
-                Process::start(&mut command, &folder.path().join(format!("relay{number}.log")))?;
-            let said = process.until_said("listens on ")?;
-            let address: SocketAddr =
-                said.parse().map_err(|_| Error::Wrong(format!("no address: {said}")))?;
             processes.push(Some(process));
             listens.push(address);
             if counted {
@@ -76,7 +90,14 @@
                 front.push(passage);
             }
         }
-        Ok(Self { processes, listens, front, runtime: runtime.clone(), _folder: folder })
+        Ok(Self {
+            processes,
+            listens,
+            front,
+            runtime: runtime.clone(),
+            program: program.to_path_buf(),
+            folder,
+        })
     }
 
     /// Where members reach them.
@@ -98,6 +119,19 @@
         self.processes[number] = None;
     }
 
+    /// Starts one again that was killed, at its address.
+    ///
+    /// # Errors
+    /// It does not come up.
+    pub fn start_again(&mut self, number: usize) -> Result<(), Error> {
+        let file = file(&self.folder, number);
+        let text = std::fs::read_to_string(&file).map_err(Error::io(file.display().to_string()))?;
+        let (process, address) = start_one(&self.program, &self.folder, number, &text)?;
+        self.processes[number] = Some(process);
+        self.front.get(number).iter().for_each(|passage| passage.lead_to(Some(address)));
+        Ok(())
+    }
+
     /// Those that run.
     pub fn running(&self) -> impl Iterator<Item = usize> {
         self.processes.iter().enumerate().filter(|(_, process)| process.is_some()).map(|(number, _)| number)
--- a/crates/scale/src/fleet/stewards.rs
+++ b/crates/scale/src/fleet/stewards.rs
@@ -228,6 +228,11 @@
         self.ask(place, STATUS)
     }
 
+    /// Entries of the log that the leader has applied.
+    pub fn applied(&self) -> Option<u64> {
+        Some(self.status(self.leader()?)?.applied)
+    }
+
     /// The book, by the word of a majority, if the leader answers now.
     pub fn look(&self) -> Option<Look> {
         self.ask(self.leader()?, BOOK)
