--- a/crates/scale/src/page/catalog.rs
+++ b/crates/scale/src/page/catalog.rs
@@ -42,7 +42,13 @@
         )
         .alone()
         .within(MEMORY.0, MEMORY.1),
-        holder("memory of a relay's copy of all", "resident", destinations, "B").by(all.0, all.1),
+        holder(
+            "memory of a relay's copy of all, beside the changes that it keeps",
+            "resident",
+            destinations,
+            "B",
+        )
+        .by(all.0, all.1),
         holder("processor time to read all", "cpu", destinations, "s")
             .within(READY.0, READY.1)
             .by(all.0, all.1),
