--- a/crates/policy/benches/limits.rs
+++ b/crates/policy/benches/limits.rs
@@ -8,32 +8,41 @@
 const SETTLES: usize = 10;
 const LENGTH: usize = 40;
 
+/// Refusals alone tell of the limits, if nothing else is said.
 fn cases() -> Vec<(String, Demand)> {
-    let base = Demand { length: LENGTH as i64 * SECOND, ..Demand::new(0.0, 60.0) };
-    let silent = Demand { limiting: Limiting::refusals(), ..base };
+    let told = Limiting::refusals();
+    let base = Demand { length: LENGTH as i64 * SECOND, limiting: told, ..Demand::new(0.0, 60.0) };
+    let at = |senders: usize, load: f64, limit: f64| Demand { senders, rate: load * limit, limit, ..base };
     let mut cases = Vec::new();
     for senders in [3, 10, 60, 300] {
         for load in [0.8, 1.0, 1.2] {
-            let rate = load * silent.limit;
-            cases.push((format!("{senders} senders, {load}"), Demand { senders, rate, ..silent }));
+            cases.push((format!("{senders} senders, {load} of 60"), at(senders, load, 60.0)));
         }
     }
-    let at = |limiting| Demand { senders: 60, rate: 60.0, limiting, ..base };
-    let told = Limiting::refusals();
-    cases.push(("60, debt".into(), at(Limiting { debt: true, ..told })));
-    cases.push(("60, debt, no wait told".into(), at(Limiting { debt: true, tells_wait: 0.0, ..told })));
-    cases.push(("60, no wait told".into(), at(Limiting { tells_wait: 0.0, ..told })));
-    cases.push(("60, windows of 2 s".into(), at(Limiting { window: Some(2 * SECOND), ..told })));
-    cases.push(("60, uneven".into(), Demand { skew: 2.0, ..at(told) }));
-    cases.push(("60, five destinations".into(), Demand { destinations: 5, ..at(told) }));
-    let back = Terms { rest: 20 * MILLISECOND, ..Terms::patient() };
-    cases.push(("60, clients at once".into(), Demand { terms: back, ..at(told) }));
-    cases.push(("60, clump".into(), Demand { clump: 15 * SECOND, ..at(told) }));
+    let mut case = |name: &str, demand: Demand| cases.push((name.into(), demand));
+    case("60, 1.2 of 20", at(60, 1.2, 20.0));
+    case("60, 1.4 of 20", at(60, 1.4, 20.0));
+    let (some, many) = (at(60, 1.1, 60.0), at(300, 1.1, 60.0));
+    let with = |limiting| Demand { limiting, ..some };
+    case("60, 1.1, no debt", with(Limiting { debt: false, ..told }));
+    case("60, 1.1, no wait told", with(Limiting { tells_wait: 0.0, ..told }));
+    case("60, 1.1, all told a wait", with(Limiting { tells_wait: 1.0, ..told }));
+    case("60, 1.1, windows of 2 s", with(Limiting { window: Some(2 * SECOND), debt: false, ..told }));
+    case("60, 1.1, uneven", Demand { skew: 2.0, ..some });
+    case("60, 1.1, five destinations", Demand { destinations: 5, ..some });
+    let back = Terms { rest: 20 * MILLISECOND, tries: 3, ..Terms::patient() };
+    case("60, 1.1, clients at once", Demand { terms: back, ..some });
+    case("60, 0.9, clump", Demand { clump: 15 * SECOND, ..at(60, 0.9, 60.0) });
     let halved = Limiting { change: Some((15 * SECOND, 27 * SECOND, 0.5)), ..told };
-    cases.push(("60, halved 15 to 27 s".into(), at(halved)));
-    cases.push(("300, halved 15 to 27 s".into(), Demand { senders: 300, ..at(halved) }));
-    cases.push(("60, reported, debt".into(), at(Limiting::reported())));
-    cases.push(("300, reported, debt".into(), Demand { senders: 300, ..at(Limiting::reported()) }));
+    case("60, 1.1, halved 15 to 27 s", with(halved));
+    case("300, 1.1, halved 15 to 27 s", Demand { limiting: halved, ..many });
+    let away = Limiting { change: Some((15 * SECOND, 23 * SECOND, 0.0)), ..told };
+    case("60, 0.8, all refused 15 to 23 s", Demand { limiting: away, ..at(60, 0.8, 60.0) });
+    let noisy = Limiting { noise: 0.1, debt: false, tells_wait: 0.0, ..told };
+    case("60, 0.5, 10% refused with no limit", Demand { limiting: noisy, ..at(60, 0.5, 60.0) });
+    case("60, 0.5, 24 connections", Demand { table: Some(24), ..at(60, 0.5, 60.0) });
+    case("60, 1.1, reported", with(Limiting::reported()));
+    case("300, 1.1, reported", Demand { limiting: Limiting::reported(), ..many });
     cases
 }
 
@@ -45,11 +54,16 @@
         println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
         for (at, s) in play(demand).seconds.iter().enumerate() {
             let (came, back, calls, refused) = (s.handed_in, s.handed_back, s.calls, s.refused);
-            println!("| {at} | {came} | {back} | {calls} | {refused} | {} | {} | {:.0} |", s.delivered, s.held, s.limit);
+            println!(
+                "| {at} | {came} | {back} | {calls} | {refused} | {} | {} | {:.0} |",
+                s.delivered, s.held, s.limit
+            );
         }
         return;
     }
-    println!("| case | goodput, median | worst | refused, median | worst | in time, median | worst | fairness, worst |");
+    println!(
+        "| case | goodput, median | worst | refused, median | worst | in time, median | worst | fairness, worst |"
+    );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for (name, demand) in cases() {
         let all: Vec<Served> = (1..=seeds).map(|seed| play(Demand { seed, ..demand })).collect();
--- a/crates/stand-ins/src/limited_fleet/limit.rs
+++ b/crates/stand-ins/src/limited_fleet/limit.rs
@@ -1,7 +1,7 @@
 //! A destination's limit: what it serves, what refusals use up, and what they tell.
 
 use super::seconds;
-use milletturn_policy::{Micros, Outcome, SECOND};
+use milletturn_policy::{MILLISECOND, Micros, Outcome};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 
@@ -38,10 +38,11 @@
         }
     }
 
-    /// Refusals are the only word: three in four tell a wait, of about as long as a sender's interval.
+    /// Refusals are the only word, and use the limit up too: half of them tell a wait, which says nothing of when a
+    /// call will be served.
     pub fn refusals() -> Self {
-        let waits = (SECOND / 2, 2 * SECOND);
-        Limiting { reports: false, debt: false, tells_wait: 0.75, waits, ..Limiting::reported() }
+        let waits = (1300 * MILLISECOND, 1400 * MILLISECOND);
+        Limiting { reports: false, tells_wait: 0.5, waits, ..Limiting::reported() }
     }
 }
 
@@ -79,7 +80,9 @@
     pub fn pass(&mut self, now: Micros, since: Micros, step: Micros) {
         let depth = self.depth(since);
         match self.how.window {
-            Some(window) if now - self.window_from >= window => (self.tokens, self.window_from) = (depth, now),
+            Some(window) if now - self.window_from >= window => {
+                (self.tokens, self.window_from) = (depth, now)
+            }
             Some(_) => {}
             None => self.tokens = (self.tokens + self.rate(since) * seconds(step)).min(depth),
         }
--- a/crates/stand-ins/src/limited_fleet/mod.rs
+++ b/crates/stand-ins/src/limited_fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod limit;
 mod play;
+mod table;
 
 pub use limit::{Limit, Limiting};
 use milletturn_policy::*;
@@ -32,6 +33,8 @@
     pub destinations: usize,
     /// How each limits calls, and what it tells.
     pub limiting: Limiting,
+    /// Connections that each destination takes; one that finds none free is refused. None: any number.
+    pub table: Option<usize>,
     /// Messages that a sender may hold.
     pub places: usize,
     /// Of arrivals and senders.
@@ -87,6 +90,7 @@
             terms: Terms::patient(),
             destinations: 1,
             limiting: Limiting::reported(),
+            table: None,
             places: 40,
             seed: 1,
         }
--- a/crates/stand-ins/src/limited_fleet/play.rs
+++ b/crates/stand-ins/src/limited_fleet/play.rs
@@ -1,6 +1,7 @@
 //! The play: decision modules whole, arrivals, clients that come again, and answers on their way.
 
 use super::limit::Limit;
+use super::table::{Table, destination_of};
 use super::{Demand, HOUR, Second, Served, destinations_among_others, seconds};
 use milletturn_policy::*;
 use rand_pcg::Pcg32;
@@ -14,6 +15,8 @@
 /// The first report comes so long after the start.
 const FIRST_REPORT: Micros = 600 * MILLISECOND;
 const REPORT_EVERY: Micros = 300 * MILLISECOND;
+/// Idle connections close by themselves after this.
+const IDLE: Micros = 5 * SECOND;
 /// How unevenly messages go to several destinations.
 const UNEVEN: f64 = 0.8;
 
@@ -24,6 +27,8 @@
     sent: Micros,
     messages: Vec<(u64, usize)>,
     outcome: Outcome,
+    /// It has a connection.
+    connected: bool,
 }
 
 /// A message that has not been delivered.
@@ -42,7 +47,7 @@
     let mut settings = Settings::new(10, demand.places);
     settings.senders = demand.senders as u32;
     settings.max_attempts = 12;
-    settings.connection_idle = 5 * SECOND;
+    settings.connection_idle = IDLE;
     if demand.limiting.reports {
         (settings.report_left, settings.report_limit) = (Some(0), Some(1));
     }
@@ -74,6 +79,8 @@
         Limit::new(demand.limiting, rate, terms.saves, T0, demand.seed * 100 + at as u64)
     };
     let mut limits: Vec<Limit> = parts.iter().enumerate().map(fresh).collect();
+    let mut tables: Vec<Table> =
+        parts.iter().map(|_| Table::new(demand.table.unwrap_or(usize::MAX), IDLE)).collect();
     let mut reports = vec![1.0; demand.destinations];
     let (mut now, mut next, mut id, mut reported_at) = (T0, T0, 0, T0);
     // messages that clients will hand in again
@@ -128,7 +135,10 @@
         let later = out.split_off(&(now + 1));
         for call in std::mem::replace(&mut out, later).into_values().flatten() {
             let success = call.outcome == Outcome::Success;
-            let tells = demand.limiting.reports && now >= T0 + FIRST_REPORT;
+            if call.connected {
+                tables[call.to].give_back(call.sender, now);
+            }
+            let tells = call.connected && demand.limiting.reports && now >= T0 + FIRST_REPORT;
             for (message, attempt) in call.messages {
                 let limit = limits[call.to].rate(since);
                 let report = if tells { vec![reports[call.to], limit] } else { vec![] };
@@ -175,20 +185,27 @@
                     Action::Fail(message) => _ = held.remove(&message.0),
                     Action::Send { message, endpoint, .. } => {
                         let Some(known) = waiting.get_mut(&message.0) else { continue };
-                        sent.entry(endpoint.0 as usize - 1).or_default().push((message.0, known.attempts));
+                        sent.entry(destination_of(endpoint)).or_default().push((message.0, known.attempts));
                         known.attempts += 1;
                     }
+                    Action::Disconnect(endpoint) => {
+                        tables.get_mut(destination_of(endpoint)).into_iter().for_each(|t| t.close(index));
+                    }
                     _ => {}
                 }
             }
             for (to, messages) in sent {
-                let outcome = limits[to].call(since);
+                let connected = tables[to].take(index, now);
+                let outcome = match connected {
+                    true => limits[to].call(since),
+                    false => Outcome::Refused { wait: None },
+                };
                 let refused = usize::from(matches!(outcome, Outcome::Refused { .. }));
                 served.calls += 1;
                 served.refused += refused;
                 served.seconds[at].calls += 1;
                 served.seconds[at].refused += refused;
-                let call = Out { sender: index, to, sent: now, messages, outcome };
+                let call = Out { sender: index, to, sent: now, messages, outcome, connected };
                 out.entry(now + terms.call).or_default().push(call);
             }
         }
