Count calls in the emulator as the module makes them

All messages that a sender sent to a destination in one turn were one call, whatever a call may hold: with calls of one message a burst of one sender was too cheap. They are now as many as the module counts.

--- a/crates/stand-ins/src/limited_fleet/play.rs
+++ b/crates/stand-ins/src/limited_fleet/play.rs
@@ -194,7 +194,11 @@
                     _ => {}
                 }
             }
-            for (to, messages) in sent {
+            let calls = sent.into_iter().flat_map(|(to, messages)| {
+                let calls: Vec<_> = messages.chunks(demand.bundle).map(<[_]>::to_vec).collect();
+                calls.into_iter().map(move |messages| (to, messages))
+            });
+            for (to, messages) in calls {
                 let connected = tables[to].take(index, now);
                 let outcome = match connected {
                     true => limits[to].call(since),
