--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -30,11 +30,11 @@
 const PACE_CUT: f64 = 0.8;
 const PACE_HALVED: f64 = 0.5;
 const PACE_KEPT: f64 = 0.85;
-/// Growth of the pace with a success for each since the last refusal: as much as one refusal in nine takes,
-/// however few calls a sender makes. Higher finds room sooner and draws more of them.
-const PACE_STREAK: f64 = 0.002;
-const PACE_GROWTH: f64 = 0.25; // most of it, calls a second
-const PACE_GROWTH_MOST: f64 = 0.5; // and as a part of the pace
+/// Growth of the pace with a success, calls a second: of the sum of all senders, or this one's pace by a part.
+/// Higher finds room sooner and draws more refusals.
+const PACE_GROWTH: f64 = 0.25;
+const PACE_GROWTH_MOST: f64 = 0.5;
+const PACE_FOUND: f64 = 1.2; // of what was served, at a first refusal: higher leaves room to what comes by chance
 /// Part of what was served of late that refusals leave, and pace that they leave to all senders together.
 /// Higher retries sooner, lower spares a destination that hundreds of senders share.
 const PACE_SERVED: f64 = 0.3;
@@ -377,7 +377,7 @@
                     unit.heed_refusals(advice, lately);
                 }
                 if !(unit.refusals.looks() || tells_left && unit.told_limit.is_some()) {
-                    unit.grow(unit.recent_rate(now, cold));
+                    unit.grow(unit.recent_rate(now, cold).max(unit.usual_rate(now, cold)), senders);
                 }
                 // what is served while returning must not raise the budget of the return itself
                 unit.best_rate = unit.best_rate.max(if unit.health == Health::Well { rate } else { 0.0 });
@@ -405,7 +405,7 @@
                 unit.bad_sent = unit.bad_sent.max(sent);
                 unit.refused_since = if unit.refused_run == 0 { now } else { unit.refused_since };
                 unit.refused_run += 1;
-                let rate = unit.recent_rate(now, cold);
+                let rate = unit.recent_rate(now, cold).max(unit.usual_rate(now, cold));
                 let told = wait.is_some() || tells;
                 let usual = if told { 0.0 } else { unit.refusals.usual() };
                 let run = SHUT_RUN.max(if told { 0 } else { (SICK / Odds::weight(usual)).ceil() as u32 });
@@ -987,7 +987,8 @@
     fn slow_down(&mut self, served: f64, senders: f64, phase: f64) {
         let least = PACE_LEAST / senders;
         if self.before == 0.0 {
-            self.before = if self.pace.is_finite() { self.pace } else { served.max(least) / PACE_KEPT };
+            self.before =
+                if self.pace.is_finite() { self.pace } else { (PACE_FOUND * served).max(least) / PACE_KEPT };
         }
         let now = (self.pace.min(self.before) * PACE_HALVED).max(served * PACE_SERVED);
         self.pace = match self.told_limit {
@@ -1012,13 +1013,11 @@
         }
     }
 
-    fn grow(&mut self, served: f64) {
-        self.streak = if self.before > 0.0 { 0 } else { self.streak + 1 };
+    fn grow(&mut self, served: f64, senders: f64) {
         self.pace = self.pace.max(std::mem::take(&mut self.before) * PACE_KEPT);
-        let creep = PACE_STREAK * f64::from(self.streak) * self.pace;
         let (growth, most) = match self.told_limit {
             Some(limit) => (PACE_GROWTH, limit),
-            None if self.limited => (creep.min(PACE_GROWTH), (PACE_USED * served).max(self.pace)),
+            None if self.limited => (PACE_GROWTH / senders, (PACE_USED * served).max(self.pace)),
             // what failures alone slowed down has met no limit
             None => (f64::INFINITY, f64::INFINITY),
         };
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -242,9 +242,8 @@
     pub share: f64,
     /// Calls a second allowed, infinite before any refusal; whether a call succeeded since its last cut.
     pub pace: f64,
-    /// The pace as it was before the refusals that no success has followed yet, or 0; successes since the last.
+    /// The pace as it was before the refusals that no success has followed yet, or 0.
     pub before: f64,
-    pub streak: u32,
     /// Calls served a second of late, as reckoned at the last one.
     pub recent: f64,
     pub recent_at: Micros,
