--- a/crates/policy/benches/limits.rs
+++ b/crates/policy/benches/limits.rs
@@ -20,6 +20,8 @@
         }
     }
     let mut case = |name: &str, demand: Demand| cases.push((name.into(), demand));
+    case("300, 1.0 of 20", at(300, 1.0, 20.0));
+    case("300, 0.7 of 20, clump", Demand { clump: 12 * SECOND, ..at(300, 0.7, 20.0) });
     case("60, 1.2 of 20", at(60, 1.2, 20.0));
     case("60, 1.4 of 20", at(60, 1.4, 20.0));
     let (some, many) = (at(60, 1.1, 60.0), at(300, 1.1, 60.0));
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -26,20 +26,18 @@
 const WINDOW_SICK: f64 = 0.5;
 const COPY_SHARE: f64 = 0.5; // of the slots: more rescues more, less leaves slots to first attempts
 const WINDOW_CUT: f64 = 0.7; // by a congestion event: lower drains queues sooner, costs more throughput
-/// What a refusal leaves of a told limit's pace; of another, until something is served again, and for good.
+/// What a refusal leaves of the pace amid successes, and when nothing succeeded since the last cut. A lower
+/// cut draws fewer refusals, a higher one keeps more of a shared limit.
 const PACE_CUT: f64 = 0.8;
 const PACE_HALVED: f64 = 0.5;
-const PACE_KEPT: f64 = 0.85;
-/// Growth of the pace with a success, calls a second: of the sum of all senders, or this one's pace by a part.
-/// Higher finds room sooner and draws more refusals.
+/// Growth of the pace with each success, calls a second, at most this part of the pace. Growth by successes,
+/// not by time, keeps the refused share the same however few calls a sender makes.
 const PACE_GROWTH: f64 = 0.25;
 const PACE_GROWTH_MOST: f64 = 0.5;
-const PACE_FOUND: f64 = 1.2; // of what was served, at a first refusal: higher leaves room to what comes by chance
-/// Part of what was served of late that refusals leave, and pace that they leave to all senders together.
+/// Pace that a first refusal leaves at least, calls a second, and that any leaves to all senders together.
 /// Higher retries sooner, lower spares a destination that hundreds of senders share.
-const PACE_SERVED: f64 = 0.3;
-const PACE_LEAST: f64 = 3.0;
-const PACE_FIRST: f64 = 0.35; // pace of one sender that a first failure leaves at least: it shows an outage
+const PACE_FIRST: f64 = 0.35;
+const PACE_LEAST: f64 = 1.5;
 /// Pace to one that may yet tell a limit, by the square of the senders: all begin at once, each hears less.
 /// No less than an even part of this sender's load, which fills the places for messages in so many seconds.
 const PACE_START: f64 = 5000.0;
@@ -362,14 +360,14 @@
         match outcome {
             Outcome::Success => {
                 unit.remember_latency(latency);
-                (unit.refused_run, unit.succeeded) = (0, true);
+                unit.refused_run = 0;
+                unit.succeeded = true;
                 // what succeeds now and then for longer than an outage with its return lasts is only noisy
                 let unknown = unit.odds.remembered() < KNOWN && unit.usual_rate(now, span / 30) >= BUSY;
                 let away = now - unit.ill_since > ILL_TIMES * cold || now < unit.doubt_until && unknown;
                 let learns = unit.health == Health::Well || away;
                 unit.odds.good(learns, GONE);
                 unit.served.push(now, usize::MAX);
-                unit.count_served(now, cold);
                 let rate = unit.served_rate(now, span);
                 if !tells {
                     let lately = unit.served_lately(now, span);
@@ -377,7 +375,7 @@
                     unit.heed_refusals(advice, lately);
                 }
                 if !(unit.refusals.looks() || tells_left && unit.told_limit.is_some()) {
-                    unit.grow(unit.recent_rate(now, cold).max(unit.usual_rate(now, cold)), senders);
+                    unit.grow();
                 }
                 // what is served while returning must not raise the budget of the return itself
                 unit.best_rate = unit.best_rate.max(if unit.health == Health::Well { rate } else { 0.0 });
@@ -405,7 +403,7 @@
                 unit.bad_sent = unit.bad_sent.max(sent);
                 unit.refused_since = if unit.refused_run == 0 { now } else { unit.refused_since };
                 unit.refused_run += 1;
-                let rate = unit.recent_rate(now, cold).max(unit.usual_rate(now, cold));
+                let rate = unit.served_rate(now, span);
                 let told = wait.is_some() || tells;
                 let usual = if told { 0.0 } else { unit.refusals.usual() };
                 let run = SHUT_RUN.max(if told { 0 } else { (SICK / Odds::weight(usual)).ceil() as u32 });
@@ -431,7 +429,7 @@
                 unit.bad_sent = unit.bad_sent.max(sent);
                 let reset = outcome == Outcome::Reset;
                 let evidence = unit.odds.bad(if reset { RESET_WEIGHT } else { 1.0 }, class_fails);
-                let (rate, lone) = (unit.recent_rate(now, cold).max(PACE_FIRST), !unit.succeeded);
+                let (rate, lone) = (unit.served_rate(now, span), !unit.succeeded);
                 let congested = outcome != Outcome::Error || lone && evidence > SICK / 2.0;
                 let fresh = !reset && congested && unit.cut(sent, now);
                 // with a call or more in a span the failure score is soon sure
@@ -476,10 +474,9 @@
         let waiting = self.agenda.held_for(id.0) / self.call_room(id.0);
         let unit = self.unit(id);
         let proven = (PACE_USED * unit.served_rate(now, span)).max(PACE_UNUSED * share);
-        let unknown = unit.told_limit.is_none() && !unit.limited;
-        let pace = if unknown { f64::INFINITY } else { unit.pace.max(unit.before) };
+        let pace = if unit.told_limit.is_none() && !unit.limited { f64::INFINITY } else { unit.pace };
         let most = if pace.is_finite() && waiting > unit.in_flight + 1 { limit } else { proven };
-        (unit.told_limit, unit.share, unit.before) = (Some(limit), share, 0.0);
+        (unit.told_limit, unit.share) = (Some(limit), share);
         unit.best_rate = unit.best_rate.max(share);
         let paced = match left.map(|left| left.clamp(0.0, 1.0)) {
             Some(left) => {
@@ -517,7 +514,7 @@
         if !matches!(unit.health, Health::Sick { .. }) {
             unit.tokens = phase;
             // from here on the fail-back budget sets the rate, not what failures made of the pace
-            unit.pace = unit.pace.max(if why == "shut" { unit.before } else { unit.best_rate });
+            unit.pace = if why == "shut" { unit.pace } else { unit.pace.max(unit.best_rate) };
             actions.push(Action::Log(format!("destination {} sick: {why}", id.0)));
             if unit.health == Health::Well {
                 (unit.ill_since, unit.well_rate) = (now, unit.usual_rate(now, cold));
@@ -898,7 +895,15 @@
         }
         self.due = self.due.min(message.copy_at).min(now + silence + MILLISECOND);
         message.attempts.iter_mut().for_each(|attempt| attempt.overlapped |= attempt.out);
-        message.attempts.push(Attempt::begun(endpoint, now, call_id));
+        message.attempts.push(Attempt {
+            endpoint,
+            sent: now,
+            call: call_id,
+            out: true,
+            may_have_run: false,
+            overlapped: false,
+            cancelled: false,
+        });
         actions.push(Action::Send { message: id, endpoint, expires });
     }
 
@@ -944,8 +949,8 @@
             let mut new = Unit::fresh(share_of(self.settings.call_slots, WINDOW_START) as f64);
             if self.settings.report_limit.is_some() {
                 let even = self.settings.max_held as f64 / PLACES_LAST / self.routes.len().max(1) as f64;
-                let start = PACE_START / f64::from(self.settings.senders).powi(2);
-                (new.pace, new.tokens) = (even.max(start), 1.0);
+                new.pace = even.max(PACE_START / f64::from(self.settings.senders).powi(2));
+                new.tokens = 1.0;
             }
             self.rouse(id, new);
         }
@@ -982,22 +987,21 @@
     }
 
     /// A refusal, or a failure with no success since the last cut, slows the pace down: to a told limit's
-    /// even share at once, as all who are refused have used it up, and little below. Where none is told, what
-    /// was served of late is the sender's part: all fall far below it, until something is served (`grow`).
+    /// even share at once, as all who are refused have used it up, and little below, which a sender of few
+    /// calls would take ten of them to make good.
     fn slow_down(&mut self, served: f64, senders: f64, phase: f64) {
-        let least = PACE_LEAST / senders;
-        if self.before == 0.0 {
-            self.before =
-                if self.pace.is_finite() { self.pace } else { (PACE_FOUND * served).max(least) / PACE_KEPT };
-        }
-        let now = (self.pace.min(self.before) * PACE_HALVED).max(served * PACE_SERVED);
+        let pace = if self.pace.is_finite() { self.pace } else { self.best_rate.max(PACE_FIRST / PACE_CUT) };
+        let factor = if self.succeeded { PACE_CUT } else { PACE_HALVED };
         self.pace = match self.told_limit {
-            Some(_) => (self.pace.min(self.share) * PACE_CUT).max(self.share * SHARE_LEAST),
-            None => now.min(self.before).max(least),
+            Some(_) => (pace.min(self.share) * PACE_CUT).max(self.share * SHARE_LEAST),
+            None => (pace * factor).max(served * PACE_CUT).max(PACE_LEAST / senders),
+        };
+        self.tokens = match self.told_limit {
+            _ if self.tokens == f64::MAX => phase,
+            // half a call sooner or later, or all who were refused together come again together
+            Some(_) => self.tokens.min(0.0) + phase - 0.5,
+            None => self.tokens.min(phase.max(self.tokens - 1.0)),
         };
-        // half a call sooner or later, or all who were refused together come again together
-        let fresh = self.tokens == f64::MAX || self.told_limit.is_none() && self.tokens > 0.0;
-        self.tokens = if fresh { self.tokens.min(phase) } else { self.tokens.min(0.0) + phase - 0.5 };
         self.succeeded = false;
     }
 
@@ -1013,14 +1017,11 @@
         }
     }
 
-    fn grow(&mut self, served: f64, senders: f64) {
-        self.pace = self.pace.max(std::mem::take(&mut self.before) * PACE_KEPT);
-        let (growth, most) = match self.told_limit {
-            Some(limit) => (PACE_GROWTH, limit),
-            None if self.limited => (PACE_GROWTH / senders, (PACE_USED * served).max(self.pace)),
-            // what failures alone slowed down has met no limit
-            None => (f64::INFINITY, f64::INFINITY),
-        };
+    fn grow(&mut self) {
+        // what failures alone slowed down has met no limit
+        let slow = if self.limited { PACE_GROWTH } else { f64::INFINITY };
+        let growth = slow * (self.best_rate / self.pace).max(1.0);
+        let most = self.told_limit.unwrap_or(f64::INFINITY);
         self.pace = (self.pace + growth.min(PACE_GROWTH_MOST * self.pace)).min(most);
     }
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -104,14 +104,6 @@
     pub cancelled: bool,
 }
 
-impl Attempt {
-    /// One that has just begun.
-    pub fn begun(endpoint: EndpointId, sent: Micros, call: u64) -> Self {
-        let (may_have_run, overlapped, cancelled) = (false, false, false);
-        Attempt { endpoint, sent, call, out: true, may_have_run, overlapped, cancelled }
-    }
-}
-
 /// A message until its end and the end of its attempts.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Held {
@@ -190,9 +182,6 @@
     pub untold: BTreeSet<MessageId>,
 }
 
-/// Part of a span that counts as seen at the least: one call in a moment is no rate.
-const SEEN_LEAST: f64 = 0.05;
-
 /// What is known of a unit.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Unit {
@@ -242,11 +231,6 @@
     pub share: f64,
     /// Calls a second allowed, infinite before any refusal; whether a call succeeded since its last cut.
     pub pace: f64,
-    /// The pace as it was before the refusals that no success has followed yet, or 0.
-    pub before: f64,
-    /// Calls served a second of late, as reckoned at the last one.
-    pub recent: f64,
-    pub recent_at: Micros,
     /// The pace was cut by a refusal.
     pub limited: bool,
     pub succeeded: bool,
@@ -364,19 +348,6 @@
         self.sent as f64 / seconds((now - self.since).max(least).max(1))
     }
 
-    /// Calls served a second of late: an older one counts less, by e in a span. Of a unit first seen after the
-    /// span began, over the time since then.
-    pub fn recent_rate(&self, now: Micros, span: Micros) -> f64 {
-        let left = |from: Micros| (-seconds(now - from) / seconds(span)).exp();
-        self.recent * left(self.recent_at) / (1.0 - left(self.since)).max(SEEN_LEAST)
-    }
-
-    /// Counts a call that was served.
-    pub fn count_served(&mut self, now: Micros, span: Micros) {
-        let left = (-seconds(now - self.recent_at) / seconds(span)).exp();
-        (self.recent, self.recent_at) = (self.recent * left + 1.0 / seconds(span), now);
-    }
-
     /// Calls served a second over the last span.
     pub fn served_rate(&mut self, now: Micros, span: Micros) -> f64 {
         self.served.drop_until(now - span);
