Count a lease from the first call that may have come to the stewards, not from refused ones

Cause: an opening that is asked again counts its lease from its first call, since that may be what the stewards count from. Calls that were refused came to nobody and counted too: behind an outage of the control longer than a lease each member's session was over at its own clock before it was told of it, and had to be asked for once more by all at one moment.

Change: only calls that may have been done count (`Unanswered::may_have_happened`), and answers that fit nothing asked.

--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -148,11 +148,14 @@
 
     async fn open(&self, stewards: &mut Stewards, nonce: u64) {
         let opening = Opening { about: self.about.clone(), nonce };
-        // the stewards count from when this opening first came to them, whichever of its calls is answered
-        let sent = now();
+        // the stewards count from when this opening first came to them, whichever of its calls is answered; one that
+        // surely came to nobody is none
+        let mut first = None;
         loop {
+            let asked = now();
             match stewards.ask(OPEN, Some(&opening), Instant::now() + OPENING).await {
                 Ok(Answer::Opened { session, lease }) => {
+                    let sent = first.unwrap_or(asked);
                     self.holder.borrow_mut().opened(sent, session, Span(lease));
                     self.stands.borrow_mut().clear();
                     let span = self.holder.borrow().last_safe().map_or(Span(0), |last| last.since(sent));
@@ -166,8 +169,17 @@
                     let _ = self.news.send(News::Refused(refusal));
                     sleep(TAKEN).await;
                 }
-                Ok(_) => sleep(TAKEN).await, // no answer to what was asked
-                Err(unanswered) => self.unanswered(&unanswered),
+                Ok(_) => {
+                    // no answer to what was asked: it may have been done
+                    first.get_or_insert(asked);
+                    sleep(TAKEN).await;
+                }
+                Err(unanswered) => {
+                    if unanswered.may_have_happened {
+                        first.get_or_insert(asked);
+                    }
+                    self.unanswered(&unanswered);
+                }
             }
         }
     }
--- a/crates/member/tests/opening.rs
+++ b/crates/member/tests/opening.rs
@@ -6,12 +6,16 @@
 use milletturn_fleet_wire::words::{OPEN, ORDER};
 use milletturn_member::member::News;
 use milletturn_member::{Member, Stewards};
+use milletturn_stand_ins::Unused;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 
 const LEASE: Span = Span::millis(60_000);
 const CLOCK_ERROR: u32 = 20_000;
+/// A member asks so long for an opening before it says that it is alone.
+const REFUSED: Span = Span::millis(2_900);
 
 /// A steward that takes openings and answers none until it is told to.
 #[derive(Debug, Default)]
@@ -61,11 +65,8 @@
     }
 }
 
-#[test]
-fn an_opening_that_is_asked_again_counts_from_when_it_was_asked_first() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound").to_string();
-    let steward = Arc::new(Steward::default());
+/// Serves whoever comes, for ever.
+fn open(steward: &Arc<Steward>, listener: TcpListener) {
     let serving = steward.clone();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -74,26 +75,68 @@
             std::thread::spawn(move || steward.serve(stream));
         }
     });
+}
+
+/// Keeps a member of the steward at this address until it owns work; `alone` runs when it says that it hears nobody.
+fn owner(address: SocketAddr, mut alone: impl FnMut()) -> Rc<Member> {
     let about =
         About { name: "m".into(), zone: String::new(), version: String::new(), serves: String::new() };
     let (member, mut news) = Member::new(about, CLOCK_ERROR, ["w".to_string()]);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let keeper = member.clone();
-        let stewards = Stewards::new("g", &[address]);
+        let stewards = Stewards::new("g", &[address.to_string()]);
         tokio::task::spawn_local(async move { keeper.keep(stewards, 1).await });
         loop {
             match news.recv().await.expect("it is kept") {
-                // it has given up its first call and asks again
-                News::Alone(_) => *steward.answers.lock().expect("no holder panics") = true,
+                News::Alone(_) => alone(),
                 News::Owned(..) => break,
                 _ => {}
             }
         }
     });
+    member
+}
+
+#[test]
+fn an_opening_that_is_asked_again_counts_from_when_it_was_asked_first() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let steward = Arc::new(Steward::default());
+    open(&steward, listener);
+    // it has given up its first call and asks again
+    let member = owner(address, || *steward.answers.lock().expect("no holder panics") = true);
     let first = steward.first.lock().expect("no holder panics").expect("it has asked");
     let leave = member.may("w").expect("it may act");
     // the steward may count from the first call; its lease must not end before the member's
     let held = LeaseTime { lease: LEASE, clock_error: CLOCK_ERROR }.held();
     assert!(leave.last_safe <= first.after(held), "{:?} behind {:?}", leave.last_safe, first.after(held));
 }
+
+#[test]
+fn calls_that_came_to_nobody_take_nothing_off_the_lease() {
+    let unused = Unused::on([127, 0, 0, 1]);
+    let steward = Arc::new(Steward::default());
+    *steward.answers.lock().expect("no holder panics") = true;
+    let begun = now();
+    let mut listens = false;
+    let member = owner(unused.address, || {
+        // its first calls have been refused for as long as an opening is asked for
+        if !std::mem::replace(&mut listens, true) {
+            open(&steward, listen_beside(unused.address));
+        }
+    });
+    let leave = member.may("w").expect("it may act");
+    let held = LeaseTime { lease: LEASE, clock_error: CLOCK_ERROR }.held();
+    let counted = begun.after(held);
+    // counted from its first call it would be less than nothing behind that
+    assert!(leave.last_safe >= counted.after(REFUSED), "{:?} behind {counted:?}", leave.last_safe);
+    let first = steward.first.lock().expect("no holder panics").expect("it has asked");
+    assert!(leave.last_safe <= first.after(held));
+}
+
+/// Listens on an address that is bound and unused.
+fn listen_beside(address: SocketAddr) -> TcpListener {
+    // the standard library's listeners may bind beside one that does not listen
+    TcpListener::bind(address).expect("the same port")
+}
