Take turns of many modules by one piece of code; ports of the scale run by Unused

Need: the emulators of cold returns and of limits had the same lines for events, alarms and the module's turn; the scale run still probed for free ports by a listener, the twin of what Unused mended in the tests.

Change: `turn` in stand-ins serves both emulators; roles/program.rs takes Unused, and its callers no longer handle an error that can't come; a wrapper of one line in member's test is gone. No bound or assertion changed.

The whole workspace was not run again.

--- a/crates/member/tests/opening.rs
+++ b/crates/member/tests/opening.rs
@@ -123,7 +123,7 @@
     let member = owner(unused.address, || {
         // its first calls have been refused for as long as an opening is asked for
         if !std::mem::replace(&mut listens, true) {
-            open(&steward, listen_beside(unused.address));
+            open(&steward, TcpListener::bind(unused.address).expect("beside what only is bound there"));
         }
     });
     let leave = member.may("w").expect("it may act");
@@ -134,9 +134,3 @@
     let first = steward.first.lock().expect("no holder panics").expect("it has asked");
     assert!(leave.last_safe <= first.after(held));
 }
-
-/// Listens on an address that is bound and unused.
-fn listen_beside(address: SocketAddr) -> TcpListener {
-    // the standard library's listeners may bind beside one that does not listen
-    TcpListener::bind(address).expect("the same port")
-}
--- a/crates/scale/src/roles/journal.rs
+++ b/crates/scale/src/roles/journal.rs
@@ -93,7 +93,7 @@
     let wall = begun.elapsed().as_secs_f64();
     let mut points = vec![here("cpu", "s", cpu), here("wall", "s", wall)];
     points.push(here("resident", "B", probe::resident()? - resident));
-    let address = free()?;
+    let address = free();
     alone(async move {
         let targets = (1..=SERVED).map(|number| listed(number, address, 0.0)).collect();
         let known = ListUpdate { version: 1, full: true, targets };
@@ -162,7 +162,7 @@
     };
     let place = folder()?;
     apart("journal.write", scene.at, &scene.program, Some(&state(place.path())))?;
-    let told = Sidecar { limits: &limits(1_024, 100_000), list: &file_of(SERVED, free()?) };
+    let told = Sidecar { limits: &limits(1_024, 100_000), list: &file_of(SERVED, free()) };
     let sender = Sender::sidecar(&scene.program, place.path(), &told)?;
     let (cpu, (now, most)) = (sender.cpu()?, sender.memory()?);
     let mut points = vec![
--- a/crates/scale/src/roles/list.rs
+++ b/crates/scale/src/roles/list.rs
@@ -104,7 +104,7 @@
     let here = |quantity: &str, unit: &str, value: f64| {
         point("list.engine", quantity, unit, "destinations", count, value)
     };
-    let address = free()?;
+    let address = free();
     alone(async move {
         let (mut engine, inputs, mut received) = engine_of(Box::new(MemoryLedger::default()), None, 400)?;
         tokio::task::spawn_local(async move { engine.run(&mut received).await });
@@ -159,7 +159,7 @@
     let here = |quantity: &str, unit: &str, value: f64| {
         point("list.file", quantity, unit, "destinations", scene.at, value)
     };
-    let (folder, text) = (folder()?, file_of(scene.at, free()?));
+    let (folder, text) = (folder()?, file_of(scene.at, free()));
     let told = Sidecar { limits: &limits(1_024, 1_000), list: &text };
     let sender = Sender::sidecar(&scene.program, folder.path(), &told)?;
     let (cpu, (now, most)) = (sender.cpu()?, sender.memory()?);
@@ -202,7 +202,7 @@
 /// The platform's sender with a watch that tells one list.
 fn watching(program: &Path, folder: &Path, line: String, patience: Duration) -> Result<Sender, Error> {
     let agent = Agent::new(vec![line]);
-    let listen = free()?;
+    let listen = free();
     let config = serde_json::json!({
         "name": "n1", "listen": listen.to_string(), "discovery": agent.address.to_string(), "seed": "8c1f",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 30.0},
@@ -229,7 +229,7 @@
     let here = |quantity: &str, unit: &str, value: f64| {
         point("list.watch", quantity, unit, "destinations", scene.at, value)
     };
-    let (folder, line) = (folder()?, line_of(scene.at, free()?));
+    let (folder, line) = (folder()?, line_of(scene.at, free()));
     let bytes = line.len() as f64;
     let sender = watching(&scene.program, folder.path(), line, Duration::from_secs(60))?;
     let (cpu, memory) = (sender.cpu()?, sender.memory()?);
@@ -257,7 +257,7 @@
 
 /// Up to which size each takes a list at all, and how many messages a sidecar may be told to hold.
 pub(super) fn bounds(scene: &Scene) -> Result<Vec<Point>, Error> {
-    let address = free()?;
+    let address = free();
     let folder = folder()?;
     let watch = largest(1_000, 20_000, 100, |count| {
         let place = tempfile::tempdir_in(folder.path()).map_err(Error::io("a folder"))?;
@@ -268,8 +268,8 @@
         let text = format!(
             "name = 'app'\nstate = 'app.state'\n[listen]\nhttp = '{}'\noutcomes = '{}'\n[limits]\n{limits}\n\
              [endpoints]\nfile = 'list.toml'\n[class.notice]\neffect = 'repeatable'\ndeadline = '1h'\n",
-            free()?,
-            free()?
+            free(),
+            free()
         );
         write(&folder.path().join("app.toml"), &text)?;
         write(&folder.path().join("list.toml"), list)?;
@@ -302,8 +302,8 @@
     let here = |quantity: &str, unit: &str, value: f64| {
         point("figures", quantity, unit, "destinations", scene.at, value)
     };
-    let (folder, operators) = (folder()?, free()?);
-    let told = Sidecar { limits: &limits(1_024, 1_000), list: &file_of(scene.at, free()?) };
+    let (folder, operators) = (folder()?, free());
+    let told = Sidecar { limits: &limits(1_024, 1_000), list: &file_of(scene.at, free()) };
     let sender = Sender::sidecar_with(&scene.program, folder.path(), &told, Some(operators))?;
     std::thread::sleep(Duration::from_secs(1));
     let (begun, mut bytes) = (sender.cpu()?, 0);
--- a/crates/scale/src/roles/program.rs
+++ b/crates/scale/src/roles/program.rs
@@ -2,8 +2,9 @@
 
 use super::probe;
 use crate::Error;
+use milletturn_stand_ins::Unused;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -18,10 +19,9 @@
     tempfile::tempdir_in(place).map_err(Error::io(place.display().to_string()))
 }
 
-/// An address that is free.
-pub(crate) fn free() -> Result<SocketAddr, Error> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(Error::io("a port"))?;
-    listener.local_addr().map_err(Error::io("a port"))
+/// An address on which nothing listens.
+pub(crate) fn free() -> SocketAddr {
+    Unused::on([127, 0, 0, 1]).address
 }
 
 /// A sender that runs; it ends with this.
@@ -50,7 +50,7 @@
     pub(crate) fn sidecar_with(
         program: &Path, folder: &Path, told: &Sidecar, operators: Option<SocketAddr>,
     ) -> Result<Self, Error> {
-        let (http, outcomes) = (free()?, free()?);
+        let (http, outcomes) = (free(), free());
         let operators = operators.map_or(String::new(), |address| format!("operators = '{address}'\n"));
         let text = format!(
             "name = 'app'\nstate = 'app.state'\n[listen]\nhttp = '{http}'\noutcomes = '{outcomes}'\n{operators}\
--- a/crates/stand-ins/src/cold_fleet.rs
+++ b/crates/stand-ins/src/cold_fleet.rs
@@ -1,6 +1,7 @@
 //! Senders before one destination that fails for a while and comes back cold, in virtual time, from a seed: how many
 //! calls of all together come beyond what the settings let it take then.
 
+use crate::turns::turn;
 use milletturn_policy::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
@@ -142,17 +143,9 @@
             }
         }
         for index in 0..case.senders {
-            let events = std::mem::take(&mut inbox[index]);
-            let rings = alarms[index].first().is_some_and(|&at| at <= now);
-            if events.is_empty() && !rings {
-                continue;
-            }
-            alarms[index] = alarms[index].split_off(&(now + 1));
-            let mut actions = Vec::new();
-            senders[index].handle(now, &events, &mut actions);
+            let actions = turn(&mut senders[index], &mut inbox[index], &mut alarms[index], now);
             for action in actions {
                 match action {
-                    Action::SetAlarm(at) => drop(alarms[index].insert(at)),
                     Action::Refuse { message, .. } | Action::Fail(message) => drop(held.remove(&message.0)),
                     Action::Send { message, endpoint, .. } => {
                         let past = attempts.entry(message.0).or_default();
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod limited_fleet;
 mod memory_ledger;
 mod power;
+mod turns;
 mod unused;
 mod variants;
 mod virtual_transport;
--- a/crates/stand-ins/src/limited_fleet/play.rs
+++ b/crates/stand-ins/src/limited_fleet/play.rs
@@ -3,6 +3,7 @@
 use super::limit::Limit;
 use super::table::{Table, destination_of};
 use super::{Demand, HOUR, Second, Served, destinations_among_others, seconds};
+use crate::turns::turn;
 use milletturn_policy::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
@@ -161,18 +162,10 @@
             }
         }
         for index in 0..demand.senders {
-            let events = std::mem::take(&mut inbox[index]);
-            let rings = alarms[index].first().is_some_and(|&at| at <= now);
-            if events.is_empty() && !rings {
-                continue;
-            }
-            alarms[index] = alarms[index].split_off(&(now + 1));
-            let mut actions = Vec::new();
-            senders[index].handle(now, &events, &mut actions);
+            let actions = turn(&mut senders[index], &mut inbox[index], &mut alarms[index], now);
             let mut sent: BTreeMap<usize, Vec<(u64, usize)>> = BTreeMap::new();
             for action in actions {
                 match action {
-                    Action::SetAlarm(at) => drop(alarms[index].insert(at)),
                     Action::Refuse { message, .. } => {
                         held.remove(&message.0);
                         served.seconds[at].handed_back += 1;
