Log message ids at each step, the connection of each attempt, and why connections close

Need: the incident's records can't tell whether a message was taken for delivered or never decided, nor which response on which connection ended its attempt. Change: the access log's records of accepted, rejected, delivered and given-up messages carry the id; an attempt's end carries the connection's number, the call's place on it and the time from the request's last byte to the first byte behind it. A closed connection is an event of the engine with a reason, a record 'closed', and a counter connections_closed.R. Connections move from calls.rs into a module of their own. Records of older senders are read as before (the stored log stays); the records written now have a stored log of their own. No decision changed.

--- a/crates/access-log/src/observer.rs
+++ b/crates/access-log/src/observer.rs
@@ -1,7 +1,7 @@
 //! Writes the records of one sender into its log.
 
 use crate::record::{AccessEvent, AccessRecord, AttemptOutcome, GiveUpReason, RECORD_PREFIX};
-use milletturn_engine::{EndCause, EndReason, EngineEvent, Observer};
+use milletturn_engine::{CloseReason, EndCause, EndReason, EngineEvent, Observer};
 use milletturn_policy::Outcome;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -39,29 +39,56 @@
 /// The record's part of an event; none for those that are not of a message's way.
 fn access_event(event: &EngineEvent<'_>) -> Option<AccessEvent> {
     Some(match *event {
-        EngineEvent::Accepted { destination, .. } => AccessEvent::Accepted { destination },
-        EngineEvent::Rejected { destination, .. } => AccessEvent::Rejected { destination },
+        EngineEvent::Accepted {
+            id, destination, ..
+        } => AccessEvent::Accepted {
+            id: id.to_string(),
+            destination,
+        },
+        EngineEvent::Rejected {
+            id, destination, ..
+        } => AccessEvent::Rejected {
+            id: id.to_string(),
+            destination,
+        },
         EngineEvent::AttemptStarted { .. } | EngineEvent::AttemptEnded { .. } => {
             return attempt_event(event);
         }
         EngineEvent::Delivered {
-            destination, age, ..
+            id,
+            destination,
+            age,
+            ..
         } => AccessEvent::Delivered {
+            id: id.to_string(),
             destination,
             age_us: non_negative(age),
         },
         EngineEvent::GivenUp {
+            id,
             destination,
             age,
             reason,
             never_attempted,
             ..
         } => AccessEvent::GivenUp {
+            id: id.to_string(),
             destination,
             age_us: non_negative(age),
             reason: give_up_reason(reason),
             never_attempted,
         },
+        EngineEvent::ConnectionClosed {
+            uid,
+            connection,
+            calls,
+            reason,
+        } => AccessEvent::ConnectionClosed {
+            uid: uid.to_string(),
+            connection,
+            calls,
+            reason: close_text(reason).to_string(),
+        },
         EngineEvent::RetryAfter { uid, wait } => AccessEvent::RetryAfter {
             uid: uid.to_string(),
             delay_us: non_negative(wait),
@@ -95,6 +122,7 @@
             destination,
             outcome,
             report,
+            connection_use,
             ..
         } => AccessEvent::AttemptEnded {
             id: id.to_string(),
@@ -106,6 +134,11 @@
             destination,
             outcome: attempt_outcome(&outcome),
             report: report.to_vec(),
+            connection: connection_use.map(|at| at.connection),
+            call_on_connection: connection_use.map(|at| at.call_on_connection),
+            response_after_us: connection_use
+                .and_then(|at| at.response_after)
+                .and_then(|after| u64::try_from(after.as_micros()).ok()),
         },
         _ => return None,
     })
@@ -155,3 +188,13 @@
         EndCause::ForeignProcess => "another process".into(),
     }
 }
+
+/// The text of a close reason in the log; readers of logs go by it.
+fn close_text(reason: CloseReason) -> &'static str {
+    match reason {
+        CloseReason::CallFailed => "call failed",
+        CloseReason::Evicted => "evicted",
+        CloseReason::ClosedByPeer => "closed by peer",
+        CloseReason::UnsolicitedData => "unsolicited data",
+    }
+}
--- a/crates/access-log/src/record.rs
+++ b/crates/access-log/src/record.rs
@@ -23,6 +23,9 @@
     /// A message was accepted.
     #[serde(rename = "taken")]
     Accepted {
+        /// The message's id; empty in records of older senders.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        id: String,
         /// Its destination.
         #[serde(rename = "to")]
         destination: u64,
@@ -30,6 +33,9 @@
     /// A message was rejected on arrival.
     #[serde(rename = "turned_away")]
     Rejected {
+        /// The message's id; empty in records of older senders.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        id: String,
         /// Its destination.
         #[serde(rename = "to")]
         destination: u64,
@@ -75,9 +81,38 @@
         outcome: AttemptOutcome,
         /// The figures of the load report in its response.
         report: Vec<f64>,
+        /// The number of its connection, new for each of a process.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        connection: Option<u64>,
+        /// The call's place among those of its connection, from 1.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        call_on_connection: Option<u64>,
+        /// Time from the last byte of the request to the first byte behind it, in microseconds.
+        #[serde(
+            rename = "response_after",
+            default,
+            skip_serializing_if = "Option::is_none"
+        )]
+        response_after_us: Option<u64>,
+    },
+    /// A connection to an endpoint was closed.
+    #[serde(rename = "closed")]
+    ConnectionClosed {
+        /// The endpoint's name, empty if it is not listed any more.
+        uid: String,
+        /// The connection's number.
+        connection: u64,
+        /// How many calls it carried.
+        calls: u64,
+        /// Why, such as `evicted` or `unsolicited data`.
+        #[serde(rename = "why")]
+        reason: String,
     },
     /// A message was delivered.
     Delivered {
+        /// The message's id; empty in records of older senders.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        id: String,
         /// Its destination.
         #[serde(rename = "to")]
         destination: u64,
@@ -87,6 +122,9 @@
     },
     /// A message was given up.
     GivenUp {
+        /// The message's id; empty in records of older senders.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        id: String,
         /// Its destination.
         #[serde(rename = "to")]
         destination: u64,
@@ -167,16 +205,16 @@
 }
 
 impl AccessEvent {
-    /// The destination that it is counted for; a Retry-After is counted for none.
+    /// The destination that it is counted for; a Retry-After and a closed connection are counted for none.
     pub(crate) fn destination(&self) -> Option<u64> {
         match self {
-            AccessEvent::Accepted { destination }
-            | AccessEvent::Rejected { destination }
+            AccessEvent::Accepted { destination, .. }
+            | AccessEvent::Rejected { destination, .. }
             | AccessEvent::AttemptStarted { destination, .. }
             | AccessEvent::AttemptEnded { destination, .. }
             | AccessEvent::Delivered { destination, .. }
             | AccessEvent::GivenUp { destination, .. } => Some(*destination),
-            AccessEvent::RetryAfter { .. } => None,
+            AccessEvent::ConnectionClosed { .. } | AccessEvent::RetryAfter { .. } => None,
             AccessEvent::PolicyLog { text } => destination_in_log(text),
         }
     }
--- a/crates/access-log/src/summary.rs
+++ b/crates/access-log/src/summary.rs
@@ -159,7 +159,7 @@
                     *self.never_attempted.entry(*reason).or_default() += 1;
                 }
             }
-            AccessEvent::RetryAfter { .. } => {}
+            AccessEvent::ConnectionClosed { .. } | AccessEvent::RetryAfter { .. } => {}
             AccessEvent::PolicyLog { text } => {
                 self.ejections += u64::from(text.contains(" sick"));
                 self.recoveries += u64::from(text.ends_with(" returns"));
--- a/crates/access-log/tests/golden.rs
+++ b/crates/access-log/tests/golden.rs
@@ -6,11 +6,15 @@
 };
 use milletturn_engine::observer::NoopObserver;
 use milletturn_engine::{
-    ArrivalOutcome, EndCause, EndReason, Ending, EngineEvent, Observer, SharedStr,
+    ArrivalOutcome, CloseReason, ConnectionUse, EndCause, EndReason, Ending, EngineEvent, Observer,
+    SharedStr,
 };
 use milletturn_policy::Outcome;
+use std::time::Duration;
 
 const STORED_LOG: &str = include_str!("golden/lines.log");
+/// The same steps as written since records have ids, connections and close reasons.
+const LOG_WITH_IDS: &str = include_str!("golden/lines_with_ids.log");
 
 fn objects(text: &str) -> Vec<&str> {
     text.lines()
@@ -35,6 +39,9 @@
         destination: 7,
         outcome,
         report: report.to_vec(),
+        connection: None,
+        call_on_connection: None,
+        response_after_us: None,
     }
 }
 
@@ -78,17 +85,25 @@
 
 fn expected() -> Vec<AccessEvent> {
     let given_up = |reason, never_attempted| AccessEvent::GivenUp {
+        id: String::new(),
         destination: 7,
         age_us: 20_000_000,
         reason,
         never_attempted,
     };
     let arrivals = vec![
-        AccessEvent::Accepted { destination: 7 },
-        AccessEvent::Rejected { destination: 9 },
+        AccessEvent::Accepted {
+            id: String::new(),
+            destination: 7,
+        },
+        AccessEvent::Rejected {
+            id: String::new(),
+            destination: 9,
+        },
     ];
     let endings = vec![
         AccessEvent::Delivered {
+            id: String::new(),
             destination: 7,
             age_us: 2_500_000,
         },
@@ -126,6 +141,14 @@
     }
 }
 
+#[test]
+fn records_with_ids_and_connections_are_read_and_written_as_they_were() {
+    for object in objects(LOG_WITH_IDS) {
+        let record = AccessRecord::parse(&format!("trace {object}")).expect("a record");
+        assert_eq!(serde_json::to_string(&record).expect("JSON"), object);
+    }
+}
+
 #[test]
 fn records_of_older_senders_are_read_with_what_they_have() {
     let read = |object: &str| {
@@ -144,12 +167,16 @@
             retry_after_us: None,
             destination: 4,
             outcome: AttemptOutcome::Rejected,
-            report: Vec::new()
+            report: Vec::new(),
+            connection: None,
+            call_on_connection: None,
+            response_after_us: None,
         }
     );
     assert_eq!(
         read(r#"{"at":1,"what":"given_up","to":4,"age":5}"#),
         AccessEvent::GivenUp {
+            id: String::new(),
             destination: 4,
             age_us: 5,
             reason: GiveUpReason::Unknown,
@@ -190,6 +217,15 @@
 
 fn emit_attempts(observe: &mut impl FnMut(&EngineEvent<'_>)) {
     let id = SharedStr::new(b"m-1").expect("an id");
+    let connection_use = |connection, call_on_connection, response_after| ConnectionUse {
+        connection,
+        call_on_connection,
+        response_after,
+    };
+    let connection_uses = [
+        connection_use(3, 2, Some(Duration::from_millis(80))),
+        connection_use(4, 1, None),
+    ];
     for attempt in 0..2 {
         observe(&EngineEvent::AttemptStarted {
             id: &id,
@@ -234,12 +270,14 @@
             outcome,
             latency: 0,
             report,
+            connection_use: connection_uses.get(attempt).copied(),
         });
     }
 }
 
 fn emit_endings(observe: &mut impl FnMut(&EngineEvent<'_>)) {
     observe(&EngineEvent::Delivered {
+        id: "m-1",
         class: 0,
         destination: 7,
         age: 2_500_000,
@@ -253,6 +291,7 @@
     ] {
         let ending = Ending::Failed;
         observe(&EngineEvent::GivenUp {
+            id: "m-1",
             class: 0,
             destination: 7,
             ending,
@@ -272,11 +311,13 @@
 
 fn emit_events(mut observe: impl FnMut(&EngineEvent<'_>)) {
     observe(&EngineEvent::Accepted {
+        id: "m-1",
         class: 0,
         destination: 7,
         at: 0,
     });
     observe(&EngineEvent::Rejected {
+        id: "m-2",
         class: 0,
         destination: 9,
         at: 0,
@@ -284,6 +325,19 @@
     });
     emit_attempts(&mut observe);
     emit_endings(&mut observe);
+    for (connection, reason) in [
+        (3, CloseReason::CallFailed),
+        (4, CloseReason::Evicted),
+        (5, CloseReason::ClosedByPeer),
+        (6, CloseReason::UnsolicitedData),
+    ] {
+        observe(&EngineEvent::ConnectionClosed {
+            uid: "s-1",
+            connection,
+            calls: 2,
+            reason,
+        });
+    }
 }
 
 /// Standard error is the log, and a process has one: the events are emitted in a process of their own, which is this test
@@ -311,6 +365,9 @@
         remainder.to_string()
     };
     let logged: Vec<String> = objects(&text).into_iter().map(without_time).collect();
-    let stored: Vec<String> = objects(STORED_LOG).into_iter().map(without_time).collect();
+    let stored: Vec<String> = objects(LOG_WITH_IDS)
+        .into_iter()
+        .map(without_time)
+        .collect();
     assert_eq!(logged, stored);
 }
--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -6,7 +6,7 @@
 #[cfg(test)]
 mod tests;
 
-use milletturn_engine::{ArrivalOutcome, Ending, EngineEvent, EngineStatus, Observer};
+use milletturn_engine::{ArrivalOutcome, CloseReason, Ending, EngineEvent, EngineStatus, Observer};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -33,6 +33,8 @@
     /// Names of the classes, by the positions that events carry.
     class_names: RefCell<Vec<String>>,
     ends: RefCell<BTreeMap<String, EndCounts>>,
+    /// Connections to endpoints by why they were closed.
+    closed_connections: RefCell<BTreeMap<CloseReason, u64>>,
     /// Messages that were completely written to endpoints; the transport counts them.
     pub attempts_written: Rc<Cell<u64>>,
     /// Configuration files that a reload applied.
@@ -85,6 +87,13 @@
                 self.count(*class, |ends| ends.shed += 1);
             }
             EngineEvent::GivenUp { class, .. } => self.count(*class, |ends| ends.errors += 1),
+            EngineEvent::ConnectionClosed { reason, .. } => {
+                *self
+                    .closed_connections
+                    .borrow_mut()
+                    .entry(*reason)
+                    .or_default() += 1;
+            }
             _ => {}
         }
     }
@@ -107,10 +116,27 @@
         push("pool_ejected", status.ejected_endpoints as u64, "g");
         push("config_applied", self.config_applied.get(), "c");
         push("config_rejected", self.config_rejected.get(), "c");
+        for (&reason, &closed) in self.closed_connections.borrow().iter() {
+            push(
+                &format!("connections_closed.{}", close_name(reason)),
+                closed,
+                "c",
+            );
+        }
         text
     }
 }
 
+/// A close reason's part of its counter's name.
+fn close_name(reason: CloseReason) -> &'static str {
+    match reason {
+        CloseReason::CallFailed => "call_failed",
+        CloseReason::Evicted => "evicted",
+        CloseReason::ClosedByPeer => "by_peer",
+        CloseReason::UnsolicitedData => "unsolicited_data",
+    }
+}
+
 /// An observer that counts each event, and passes it on.
 pub struct MetricsObserver {
     /// Where it counts.
--- a/crates/admin/src/metrics/tests.rs
+++ b/crates/admin/src/metrics/tests.rs
@@ -3,6 +3,7 @@
 
 fn delivered(class: usize) -> EngineEvent<'static> {
     EngineEvent::Delivered {
+        id: "m-1",
         class,
         destination: 7,
         age: 5,
@@ -11,6 +12,7 @@
 
 fn rejected(outcome: ArrivalOutcome) -> EngineEvent<'static> {
     EngineEvent::Rejected {
+        id: "m-1",
         class: 1,
         destination: 7,
         at: 0,
@@ -20,6 +22,7 @@
 
 fn given_up(ending: Ending) -> EngineEvent<'static> {
     EngineEvent::GivenUp {
+        id: "m-1",
         class: 0,
         destination: 7,
         ending,
@@ -34,6 +37,7 @@
     let metrics = Metrics::default();
     metrics.count_event(&EngineEvent::Classes(&["a".to_string(), "b".to_string()]));
     let accepted = EngineEvent::Accepted {
+        id: "m-1",
         class: 0,
         destination: 7,
         at: 0,
@@ -73,3 +77,24 @@
     let all: u64 = metrics.ends.borrow().values().map(|ends| ends.ok).sum();
     assert_eq!(all, 2 * MAX_CLASSES as u64);
 }
+
+#[test]
+fn closed_connections_are_counted_by_reason() {
+    let metrics = Metrics::default();
+    for reason in [
+        CloseReason::UnsolicitedData,
+        CloseReason::Evicted,
+        CloseReason::UnsolicitedData,
+    ] {
+        metrics.count_event(&EngineEvent::ConnectionClosed {
+            uid: "s-1",
+            connection: 1,
+            calls: 2,
+            reason,
+        });
+    }
+    let text = metrics.render(EngineStatus::default());
+    assert!(text.ends_with(
+        "relay.connections_closed.evicted:1|c\nrelay.connections_closed.unsolicited_data:2|c\n"
+    ));
+}
--- a/crates/admin/tests/golden.rs
+++ b/crates/admin/tests/golden.rs
@@ -41,12 +41,14 @@
     let names = ["webhook".to_string(), "order".to_string()];
     let reason = EndReason::DeadlineExceeded;
     let rejected = |outcome| EngineEvent::Rejected {
+        id: "m-1",
         class: 1,
         destination: 7,
         at: 0,
         outcome,
     };
     let given_up = |ending| EngineEvent::GivenUp {
+        id: "m-1",
         class: 0,
         destination: 7,
         ending,
@@ -55,6 +57,7 @@
         age: 0,
     };
     let delivered = |class| EngineEvent::Delivered {
+        id: "m-1",
         class,
         destination: 7,
         age: 5,
--- a/crates/engine/src/arrivals.rs
+++ b/crates/engine/src/arrivals.rs
@@ -42,7 +42,12 @@
             let _ = arrival.reply.send(ArrivalOutcome::AlreadyDelivered);
         } else if self.messages.open_count() >= self.max_open_messages {
             let outcome = ArrivalOutcome::Rejected { wait: None };
-            self.observe_rejected(arrival.class, arrival.destination, outcome);
+            self.observe_rejected(
+                arrival.id.as_str(),
+                arrival.class,
+                arrival.destination,
+                outcome,
+            );
             let _ = arrival.reply.send(outcome);
         } else {
             self.admit(arrival);
@@ -144,11 +149,13 @@
         let (class, destination) = (arrival.class, arrival.destination);
         self.observer.observe(&match outcome {
             ArrivalOutcome::Accepted => EngineEvent::Accepted {
+                id: arrival.id.as_str(),
                 class,
                 destination,
                 at,
             },
             _ => EngineEvent::Rejected {
+                id: arrival.id.as_str(),
                 class,
                 destination,
                 at,
@@ -195,12 +202,14 @@
     /// Reports a rejection that happens now.
     pub(crate) fn observe_rejected(
         &mut self,
+        id: &str,
         class: usize,
         destination: u64,
         outcome: ArrivalOutcome,
     ) {
         let at = self.clock.now();
         self.observer.observe(&EngineEvent::Rejected {
+            id,
             class,
             destination,
             at,
--- a/crates/engine/src/endings.rs
+++ b/crates/engine/src/endings.rs
@@ -46,6 +46,7 @@
             outcome: end.outcome,
             latency,
             report: &end.report,
+            connection_use: end.connection_use,
         });
         if end.outcome.never_ran() && message.open {
             let written = self.journal.record_never_ran(message_id.0, attempt_index);
@@ -88,6 +89,7 @@
         self.delivered.push(message.item.id.clone());
         if message.open {
             self.observer.observe(&EngineEvent::Delivered {
+                id: message.item.id.as_str(),
                 class: message.class,
                 destination: message.destination,
                 age: now - message.accepted_at,
@@ -161,6 +163,7 @@
         let (id, redriven) = (message.item.id.clone(), message.redriven);
         let (class, ordering_key) = (message.class, message.ordering_key);
         let event = EngineEvent::GivenUp {
+            id: id.as_str(),
             class,
             destination: message.destination,
             ending,
--- a/crates/engine/src/input.rs
+++ b/crates/engine/src/input.rs
@@ -8,8 +8,9 @@
 use crate::observer::EngineEvent;
 use crate::reconfiguration::ListOrigin;
 use crate::shared_str::SharedStr;
-use crate::transport::AttemptEnd;
+use crate::transport::{AttemptEnd, CloseReason};
 use milletturn_policy::{EndpointId, Event, MessageId, Micros, Settings, SettingsError};
+use std::sync::Arc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -36,6 +37,17 @@
     },
     /// The attempt for one message of a call ended.
     AttemptEnded(AttemptEnd),
+    /// A connection to an endpoint was closed.
+    ConnectionClosed {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The connection's number, unique in this process.
+        connection: u64,
+        /// How many calls it carried.
+        calls: u64,
+        /// Why.
+        reason: CloseReason,
+    },
     /// The endpoint list, or a change of it.
     EndpointsListed(EndpointListUpdate),
     /// Notifications that their receiver has confirmed, by number of message.
@@ -87,6 +99,20 @@
             }
             Input::RetryAfter { endpoint, wait } => self.on_retry_after(endpoint, wait),
             Input::AttemptEnded(end) => self.on_attempt_ended(end),
+            Input::ConnectionClosed {
+                endpoint,
+                connection,
+                calls,
+                reason,
+            } => {
+                let uid = self.endpoint_name(endpoint);
+                self.observer.observe(&EngineEvent::ConnectionClosed {
+                    uid: &uid,
+                    connection,
+                    calls,
+                    reason,
+                });
+            }
             Input::EndpointsListed(update) => self.on_endpoints_listed(update, ListOrigin::Source),
             Input::Notified(numbers) => {
                 for number in numbers {
@@ -100,7 +126,7 @@
             }
             Input::Redrive(request) => self.on_redrive(request),
             Input::Rejected { class, destination } => {
-                self.observe_rejected(class, destination, ArrivalOutcome::NoCapacity);
+                self.observe_rejected("", class, destination, ArrivalOutcome::NoCapacity);
             }
             Input::Reconfigure(settings, reply) => {
                 // new settings are in force even if nobody waits for the reply
@@ -118,15 +144,20 @@
     }
 
     fn on_retry_after(&mut self, endpoint: EndpointId, wait: Micros) {
-        let uid = self
-            .endpoints
-            .route(endpoint)
-            .map_or("", |route| &route.uid);
+        let uid = self.endpoint_name(endpoint);
         self.observer
-            .observe(&EngineEvent::RetryAfter { uid, wait });
+            .observe(&EngineEvent::RetryAfter { uid: &uid, wait });
         self.events.push(Event::ToldWait { endpoint, wait });
     }
 
+    /// The endpoint's name, empty if it is not listed any more.
+    fn endpoint_name(&self, endpoint: EndpointId) -> Arc<str> {
+        self.endpoints
+            .route(endpoint)
+            .map(|route| route.uid.clone())
+            .unwrap_or_default()
+    }
+
     fn status(&self) -> EngineStatus {
         EngineStatus {
             open_messages: self.messages.open_count(),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -74,4 +74,4 @@
 pub use ports::Ports;
 pub use shared_str::{SharedStr, SharedStrError, stable_hash};
 pub use snapshot::{ForeignCall, RestoredEngine, Snapshot};
-pub use transport::{AttemptEnd, Call, CallItem, EndCause, Transport};
+pub use transport::{AttemptEnd, Call, CallItem, CloseReason, ConnectionUse, EndCause, Transport};
--- a/crates/engine/src/observer.rs
+++ b/crates/engine/src/observer.rs
@@ -1,6 +1,9 @@
 //! The observer port: events of the engine for logs, metrics and tests. Observers change nothing.
 
-use crate::{ArrivalOutcome, EndCause, EndReason, Ending, JournalError, SharedStr};
+use crate::{
+    ArrivalOutcome, CloseReason, ConnectionUse, EndCause, EndReason, Ending, JournalError,
+    SharedStr,
+};
 use milletturn_policy::{Micros, Outcome};
 
 /// One event of the engine. Times are module time in microseconds, which is Unix time.
@@ -10,6 +13,8 @@
     Classes(&'a [String]),
     /// A message was accepted.
     Accepted {
+        /// The message's id.
+        id: &'a str,
         /// Position of its class.
         class: usize,
         /// Its destination.
@@ -19,6 +24,8 @@
     },
     /// A message was rejected at its arrival.
     Rejected {
+        /// The message's id; empty where a server rejected it before it was read.
+        id: &'a str,
         /// Position of its class.
         class: usize,
         /// Its destination.
@@ -61,6 +68,19 @@
         latency: Micros,
         /// The endpoint's load report, or empty.
         report: &'a [f64],
+        /// Where on a connection its response came; `None` for an attempt that got no connection.
+        connection_use: Option<ConnectionUse>,
+    },
+    /// A connection to an endpoint was closed, or given up after it had been closed by the peer.
+    ConnectionClosed {
+        /// The endpoint's name, empty if it is not listed any more.
+        uid: &'a str,
+        /// The connection's number, unique in this process.
+        connection: u64,
+        /// How many calls it carried.
+        calls: u64,
+        /// Why.
+        reason: CloseReason,
     },
     /// An endpoint asked for a pause.
     RetryAfter {
@@ -71,6 +91,8 @@
     },
     /// A message was delivered.
     Delivered {
+        /// The message's id.
+        id: &'a str,
         /// Position of its class.
         class: usize,
         /// Its destination.
@@ -80,6 +102,8 @@
     },
     /// An accepted message was given up.
     GivenUp {
+        /// The message's id.
+        id: &'a str,
         /// Position of its class.
         class: usize,
         /// Its destination.
--- a/crates/engine/src/transport.rs
+++ b/crates/engine/src/transport.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use milletturn_policy::{EndpointId, Outcome};
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -42,6 +43,30 @@
     ForeignProcess,
 }
 
+/// Where on a connection a call was made. It is for people who investigate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// The connection's number, unique in this process.
+    pub connection: u64,
+    /// The call's place among those of the connection, from 1.
+    pub call_on_connection: u64,
+    /// Time from the last byte of the request to the first byte behind it; `None` if either is missing.
+    pub response_after: Option<Duration>,
+}
+
+/// Why a connection to an endpoint was closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CloseReason {
+    /// Its call was given up, or ended without a complete response; the attempt's [`EndCause`] says which.
+    CallFailed,
+    /// It was idle for too long, there was no room for it, or its endpoint gets no calls any more.
+    Evicted,
+    /// It ended or broke while it was idle.
+    ClosedByPeer,
+    /// Bytes came that answer no call.
+    UnsolicitedData,
+}
+
 /// The end of the attempt for one message of a call.
 #[derive(Debug)]
 pub struct AttemptEnd {
@@ -57,6 +82,8 @@
     pub report: Vec<f64>,
     /// What the transport observed.
     pub cause: EndCause,
+    /// Where on a connection it was made; `None` for an attempt that got no connection.
+    pub connection_use: Option<ConnectionUse>,
 }
 
 /// A call to make.
--- a/crates/hot-restart/src/remainder.rs
+++ b/crates/hot-restart/src/remainder.rs
@@ -151,6 +151,7 @@
             | Input::Redrive(_)
             | Input::Reconfigure(..)
             | Input::IsOpen(..)
+            | Input::ConnectionClosed { .. }
             | Input::Stopping(_) => return None,
         })
     }
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -6,14 +6,13 @@
 
 use crate::budget::Budget;
 use crate::call_text::{bulk_size, ends_of, report_of, request_of, wait_of};
+use crate::connection::Connection;
 use crate::pools::Pools;
-use crate::wire::{Wire, Wired};
+use crate::wire::Wire;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use milletturn_engine::{AttemptEnd, Call, CallItem, EndCause, Input, MAX_BODY_BYTES, Transport};
 use milletturn_logging::RateLimitedLog;
 use milletturn_policy::{EndpointId, Outcome};
@@ -22,7 +21,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -36,11 +34,6 @@
 /// Longest wait for the descriptor of an idle connection that gives way to a new one.
 const PLACE: Duration = Duration::from_millis(200);
 
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    wire: Rc<Wire>,
-}
-
 /// The connections to the endpoints and what calls have in common: the transport of the platform.
 #[derive(Clone)]
 pub struct Calls(Rc<Shared>);
@@ -57,6 +50,8 @@
     inputs: mpsc::UnboundedSender<Input>,
     /// Messages written whole to endpoints.
     tries: Rc<Cell<u64>>,
+    /// Connections opened so far.
+    opened: Cell<u64>,
 }
 
 /// What came of the whole call.
@@ -109,6 +104,7 @@
             faults: RateLimitedLog::default(),
             inputs,
             tries,
+            opened: Cell::default(),
         }))
     }
 }
@@ -165,7 +161,7 @@
     // what is called off stays out while others need the call: the far side sees the connection open, and a further
     // send would be a second copy there
     let mut wanted: Vec<bool> = vec![true; call.items.len()];
-    let tell = |item: usize, outcome, closed, report, cause| {
+    let tell = |item: usize, outcome, closed, report, cause, connection_use| {
         let end = AttemptEnd {
             call: call.number,
             position: item,
@@ -173,6 +169,7 @@
             closed,
             report,
             cause,
+            connection_use,
         };
         // nobody listens any more only when the process ends
         let _ = shared.inputs.send(Input::AttemptEnded(end));
@@ -201,12 +198,20 @@
             }
         }
     };
+    let connection_use = wire.borrow().as_ref().map(|wire| wire.connection_use());
     for item in 0..call.items.len() {
         let (outcome, closed) = match &answer.ends {
             Ends::All(outcome, closed) => (*outcome, *closed),
             Ends::Each(ends) => ends.get(item).copied().unwrap_or((Outcome::Error, false)),
         };
-        tell(item, outcome, closed, answer.report.clone(), answer.cause);
+        tell(
+            item,
+            outcome,
+            closed,
+            answer.report.clone(),
+            answer.cause,
+            connection_use,
+        );
     }
 }
 
@@ -237,7 +242,11 @@
                         .log(format_args!("calls: no descriptor left for a connection"));
                     return Answer::all(Outcome::Unsent { no_slot: false }, EndCause::NoConnection);
                 };
-                match timeout(shared.dial_timeout, connect(shared, call, place)).await {
+                let number = shared.opened.get() + 1;
+                shared.opened.set(number);
+                let opening =
+                    Connection::open(number, call.endpoint, call.address, place, &shared.inputs);
+                match timeout(shared.dial_timeout, opening).await {
                     Ok(Ok(connection)) => (connection, false),
                     Ok(Err(_)) | Err(_) => {
                         return Answer::all(Outcome::NoConnection, EndCause::NoConnection);
@@ -287,6 +296,7 @@
                 let written = connection.wire.written.get() - before;
                 // an idle connection that had closed before a byte was written carried no call at all
                 if reused && written == 0 {
+                    connection.ended_idle();
                     continue;
                 }
                 // `least` is what the call takes up on the wire at the very least
@@ -425,31 +435,6 @@
         .ok()
 }
 
-async fn connect(
-    shared: &Shared,
-    call: &Call,
-    place: OwnedSemaphorePermit,
-) -> Result<Connection, Box<dyn std::error::Error>> {
-    let stream = TcpStream::connect(call.address).await?;
-    stream.set_nodelay(true)?;
-    let (endpoint, inputs) = (call.endpoint, shared.inputs.clone());
-    let wire = Rc::new(Wire::new(move |wait| {
-        // nobody listens any more only when the process ends
-        let _ = inputs.send(Input::RetryAfter { endpoint, wait });
-    }));
-    let wired = Wired {
-        stream,
-        wire: wire.clone(),
-        _place: place,
-    };
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_BODY_BYTES)
-        .handshake(TokioIo::new(wired))
-        .await?;
-    tokio::task::spawn_local(connection);
-    Ok(Connection { sender, wire })
-}
-
 async fn take_idle(
     shared: &Shared,
     endpoint: EndpointId,
@@ -461,13 +446,19 @@
             .borrow_mut()
             .take(endpoint, address, Instant::now(), REST);
         let (since, mut connection) = idle?;
-        if since.elapsed() < shared.idle_most && connection.sender.ready().await.is_ok() {
+        if since.elapsed() < shared.idle_most && connection.is_ready().await {
             return Some(connection);
         }
     }
 }
 
-fn give_back(shared: &Shared, endpoint: EndpointId, address: SocketAddr, connection: Connection) {
+fn give_back(
+    shared: &Shared,
+    endpoint: EndpointId,
+    address: SocketAddr,
+    mut connection: Connection,
+) {
+    connection.set_idle();
     if connection.sender.is_closed() {
         return;
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 mod call_text;
 pub mod calls;
 pub mod config;
+mod connection;
 pub mod door;
 pub mod feed;
 mod gate;
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -3,7 +3,7 @@
 //! something came that nobody asked for.
 
 use crate::call_text::wait_in;
-use milletturn_engine::MAX_BODY_BYTES;
+use milletturn_engine::{ConnectionUse, MAX_BODY_BYTES};
 use milletturn_policy::Micros;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -16,6 +16,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
+use tokio::time::Instant;
 
 /// Longest line of a head that is looked at: a wait takes far less.
 const LINE_MOST: usize = 256;
@@ -24,6 +25,18 @@
 
 /// What the raw bytes of a connection tell.
 pub(crate) struct Wire {
+    /// The connection's number, unique in this process.
+    number: u64,
+    /// Calls that were begun on it.
+    calls: Cell<u64>,
+    /// When the present call had been written whole.
+    written_at: Cell<Option<Instant>>,
+    /// When the first byte came behind the present call's beginning.
+    answered_at: Cell<Option<Instant>>,
+    /// No call is out.
+    idle: Cell<bool>,
+    /// Bytes came while no call was out.
+    unsolicited: Cell<bool>,
     /// A call whose last byte was not written can't have run.
     pub written: Cell<u64>,
     /// Nothing may stand unread when the next call begins.
@@ -113,9 +126,15 @@
 }
 
 impl Wire {
-    /// A new connection. `told` hears of the waits that its answers tell.
-    pub(crate) fn new(told: impl Fn(Micros) + 'static) -> Self {
+    /// A new connection with this number. `told` hears of the waits that its answers tell.
+    pub(crate) fn new(number: u64, told: impl Fn(Micros) + 'static) -> Self {
         Wire {
+            number,
+            calls: Cell::default(),
+            written_at: Cell::default(),
+            answered_at: Cell::default(),
+            idle: Cell::default(),
+            unsolicited: Cell::default(),
             written: Cell::default(),
             look: Cell::default(),
             answer: Cell::default(),
@@ -136,12 +155,47 @@
             tries: tries.clone(),
         };
         self.whole.replace(Some(whole));
+        self.calls.set(self.calls.get() + 1);
+        self.written_at.set(None);
+        self.answered_at.set(None);
+        self.idle.set(false);
         self.look.set(reused);
         self.ahead.set(0);
         self.answer.set(FirstLine::Status(0, 0));
         self.line.replace(Some(Vec::new()));
     }
 
+    /// The call is over and its answer read.
+    pub(crate) fn set_idle(&self) {
+        self.idle.set(true);
+    }
+
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
+    pub(crate) fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    pub(crate) fn has_unsolicited_data(&self) -> bool {
+        self.unsolicited.get()
+    }
+
+    /// The present call's place on the connection, and how fast its answer came.
+    pub(crate) fn connection_use(&self) -> ConnectionUse {
+        let response_after = self
+            .written_at
+            .get()
+            .zip(self.answered_at.get())
+            .map(|(written, answered)| answered.saturating_duration_since(written));
+        ConnectionUse {
+            connection: self.number,
+            call_on_connection: self.calls.get(),
+            response_after,
+        }
+    }
+
     pub(crate) fn says_200(&self) -> bool {
         self.answer.get() == FirstLine::Whole(200)
     }
@@ -184,6 +238,12 @@
     }
 
     fn pass(&self, bytes: &mut [u8]) -> io::Result<()> {
+        if !bytes.is_empty() {
+            self.unsolicited
+                .set(self.unsolicited.get() || self.idle.get());
+            let answered_at = self.answered_at.get().or_else(|| Some(Instant::now()));
+            self.answered_at.set(answered_at);
+        }
         let mut line = self.answer.get();
         let mut ahead = self.ahead.get();
         for byte in bytes {
@@ -231,7 +291,10 @@
         match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
             Err(error) => Err(error),
-            Ok(_) => Err(io::Error::new(io::ErrorKind::ConnectionAborted, "not idle")),
+            Ok(bytes) => {
+                self.wire.unsolicited.set(bytes > 0);
+                Err(io::Error::new(io::ErrorKind::ConnectionAborted, "not idle"))
+            }
         }
     }
 
@@ -246,6 +309,7 @@
                 .take_if(|whole| written >= whole.at)
             {
                 whole.tries.set(whole.tries.get() + whole.messages);
+                self.wire.written_at.set(Some(Instant::now()));
             }
         }
         result
@@ -319,7 +383,7 @@
     fn seen(text: &str) -> (FirstLine, String) {
         let mut found = Vec::new();
         for size in [1, 2, 5, 13, text.len().max(1)] {
-            let (wire, mut bytes) = (Wire::new(|_| {}), text.as_bytes().to_vec());
+            let (wire, mut bytes) = (Wire::new(1, |_| {}), text.as_bytes().to_vec());
             wire.begin(false, 0, 1, &Rc::default());
             bytes
                 .chunks_mut(size)
@@ -371,7 +435,7 @@
 
     #[test]
     fn answers_ahead_without_end_are_an_error() {
-        let wire = Wire::new(|_| {});
+        let wire = Wire::new(1, |_| {});
         wire.begin(false, 0, 1, &Rc::default());
         let ends = (0..10_000).any(|_| {
             wire.pass(&mut b"HTTP/1.1 102 Processing\r\n\r\n".to_vec())
--- a/crates/platform/tests/bulk_calls.rs
+++ b/crates/platform/tests/bulk_calls.rs
@@ -57,7 +57,7 @@
     }
 
     async fn end(&mut self) -> (usize, Outcome, EndCause) {
-        match self.received.recv().await {
+        match common::next_input(&mut self.received).await {
             Some(Input::AttemptEnded(ended)) => (ended.position, ended.outcome, ended.cause),
             other => panic!("no end: {other:?}"),
         }
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -39,3 +39,13 @@
         body: body.into(),
     }
 }
+
+/// The next input that is about a call; connections may be closed at any time and are passed over.
+pub(crate) async fn next_input(received: &mut mpsc::UnboundedReceiver<Input>) -> Option<Input> {
+    loop {
+        match received.recv().await {
+            Some(Input::ConnectionClosed { .. }) => {}
+            other => return other,
+        }
+    }
+}
--- a/crates/platform/tests/single_calls.rs
+++ b/crates/platform/tests/single_calls.rs
@@ -63,7 +63,10 @@
     async fn heard(&mut self, mut stream: Option<TcpStream>) -> Heard {
         let mut waits = Vec::new();
         loop {
-            match self.received.recv().await.expect("the transport lives") {
+            match common::next_input(&mut self.received)
+                .await
+                .expect("the transport lives")
+            {
                 Input::RetryAfter { endpoint, wait } => {
                     assert_eq!(endpoint, EndpointId(1));
                     waits.push(wait);
@@ -73,8 +76,10 @@
                         // it has looked at what had come when it lets the connection go
                         let _ = stream.read(&mut [0; 64]).await;
                     }
-                    while let Ok(Input::RetryAfter { wait, .. }) = self.received.try_recv() {
-                        waits.push(wait);
+                    while let Ok(input) = self.received.try_recv() {
+                        if let Input::RetryAfter { wait, .. } = input {
+                            waits.push(wait);
+                        }
                     }
                     return Heard {
                         waits,
@@ -89,7 +94,7 @@
 
     /// The question that a call on a new connection asks.
     async fn asked(&mut self) -> oneshot::Sender<Instant> {
-        match self.received.recv().await {
+        match common::next_input(&mut self.received).await {
             Some(Input::RequestStart(_, reply)) => reply,
             other => panic!("it did not ask: {other:?}"),
         }
@@ -242,7 +247,7 @@
             stream.write_all(&[*byte]).await.expect("open");
             tokio::task::yield_now().await;
         }
-        let first = rig.rig.received.recv().await;
+        let first = common::next_input(&mut rig.rig.received).await;
         assert!(
             matches!(first, Some(Input::RetryAfter { wait, .. }) if wait == 1500 * MILLISECOND),
             "{first:?}"
