--- /dev/null
+++ b/crates/test-support/src/duplicating_proxy.rs
@@ -0,0 +1,111 @@
+//! A fault proxy in front of an endpoint, which sends some of its responses twice.
+
+use crate::{Request, read_http};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// The header of a request during which the proxy sends a copy of an earlier response.
+pub const COPY_HEADER: &str = "x-copy-sent";
+
+/// When the second copy of a response is sent.
+#[derive(Debug, Clone, Copy)]
+pub enum CopyMoment {
+    /// So long behind the response, whether or not the next request has come by then.
+    AfterResponse(Duration),
+    /// So long after the next request on the connection has come, before its own response.
+    InNextCall(Duration),
+}
+
+/// The proxy. Each connection of the sender's is one connection here, and each of its requests one at the endpoint.
+#[derive(Debug, Clone)]
+pub struct DuplicatingProxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Copies that were sent so far.
+    pub copies: Arc<AtomicUsize>,
+}
+
+impl DuplicatingProxy {
+    /// Listens at once. Of each connection's responses, every `period`th is sent twice.
+    #[must_use]
+    pub fn new(endpoint: SocketAddr, moment: CopyMoment, period: usize) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let proxy = DuplicatingProxy {
+            address: listener.local_addr().expect("bound"),
+            copies: Arc::default(),
+        };
+        let copies = proxy.copies.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let forwarding = Forwarding {
+                    stream,
+                    endpoint,
+                    copies: copies.clone(),
+                };
+                thread::spawn(move || forwarding.run(moment, period));
+            }
+        });
+        proxy
+    }
+}
+
+/// One connection of the sender's.
+struct Forwarding {
+    stream: TcpStream,
+    endpoint: SocketAddr,
+    copies: Arc<AtomicUsize>,
+}
+
+impl Forwarding {
+    /// Runs until either side is gone.
+    fn run(mut self, moment: CopyMoment, period: usize) -> Option<()> {
+        let mut requests = BufReader::new(self.stream.try_clone().ok()?);
+        let mut last_response: Option<Vec<u8>> = None;
+        for number in 1.. {
+            let mut request = read_http(&mut requests)?;
+            let copy = last_response.take().filter(|_| number % period == 0);
+            let delay = match (&copy, moment) {
+                (Some(_), CopyMoment::InNextCall(delay)) => Some(delay),
+                _ => None,
+            };
+            if delay.is_some() {
+                request.headers.insert(COPY_HEADER.into(), "1".into());
+            }
+            let mut upstream = TcpStream::connect(self.endpoint).ok()?;
+            upstream.write_all(&bytes_of(&request)).ok()?;
+            if let (Some(copy), Some(delay)) = (copy, delay) {
+                thread::sleep(delay);
+                self.send_copy(&copy)?;
+            }
+            let response = bytes_of(&read_http(&mut BufReader::new(upstream))?);
+            self.stream.write_all(&response).ok()?;
+            match moment {
+                CopyMoment::AfterResponse(delay) if number % period == 0 => {
+                    thread::sleep(delay);
+                    self.send_copy(&response)?;
+                }
+                _ => last_response = Some(response),
+            }
+        }
+        None
+    }
+
+    fn send_copy(&mut self, response: &[u8]) -> Option<()> {
+        self.copies.fetch_add(1, Ordering::SeqCst);
+        self.stream.write_all(response).ok()
+    }
+}
+
+/// A request or response as it goes on.
+fn bytes_of(message: &Request) -> Vec<u8> {
+    let mut text = format!("{}\r\n", message.line);
+    for (name, value) in &message.headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    text += "\r\n";
+    [text.as_bytes(), &message.body[..]].concat()
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -8,6 +8,7 @@
 )]
 
 pub mod cold_fleet;
+mod duplicating_proxy;
 mod effects;
 mod engine_ports;
 pub mod limited_fleet;
@@ -18,6 +19,7 @@
 mod variants;
 mod virtual_transport;
 
+pub use duplicating_proxy::{COPY_HEADER, CopyMoment, DuplicatingProxy};
 pub use effects::Effects;
 pub use engine_ports::{RecordingTransport, START, arrival, listed, ports};
 pub use memory_journal::MemoryJournal;
--- /dev/null
+++ b/tests/duplicate_responses.rs
@@ -0,0 +1,191 @@
+//! The real sender behind a proxy that sends an endpoint's responses twice: a response ends no call but its own.
+
+mod node;
+
+use node::*;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// How long the endpoint takes.
+const SERVICE_TIME: Duration = Duration::from_millis(80);
+/// How long each message may take.
+const TIME_TO_LIVE_MS: u64 = 3_000;
+/// A message without an end so long after its time is lost (the protocol page).
+const LOST_AFTER_MS: u64 = 300;
+/// Time between two messages: a connection is idle by then.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Messages of one test.
+const MESSAGES: usize = 20;
+
+/// What the endpoint does with a request, by its number; true for the flag if a copy crosses it.
+type Script = fn(crossed: bool, number: usize) -> Reply;
+
+/// Rejects what a copy crosses. Its other responses differ, as those with a load report do.
+fn reject_crossed(crossed: bool, number: usize) -> Reply {
+    match crossed {
+        true => Reply::Answer(REJECTED, String::new()),
+        false => Reply::Answer("200 OK", number.to_string()),
+    }
+}
+
+/// Rejects what a copy crosses. Its other responses are the same bytes.
+fn reject_crossed_alike(crossed: bool, _: usize) -> Reply {
+    match crossed {
+        true => Reply::Answer(REJECTED, String::new()),
+        false => OK,
+    }
+}
+
+/// Delivers nothing but what a copy crosses.
+fn deliver_crossed(crossed: bool, _: usize) -> Reply {
+    match crossed {
+        true => OK,
+        false => Reply::Answer(REJECTED, String::new()),
+    }
+}
+
+const REJECTED: &str = "503 Service Unavailable";
+
+/// An endpoint, and the proxy between it and the sender.
+struct Fixture {
+    proxy: DuplicatingProxy,
+    endpoint: Endpoint,
+    /// Ids that the endpoint has answered with 200, each time.
+    delivered: Arc<Mutex<Vec<String>>>,
+    agent: Agent,
+    node: Node,
+}
+
+impl Fixture {
+    /// Of each connection's responses, every `period`th is sent twice.
+    fn new(script: Script, moment: CopyMoment, period: usize) -> Self {
+        let delivered: Arc<Mutex<Vec<String>>> = Arc::default();
+        let ran = delivered.clone();
+        let endpoint = Endpoint::new(move |request, number| {
+            let crossed = !request.header(COPY_HEADER).is_empty();
+            thread::sleep(SERVICE_TIME);
+            let reply = script(crossed, number);
+            if !matches!(reply, Reply::Answer(REJECTED, _)) {
+                ran.lock().expect("not poisoned").extend(request.ids());
+            }
+            reply
+        });
+        let proxy = DuplicatingProxy::new(endpoint.address, moment, period);
+        let agent = Agent::new(vec![list(&[("s-1", proxy.address, "one", 7, "up")])]);
+        let node = Node::traced(&agent).ready();
+        Fixture {
+            proxy,
+            endpoint,
+            delivered,
+            agent,
+            node,
+        }
+    }
+
+    fn delivered(&self) -> Vec<String> {
+        self.delivered.lock().expect("not poisoned").clone()
+    }
+
+    fn copies(&self) -> usize {
+        self.proxy.copies.load(Ordering::SeqCst)
+    }
+
+    /// Hands messages in one after the other.
+    fn hand_in(&self, class: &str, count: usize) -> Vec<String> {
+        let ids: Vec<String> = (0..count).map(|number| format!("m{number}")).collect();
+        for id in &ids {
+            assert_eq!(self.node.hand_in(class, id, 7, TIME_TO_LIVE_MS, b"x"), 202);
+            thread::sleep(PAUSE);
+        }
+        ids
+    }
+
+    fn is_ended(&self, id: &String) -> bool {
+        let quoted = format!("\"{id}\"");
+        let notices = self.agent.notices();
+        self.delivered().contains(id) || notices.iter().any(|line| line.contains(&quoted))
+    }
+
+    /// The messages that are neither delivered nor ended by a notice once their time is up.
+    fn lost(&self, ids: &[String]) -> Vec<String> {
+        let open = || ids.iter().filter(|id| !self.is_ended(id));
+        let until =
+            std::time::Instant::now() + Duration::from_millis(TIME_TO_LIVE_MS + LOST_AFTER_MS);
+        while open().next().is_some() && std::time::Instant::now() < until {
+            thread::sleep(Duration::from_millis(10));
+        }
+        open().cloned().collect()
+    }
+
+    /// The sender's records of a message.
+    fn records(&self, id: &str) -> Vec<String> {
+        let log = self.node.log.lock().expect("not poisoned");
+        let of_message = log
+            .iter()
+            .filter(|line| line.contains(&format!("\"{id}\"")));
+        of_message.cloned().collect()
+    }
+
+    fn assert_none_lost(&self, ids: &[String]) {
+        let lost = self.lost(ids);
+        let first = lost.first().map(|id| self.records(id).join("\n"));
+        assert!(
+            lost.is_empty(),
+            "{} of {} lost, {} copies: {lost:?}\n{}",
+            lost.len(),
+            ids.len(),
+            self.copies(),
+            first.unwrap_or_default()
+        );
+    }
+}
+
+/// Copies of 200s that cross the next request, each of which the endpoint rejects.
+fn assert_no_loss(script: Script, delay: Duration) {
+    let fixture = Fixture::new(script, CopyMoment::InNextCall(delay), 2);
+    let ids = fixture.hand_in("webhook", MESSAGES);
+    fixture.assert_none_lost(&ids);
+    assert!(fixture.copies() > 0, "copies were sent");
+}
+
+#[test]
+fn a_copy_of_a_200_with_the_next_request_delivers_nothing() {
+    assert_no_loss(reject_crossed, Duration::ZERO);
+}
+
+#[test]
+fn a_copy_of_a_200_in_the_middle_of_the_next_call_delivers_nothing() {
+    assert_no_loss(reject_crossed, SERVICE_TIME / 2);
+}
+
+#[test]
+fn a_copy_of_a_200_with_the_next_request_delivers_nothing_where_all_are_alike() {
+    assert_no_loss(reject_crossed_alike, Duration::ZERO);
+}
+
+#[test]
+fn a_copy_of_a_200_on_an_idle_connection_delivers_nothing() {
+    let fixture = Fixture::new(
+        reject_crossed,
+        CopyMoment::AfterResponse(Duration::from_millis(10)),
+        2,
+    );
+    let ids = fixture.hand_in("webhook", MESSAGES);
+    fixture.assert_none_lost(&ids);
+    assert!(fixture.copies() > 0, "copies were sent");
+    assert_eq!(fixture.endpoint.count(), ids.len(), "and none was repeated");
+}
+
+#[test]
+fn a_copy_of_a_rejection_repeats_no_message_that_runs() {
+    let fixture = Fixture::new(deliver_crossed, CopyMoment::InNextCall(Duration::ZERO), 2);
+    let ids = fixture.hand_in("order", MESSAGES);
+    fixture.assert_none_lost(&ids);
+    let mut ran = fixture.delivered();
+    let runs = ran.len();
+    ran.sort();
+    ran.dedup();
+    assert_eq!(runs, ran.len(), "each ran once at most");
+}
