Take a 200 for delivery only if it can't be a copy of an earlier one on its connection

Cause: a response ended whatever call was out on its connection (exchange and read in calls.rs). Bytes behind a response were looked for until the next request was written; a second copy that came with that request or during its call was read as its 200. Evidence: the access log of the reproduction: 'answer 200' 0.1 to 0.3 ms behind the request, on the connection's second call, where the endpoint records a 503 80 ms later. Change: a connection remembers the content of its responses (status, headers but Date, body). A 200 with the content of an earlier one is a copy where the endpoint's responses differ; where they are alike, one that comes sooner than any recent one counts only if nothing follows. A 200 before the request's last byte counts no more. A copy ends the attempt as one that may have run, and closes the connection: the class's rules decide on a retry. A first line of 200 alone delivers only on a first call. Why it works: a copy has the content of an earlier response on its own connection, and no call is ended by content seen before.

--- a/crates/access-log/src/observer.rs
+++ b/crates/access-log/src/observer.rs
@@ -182,6 +182,7 @@
         EndCause::RequestIncomplete => "not written".into(),
         EndCause::NoResponseHead => "no head".into(),
         EndCause::ResponseIncomplete(status) => format!("no body behind {status}"),
+        EndCause::DuplicateResponse(status) => format!("perhaps a copy of a {status}"),
         EndCause::TimedOut => "expired".into(),
         EndCause::Cancelled => "called off".into(),
         EndCause::NotStarted => "withheld".into(),
@@ -196,5 +197,6 @@
         CloseReason::Evicted => "evicted",
         CloseReason::ClosedByPeer => "closed by peer",
         CloseReason::UnsolicitedData => "unsolicited data",
+        CloseReason::NotReusable => "not reusable",
     }
 }
--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -134,6 +134,7 @@
         CloseReason::Evicted => "evicted",
         CloseReason::ClosedByPeer => "by_peer",
         CloseReason::UnsolicitedData => "unsolicited_data",
+        CloseReason::NotReusable => "not_reusable",
     }
 }
 
--- a/crates/engine/src/transport.rs
+++ b/crates/engine/src/transport.rs
@@ -33,6 +33,9 @@
     NoResponseHead,
     /// A response head with this status came, and its body did not end.
     ResponseIncomplete(u16),
+    /// A response with this status came that may be a second copy of an earlier one on its connection, or came
+    /// before the request was written completely.
+    DuplicateResponse(u16),
     /// The call's time was up.
     TimedOut,
     /// The decision module cancelled it.
@@ -65,6 +68,8 @@
     ClosedByPeer,
     /// Bytes came that answer no call.
     UnsolicitedData,
+    /// What it has carried allows no further call on it.
+    NotReusable,
 }
 
 /// The end of the attempt for one message of a call.
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -4,10 +4,12 @@
 //! duplicate. When it is unsure whether a call may have run, the outcome says that it may. What hyper does not
 //! tell, such as the first line of an answer whose head it rejects, is seen by `Wired` on the raw bytes.
 
+use crate::answer::Answer;
 use crate::budget::Budget;
-use crate::call_text::{bulk_size, ends_of, report_of, request_of, wait_of};
+use crate::call_text::{bulk_size, request_of};
 use crate::connection::Connection;
 use crate::pools::Pools;
+use crate::response_history::{Attribution, Fingerprint, ResponseHistory};
 use crate::wire::Wire;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -31,6 +33,8 @@
 const HEAD_OF_200: Duration = Duration::from_millis(200);
 /// A connection rests so long after an answer: what comes right behind that must not meet the next call.
 const REST: Duration = Duration::from_millis(5);
+/// A connection carries no more calls, so that what it remembers of each stays small.
+const MAX_CALLS_PER_CONNECTION: u64 = 256;
 /// Longest wait for the descriptor of an idle connection that gives way to a new one.
 const PLACE: Duration = Duration::from_millis(200);
 
@@ -52,30 +56,7 @@
     tries: Rc<Cell<u64>>,
     /// Connections opened so far.
     opened: Cell<u64>,
-}
-
-/// What came of the whole call.
-struct Answer {
-    ends: Ends,
-    report: Vec<f64>,
-    cause: EndCause,
-}
-
-enum Ends {
-    All(Outcome, bool),
-    Each(Vec<(Outcome, bool)>),
-}
-
-impl Answer {
-    /// All messages fare alike, and nothing else is known.
-    fn all(outcome: Outcome, cause: EndCause) -> Self {
-        let closed = outcome == Outcome::Success;
-        Answer {
-            ends: Ends::All(outcome, closed),
-            report: Vec::new(),
-            cause,
-        }
-    }
+    responses: RefCell<ResponseHistory>,
 }
 
 impl Calls {
@@ -105,6 +86,7 @@
             inputs,
             tries,
             opened: Cell::default(),
+            responses: RefCell::default(),
         }))
     }
 }
@@ -132,6 +114,7 @@
     /// The endpoint gets no calls any more: its connections go, also those that a call still holds.
     fn remove_endpoint(&self, endpoint: EndpointId) {
         self.0.pools.borrow_mut().forget(endpoint);
+        self.0.responses.borrow_mut().forget(endpoint);
     }
 
     /// Gives back the connections to an endpoint that carry nothing now.
@@ -146,6 +129,10 @@
             .pools
             .borrow_mut()
             .sweep(Instant::now(), self.0.idle_most, over);
+        self.0
+            .responses
+            .borrow_mut()
+            .evict(Instant::now(), self.0.idle_most);
     }
 
     fn item_bytes(&self, item: &CallItem) -> usize {
@@ -161,19 +148,6 @@
     // what is called off stays out while others need the call: the far side sees the connection open, and a further
     // send would be a second copy there
     let mut wanted: Vec<bool> = vec![true; call.items.len()];
-    let tell = |item: usize, outcome, closed, report, cause, connection_use| {
-        let end = AttemptEnd {
-            call: call.number,
-            position: item,
-            outcome,
-            closed,
-            report,
-            cause,
-            connection_use,
-        };
-        // nobody listens any more only when the process ends
-        let _ = shared.inputs.send(Input::AttemptEnded(end));
-    };
     let wire = RefCell::new(None);
     let answer = {
         let exchange = exchange(&shared, &call, &wire);
@@ -199,19 +173,19 @@
         }
     };
     let connection_use = wire.borrow().as_ref().map(|wire| wire.connection_use());
-    for item in 0..call.items.len() {
-        let (outcome, closed) = match &answer.ends {
-            Ends::All(outcome, closed) => (*outcome, *closed),
-            Ends::Each(ends) => ends.get(item).copied().unwrap_or((Outcome::Error, false)),
-        };
-        tell(
-            item,
+    for position in 0..call.items.len() {
+        let (outcome, closed) = answer.end_at(position);
+        let end = AttemptEnd {
+            call: call.number,
+            position,
             outcome,
             closed,
-            answer.report.clone(),
-            answer.cause,
+            report: answer.report.clone(),
+            cause: answer.cause,
             connection_use,
-        );
+        };
+        // nobody listens any more only when the process ends
+        let _ = shared.inputs.send(Input::AttemptEnded(end));
     }
 }
 
@@ -233,7 +207,7 @@
 /// Makes the call on one connection and reads its answer. Dropping this closes the connection.
 async fn exchange(shared: &Rc<Shared>, call: &Call, wire: &WireNow) -> Answer {
     loop {
-        let (mut connection, reused) = match take_idle(shared, call.endpoint, call.address).await {
+        let (mut connection, reused) = match take_idle(shared, call).await {
             Some(connection) => (connection, true),
             None => {
                 let Some(place) = place(shared).await else {
@@ -340,79 +314,92 @@
     response: Response<Incoming>,
 ) -> Answer {
     let (head, body) = response.into_parts();
-    let report = report_of(&head.headers, &shared.report_fields);
-    let wait = wait_of(&head.headers);
-    let (endpoint, address, single) = (call.endpoint, call.address, call.items.len() == 1);
-    let cause = EndCause::Response(head.status.as_u16());
-    if head.status == StatusCode::OK && single {
-        // the outcome is known; the rest of the answer only frees the connection
-        let shared = shared.clone();
+    let is_single_200 = head.status == StatusCode::OK && call.items.len() == 1;
+    if is_single_200 && connection.wire.is_first_call() && connection.wire.is_request_complete() {
+        let answer = Answer::of_response(call, &head, &[], &shared.report_fields, &shared.faults);
+        // the outcome is known; the rest of the response only frees the connection
+        let (shared, endpoint, address) = (shared.clone(), call.endpoint, call.address);
         tokio::task::spawn_local(async move {
-            if whole(body).await.is_some() {
-                give_back(&shared, endpoint, address, connection);
+            if let Some(body) = whole(body).await {
+                let fingerprint = Fingerprint::new(&head, &body);
+                record_success(&shared, endpoint, &connection, fingerprint);
+                keep(&shared, endpoint, address, connection, fingerprint);
             }
         });
-        return Answer {
-            ends: Ends::All(Outcome::Success, true),
-            report,
-            cause,
-        };
+        return answer;
     }
-    // all else counts only when the answer is whole: a spoilt one may stand for a call that has run
-    let Some(text) = whole(body).await else {
-        return Answer::all(
-            Outcome::Reset,
-            EndCause::ResponseIncomplete(head.status.as_u16()),
-        );
+    // all else counts only when the response is complete: a spoilt one may stand for a call that has run
+    let Some(body) = whole(body).await else {
+        let status = head.status.as_u16();
+        return Answer::all(Outcome::Reset, EndCause::ResponseIncomplete(status));
     };
-    give_back(shared, endpoint, address, connection);
-    let refused = Outcome::Refused { wait };
-    let (outcome, closed) = match head.status {
-        // tells each message's end
-        StatusCode::OK => {
-            return Answer {
-                ends: Ends::Each(ends_of(&text, &call.items, wait)),
-                report,
-                cause,
-            };
-        }
-        StatusCode::TOO_MANY_REQUESTS => (refused, false),
-        StatusCode::SERVICE_UNAVAILABLE => {
-            let no_slot = head
-                .headers
-                .get("slots-taken")
-                .is_some_and(|value| value == "1");
-            (
-                if no_slot {
-                    Outcome::Unsent { no_slot }
-                } else {
-                    refused
-                },
-                false,
-            )
-        }
-        StatusCode::GATEWAY_TIMEOUT => (Outcome::Unsent { no_slot: false }, false),
-        StatusCode::GONE => (Outcome::Unsent { no_slot: false }, true),
-        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE if !single => {
-            shared.faults.log(format_args!(
-                "calls: {address} answered a bulk call with {}",
-                head.status
-            ));
-            (Outcome::Unsent { no_slot: false }, false)
-        }
-        status => {
-            if status != StatusCode::INTERNAL_SERVER_ERROR {
-                shared
-                    .faults
-                    .log(format_args!("calls: {address} answered {status}"));
-            }
-            (Outcome::Error, false)
-        }
+    let fingerprint = Fingerprint::new(&head, &body);
+    if head.status == StatusCode::OK && !is_own(shared, call, &connection, fingerprint).await {
+        let status = head.status.as_u16();
+        return Answer::all(Outcome::Reset, EndCause::DuplicateResponse(status));
+    }
+    let answer = Answer::of_response(call, &head, &body, &shared.report_fields, &shared.faults);
+    if head.status == StatusCode::OK {
+        record_success(shared, call.endpoint, &connection, fingerprint);
+    }
+    keep(shared, call.endpoint, call.address, connection, fingerprint);
+    answer
+}
+
+/// Whether a complete response can only be the one to this call.
+async fn is_own(
+    shared: &Shared,
+    call: &Call,
+    connection: &Connection,
+    fingerprint: Fingerprint,
+) -> bool {
+    let wire = &connection.wire;
+    let Some(response_time) = wire.response_time() else {
+        return false;
     };
-    Answer {
-        ends: Ends::All(outcome, closed),
-        report,
-        cause,
+    if !connection.has_carried(fingerprint) {
+        return true;
+    }
+    let attribution = shared
+        .responses
+        .borrow()
+        .attribute_repeated(call.endpoint, response_time);
+    match attribution {
+        Attribution::Own => true,
+        Attribution::Copy => false,
+        Attribution::OwnIfQuietFor(time) => {
+            let rest = time.saturating_sub(wire.since_written());
+            timeout(rest, wire.disturbed()).await.is_err()
+        }
+    }
+}
+
+/// Remembers a success, by which later responses of the endpoint are judged.
+fn record_success(
+    shared: &Shared,
+    endpoint: EndpointId,
+    connection: &Connection,
+    fingerprint: Fingerprint,
+) {
+    if let Some(response_time) = connection.wire.response_time() {
+        let mut responses = shared.responses.borrow_mut();
+        responses.record(endpoint, fingerprint, response_time, Instant::now());
+    }
+}
+
+/// Keeps a connection for the next call.
+fn keep(
+    shared: &Shared,
+    endpoint: EndpointId,
+    address: SocketAddr,
+    mut connection: Connection,
+    fingerprint: Fingerprint,
+) {
+    connection.record(fingerprint);
+    if connection.wire.calls() < MAX_CALLS_PER_CONNECTION {
+        give_back(shared, endpoint, address, connection);
+    } else {
+        connection.retire();
     }
 }
 
@@ -435,16 +422,13 @@
         .ok()
 }
 
-async fn take_idle(
-    shared: &Shared,
-    endpoint: EndpointId,
-    address: SocketAddr,
-) -> Option<Connection> {
+async fn take_idle(shared: &Shared, call: &Call) -> Option<Connection> {
     loop {
-        let idle = shared
-            .pools
-            .borrow_mut()
-            .take(endpoint, address, Instant::now(), REST);
+        let idle =
+            shared
+                .pools
+                .borrow_mut()
+                .take(call.endpoint, call.address, Instant::now(), REST);
         let (since, mut connection) = idle?;
         if since.elapsed() < shared.idle_most && connection.is_ready().await {
             return Some(connection);
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to an endpoint: opened, kept between calls, and reported with a reason when it is closed.
 
+use crate::response_history::Fingerprint;
 use crate::wire::{Wire, Wired};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -7,6 +8,7 @@
 use hyper_util::rt::TokioIo;
 use milletturn_engine::{CloseReason, Input, MAX_BODY_BYTES};
 use milletturn_policy::EndpointId;
+use std::collections::HashSet;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,6 +21,8 @@
     pub(crate) wire: Rc<Wire>,
     endpoint: EndpointId,
     close_reason: CloseReason,
+    /// The responses that it has brought.
+    carried: HashSet<Fingerprint>,
     inputs: mpsc::UnboundedSender<Input>,
 }
 
@@ -47,12 +51,18 @@
             .max_buf_size(MAX_BODY_BYTES)
             .handshake(TokioIo::new(wired))
             .await?;
-        tokio::task::spawn_local(connection);
+        let watched = wire.clone();
+        tokio::task::spawn_local(async move {
+            // the call on it, if there is one, is told
+            let _ = connection.await;
+            watched.set_ended();
+        });
         Ok(Connection {
             sender,
             wire,
             endpoint,
             close_reason: CloseReason::CallFailed,
+            carried: HashSet::new(),
             inputs: inputs.clone(),
         })
     }
@@ -63,6 +73,21 @@
         self.close_reason = CloseReason::Evicted;
     }
 
+    /// Closes it after its call: no further one may be made on it.
+    pub(crate) fn retire(mut self) {
+        self.close_reason = CloseReason::NotReusable;
+    }
+
+    /// Whether it has brought a response with this content.
+    pub(crate) fn has_carried(&self, response: Fingerprint) -> bool {
+        self.carried.contains(&response)
+    }
+
+    /// Remembers the response to a call.
+    pub(crate) fn record(&mut self, response: Fingerprint) {
+        self.carried.insert(response);
+    }
+
     /// Whether it can still carry a call. One that can't ended while it was idle.
     pub(crate) async fn is_ready(&mut self) -> bool {
         let ready = self.sender.ready().await.is_ok();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 )]
 
 pub mod agent;
+mod answer;
 mod asking;
 mod budget;
 mod call_text;
@@ -19,6 +20,7 @@
 mod list;
 pub mod notices;
 mod pools;
+mod response_history;
 mod wire;
 
 pub use asking::{Asking, Failure};
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -13,6 +13,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
@@ -37,6 +38,10 @@
     idle: Cell<bool>,
     /// Bytes came while no call was out.
     unsolicited: Cell<bool>,
+    /// The connection has ended.
+    ended: Cell<bool>,
+    /// Wakes who waits for what comes behind a response.
+    changed: Notify,
     /// A call whose last byte was not written can't have run.
     pub written: Cell<u64>,
     /// Nothing may stand unread when the next call begins.
@@ -135,6 +140,8 @@
             answered_at: Cell::default(),
             idle: Cell::default(),
             unsolicited: Cell::default(),
+            ended: Cell::default(),
+            changed: Notify::default(),
             written: Cell::default(),
             look: Cell::default(),
             answer: Cell::default(),
@@ -178,26 +185,62 @@
         self.calls.get()
     }
 
+    /// Whether no call was made on it before the present one.
+    pub(crate) fn is_first_call(&self) -> bool {
+        self.calls.get() == 1
+    }
+
+    /// Whether the present call has been written whole.
+    pub(crate) fn is_request_complete(&self) -> bool {
+        self.written_at.get().is_some()
+    }
+
+    /// Time from the last byte of the present call's request to the first byte behind it; none for a response that
+    /// came before that last byte.
+    pub(crate) fn response_time(&self) -> Option<Duration> {
+        let (written, answered) = self.written_at.get().zip(self.answered_at.get())?;
+        answered.checked_duration_since(written)
+    }
+
+    /// Time since the last byte of the present call's request.
+    pub(crate) fn since_written(&self) -> Duration {
+        self.written_at
+            .get()
+            .map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// The connection has ended.
+    pub(crate) fn set_ended(&self) {
+        self.ended.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Ends once the connection has ended, as it does when something comes behind a response.
+    pub(crate) async fn disturbed(&self) {
+        while !self.ended.get() {
+            self.changed.notified().await;
+        }
+    }
+
     pub(crate) fn has_unsolicited_data(&self) -> bool {
         self.unsolicited.get()
     }
 
     /// The present call's place on the connection, and how fast its answer came.
     pub(crate) fn connection_use(&self) -> ConnectionUse {
-        let response_after = self
-            .written_at
-            .get()
-            .zip(self.answered_at.get())
-            .map(|(written, answered)| answered.saturating_duration_since(written));
         ConnectionUse {
             connection: self.number,
             call_on_connection: self.calls.get(),
-            response_after,
+            response_after: self.response_time(),
         }
     }
 
+    /// True if a first line with 200 can only be that of the present call's answer: no other came before it, and the
+    /// call was whole by then.
     pub(crate) fn says_200(&self) -> bool {
         self.answer.get() == FirstLine::Whole(200)
+            && self.is_first_call()
+            && self.response_time().is_some()
     }
 
     /// Ends once the first line of an answer has come, or what can be none.
--- a/crates/platform/tests/single_calls.rs
+++ b/crates/platform/tests/single_calls.rs
@@ -308,3 +308,33 @@
         }
     });
 }
+
+/// A response, whose body tells it from others.
+fn response(status: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+#[test]
+fn a_response_before_the_last_byte_of_its_request_delivers_nothing() {
+    local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let mut rig = Rig::new(address);
+        // more than the kernel's buffers take
+        let _cancel = rig.start(address, 30_000_000);
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        rig.asked()
+            .await
+            .send(Instant::now() + LONG)
+            .expect("it waits for this");
+        stream.read(&mut [0; 64]).await.expect("it begins");
+        let text = response("200 OK", "");
+        stream.write_all(text.as_bytes()).await.expect("open");
+        let heard = rig.heard(None).await;
+        assert_eq!(
+            (heard.outcome, heard.cause),
+            (Outcome::Reset, EndCause::DuplicateResponse(200))
+        );
+    });
+}
