Let a rejection that may be a copy of an earlier one prove nothing about its attempt

Seen by callers: with second copies of a 503, 13 of 20 at-most-once messages were lost in the reproduction, and 7 messages ran 23 times: the copy said 'never ran' of a call that ran, and that call's own 200 ended the next call on the connection. Cause: a rejection, too, was taken by its order on the connection alone; connections were kept behind any response. Calls with a message that must run once take no connection that has brought a rejection; others prefer one that has brought none. Why it works: what says 'never ran' or 'over' is believed only where no earlier response can be what was read.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -4,7 +4,7 @@
 use crate::message::Attempt;
 use crate::observer::EngineEvent;
 use crate::transport::Call;
-use milletturn_policy::{EndpointId, Event, MessageId, Micros, Outcome};
+use milletturn_policy::{Effect, EndpointId, Event, MessageId, Micros, Outcome};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -139,6 +139,7 @@
             latency: 0,
             closed,
             report: Vec::new(),
+            ambiguous: false,
         });
         self.remove_if_finished(message_id);
     }
@@ -156,6 +157,7 @@
         };
         // positions in the call and in `attempts` must agree, or outcomes would go to other messages
         let (mut items, mut attempts) = (Vec::new(), Vec::new());
+        let mut at_most_once = false;
         for attempt_ref in bundle.attempts {
             let Some(message) = self.messages.get_mut(attempt_ref.message_id) else {
                 continue;
@@ -165,6 +167,7 @@
             }
             items.push(message.item.clone());
             attempts.push(attempt_ref);
+            at_most_once |= self.classes.effect(message.class) == Some(Effect::Unsafe);
         }
         if items.is_empty() {
             return;
@@ -181,6 +184,7 @@
             endpoint: bundle.endpoint,
             address,
             items,
+            at_most_once,
             expires: self.clock.instant(bundle.expires),
         };
         self.transport.start(call, cancelled);
--- a/crates/engine/src/endings.rs
+++ b/crates/engine/src/endings.rs
@@ -36,6 +36,7 @@
         };
         let (endpoint, latency) = (attempt.endpoint, now - attempt.sent_at);
         attempt.finish(end.outcome, latency);
+        attempt.may_have_run |= end.ambiguous;
         self.observer.observe(&EngineEvent::AttemptEnded {
             id: &message.item.id,
             uid: &attempt.uid,
@@ -48,7 +49,7 @@
             report: &end.report,
             connection_use: end.connection_use,
         });
-        if end.outcome.never_ran() && message.open {
+        if end.outcome.never_ran() && !end.ambiguous && message.open {
             let written = self.journal.record_never_ran(message_id.0, attempt_index);
             self.check_journal(written);
         }
@@ -66,6 +67,7 @@
             latency,
             closed: self.messages.get_open(message_id).is_none(),
             report: end.report,
+            ambiguous: end.ambiguous,
         });
         self.remove_if_finished(message_id);
     }
--- a/crates/engine/src/transport.rs
+++ b/crates/engine/src/transport.rs
@@ -87,6 +87,8 @@
     pub report: Vec<f64>,
     /// What the transport observed.
     pub cause: EndCause,
+    /// The response may be a copy of an earlier one on its connection: whatever the outcome, the attempt may have run.
+    pub ambiguous: bool,
     /// Where on a connection it was made; `None` for an attempt that got no connection.
     pub connection_use: Option<ConnectionUse>,
 }
@@ -102,6 +104,8 @@
     pub address: SocketAddr,
     /// The messages that it carries, one at least.
     pub items: Vec<CallItem>,
+    /// One of them must never run twice: a rejection of this call has to be beyond doubt.
+    pub at_most_once: bool,
     /// When it times out.
     pub expires: Instant,
 }
--- /dev/null
+++ b/crates/engine/tests/ambiguous_responses.rs
@@ -0,0 +1,80 @@
+//! Responses that may be copies of earlier ones: what the journal and the next process know of their attempts.
+
+mod common;
+
+use milletturn_engine::*;
+use milletturn_policy::{Class, Effect, Outcome, SECOND};
+use milletturn_test_support::{MemoryJournal, RecordingTransport, arrival, listed, ports};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, yield_now};
+
+/// The position of the class whose messages must never run twice.
+const AT_MOST_ONCE: usize = 1;
+
+/// The attempt of a message that is rejected, as the journal holds it, and its call.
+async fn attempt_after_rejection(class: usize, ambiguous: bool) -> (AttemptStarted, bool) {
+    let (calls, journal) = (RecordingTransport::default(), MemoryJournal::default());
+    let mut settings = common::keyed_settings(40, 50, 1);
+    settings
+        .classes
+        .push(Class::new("once", Effect::Unsafe, 4 * SECOND, 20 * SECOND));
+    let (inputs, mut received) = mpsc::unbounded_channel();
+    let ports = ports(settings, vec![listed(1)], &journal, calls.clone());
+    let mut engine = Engine::new(ports).expect("settings");
+    tokio::task::spawn_local(async move { engine.run(&mut received).await });
+    inputs
+        .send(Input::Arrived(
+            arrival("m1", class, class != AT_MOST_ONCE).0,
+        ))
+        .expect("open");
+    while calls.0.borrow().is_empty() {
+        yield_now().await;
+    }
+    let (number, at_most_once) = {
+        let call = &calls.0.borrow()[0];
+        (call.number, call.at_most_once)
+    };
+    let rejection = AttemptEnd {
+        call: number,
+        position: 0,
+        outcome: Outcome::Refused { wait: None },
+        closed: false,
+        report: Vec::new(),
+        cause: EndCause::Response(503),
+        ambiguous,
+        connection_use: None,
+    };
+    inputs.send(Input::AttemptEnded(rejection)).expect("open");
+    // an answer to this comes behind the turn of the end
+    let (reply, status) = tokio::sync::oneshot::channel();
+    inputs.send(Input::GetStatus(reply)).expect("open");
+    status.await.expect("the engine runs");
+    yield_now().await;
+    let unfinished = journal.unfinished();
+    let message = unfinished.values().next().expect("the message is open");
+    (message.attempts[0].clone(), at_most_once)
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn only_an_unambiguous_rejection_is_recorded_as_never_run() {
+    LocalSet::new()
+        .run_until(async {
+            for (ambiguous, never_ran) in [(false, true), (true, false)] {
+                let (attempt, _) = attempt_after_rejection(0, ambiguous).await;
+                assert_eq!(attempt.never_ran, never_ran);
+            }
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn a_call_says_whether_its_messages_must_run_once() {
+    LocalSet::new()
+        .run_until(async {
+            for (class, expected) in [(0, false), (AT_MOST_ONCE, true)] {
+                let (_, at_most_once) = attempt_after_rejection(class, false).await;
+                assert_eq!(at_most_once, expected);
+            }
+        })
+        .await;
+}
--- a/crates/engine/tests/golden_snapshot/scenario.rs
+++ b/crates/engine/tests/golden_snapshot/scenario.rs
@@ -141,6 +141,7 @@
             closed,
             report: Vec::new(),
             cause: EndCause::ForeignProcess,
+            ambiguous: false,
             connection_use: None,
         };
         self.inputs.send(Input::AttemptEnded(ended)).expect("open");
--- a/crates/engine/tests/start_requests.rs
+++ b/crates/engine/tests/start_requests.rs
@@ -38,6 +38,7 @@
         closed: false,
         report: Vec::new(),
         cause,
+        ambiguous: false,
         connection_use: None,
     })
 }
--- a/crates/hot-restart/src/bridge.rs
+++ b/crates/hot-restart/src/bridge.rs
@@ -185,6 +185,7 @@
         closed: end.closed,
         report: end.load_report,
         cause: EndCause::ForeignProcess,
+        ambiguous: false,
         connection_use: None,
     }
 }
--- a/crates/hot-restart/src/remainder.rs
+++ b/crates/hot-restart/src/remainder.rs
@@ -10,6 +10,7 @@
 use milletturn_engine::{Arrival, ArrivalOutcome, EngineStatus, Input};
 use milletturn_logging::log;
 use milletturn_platform::Gate;
+use milletturn_policy::Outcome;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -129,7 +130,11 @@
             Input::AttemptEnded(end) => ToNewProcess::AttemptEnded(ForwardedEnd {
                 call: end.call,
                 position: end.position,
-                outcome: end.outcome,
+                // a frame says only what an outcome says: a reset may have run
+                outcome: match end.ambiguous {
+                    true => Outcome::Reset,
+                    false => end.outcome,
+                },
                 closed: end.closed,
                 load_report: end.report,
             }),
--- a/crates/hot-restart/tests/golden/data.rs
+++ b/crates/hot-restart/tests/golden/data.rs
@@ -97,6 +97,7 @@
             Vec::new()
         },
         cause: EndCause::ForeignProcess,
+        ambiguous: false,
         connection_use: None,
     }
 }
--- a/crates/hot-restart/tests/snapshot.rs
+++ b/crates/hot-restart/tests/snapshot.rs
@@ -113,6 +113,7 @@
         closed: outcome == Outcome::Success,
         report: Vec::new(),
         cause: EndCause::ForeignProcess,
+        ambiguous: false,
         connection_use: None,
     })
 }
--- a/crates/platform/src/answer.rs
+++ b/crates/platform/src/answer.rs
@@ -15,6 +15,8 @@
     pub(crate) ends: Ends,
     /// The load report, in the order of the settings, or empty.
     pub(crate) report: Vec<f64>,
+    /// The response may be a copy of an earlier one: whatever the outcome, the call may have run.
+    pub(crate) ambiguous: bool,
     pub(crate) cause: EndCause,
 }
 
@@ -30,6 +32,7 @@
         Answer {
             ends: Ends::All((outcome, outcome == Outcome::Success)),
             report: Vec::new(),
+            ambiguous: false,
             cause,
         }
     }
@@ -51,6 +54,7 @@
         Answer {
             ends,
             report: report_of(&head.headers, report_fields),
+            ambiguous: false,
             cause: EndCause::Response(head.status.as_u16()),
         }
     }
@@ -65,6 +69,15 @@
                 .unwrap_or((Outcome::Error, false)),
         }
     }
+
+    /// Whether every message was delivered.
+    pub(crate) fn is_all_delivered(&self) -> bool {
+        let is_delivered = |end: &End| end.0 == Outcome::Success;
+        match &self.ends {
+            Ends::All(end) => is_delivered(end),
+            Ends::Each(ends) => ends.iter().all(is_delivered),
+        }
+    }
 }
 
 /// What a status other than 200 means for all messages of a call.
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -182,6 +182,7 @@
             closed,
             report: answer.report.clone(),
             cause: answer.cause,
+            ambiguous: answer.ambiguous,
             connection_use,
         };
         // nobody listens any more only when the process ends
@@ -310,7 +311,7 @@
 async fn read(
     shared: &Rc<Shared>,
     call: &Call,
-    connection: Connection,
+    mut connection: Connection,
     response: Response<Incoming>,
 ) -> Answer {
     let (head, body) = response.into_parts();
@@ -339,9 +340,23 @@
         return Answer::all(Outcome::Reset, EndCause::DuplicateResponse(status));
     }
     let answer = Answer::of_response(call, &head, &body, &shared.report_fields, &shared.faults);
+    if head.status == StatusCode::GONE {
+        // a copy of it would end the next message, and nothing would be owed
+        connection.retire();
+        return answer;
+    }
+    if head.status != StatusCode::OK && connection.has_carried(fingerprint) {
+        // rejections are often alike: it counts as one but proves nothing, and the call's own may still come
+        connection.retire();
+        return Answer {
+            ambiguous: true,
+            ..answer
+        };
+    }
     if head.status == StatusCode::OK {
         record_success(shared, call.endpoint, &connection, fingerprint);
     }
+    connection.has_rejected |= !answer.is_all_delivered();
     keep(shared, call.endpoint, call.address, connection, fingerprint);
     answer
 }
@@ -422,13 +437,19 @@
         .ok()
 }
 
+/// An idle connection, best one that has brought no rejection yet.
 async fn take_idle(shared: &Shared, call: &Call) -> Option<Connection> {
+    let (endpoint, address) = (call.endpoint, call.address);
+    let take = |usable: fn(&Connection) -> bool| {
+        let mut pools = shared.pools.borrow_mut();
+        pools.take(endpoint, address, Instant::now(), REST, usable)
+    };
     loop {
         let idle =
-            shared
-                .pools
-                .borrow_mut()
-                .take(call.endpoint, call.address, Instant::now(), REST);
+            take(|connection| !connection.has_rejected).or_else(|| match call.at_most_once {
+                true => None,
+                false => take(|_| true),
+            });
         let (since, mut connection) = idle?;
         if since.elapsed() < shared.idle_most && connection.is_ready().await {
             return Some(connection);
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -21,6 +21,8 @@
     pub(crate) wire: Rc<Wire>,
     endpoint: EndpointId,
     close_reason: CloseReason,
+    /// It has brought a rejection or an error: a copy of that would be taken for the next one.
+    pub(crate) has_rejected: bool,
     /// The responses that it has brought.
     carried: HashSet<Fingerprint>,
     inputs: mpsc::UnboundedSender<Input>,
@@ -62,6 +64,7 @@
             wire,
             endpoint,
             close_reason: CloseReason::CallFailed,
+            has_rejected: false,
             carried: HashSet::new(),
             inputs: inputs.clone(),
         })
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -84,19 +84,22 @@
         }
     }
 
-    /// The last used of those that have rested for so long, so that those beyond need grow old.
+    /// The last used of the usable ones that have rested for so long, so that those beyond need grow old.
     pub(crate) fn take(
         &mut self,
         endpoint: EndpointId,
         address: SocketAddr,
         now: Instant,
         rest: Duration,
+        is_usable: impl Fn(&C) -> bool,
     ) -> Option<(Instant, C)> {
         self.pools
             .get(&endpoint)
             .filter(|pool| pool.address == address)?;
         self.change(endpoint, |idle| {
-            let rested = idle.iter().rposition(|(since, _)| now - *since >= rest)?;
+            let rested = idle
+                .iter()
+                .rposition(|(since, c)| now - *since >= rest && is_usable(c))?;
             idle.remove(rested)
         })?
     }
@@ -171,19 +174,23 @@
             "no more than there is room for, none to another address"
         );
         assert_eq!(
-            pools.take(ONE, here, at(7), rest).map(|found| found.1),
+            pools
+                .take(ONE, here, at(7), rest, |_| true)
+                .map(|found| found.1),
             Some(1),
             "3 has not rested"
         );
         assert_eq!(
-            pools.take(ONE, here, at(9), rest).map(|found| found.1),
+            pools
+                .take(ONE, here, at(9), rest, |_| true)
+                .map(|found| found.1),
             Some(3)
         );
-        assert!(pools.take(ONE, here, at(99), rest).is_none());
+        assert!(pools.take(ONE, here, at(99), rest, |_| true).is_none());
         pools.put(ONE, here, at(10), 6);
         pools.give_way();
         assert!(
-            pools.take(TWO, there, at(99), rest).is_none(),
+            pools.take(TWO, there, at(99), rest, |_| true).is_none(),
             "2 had been idle longest"
         );
         pools.put(TWO, there, at(20), 7);
--- a/crates/platform/tests/bulk_calls.rs
+++ b/crates/platform/tests/bulk_calls.rs
@@ -33,6 +33,7 @@
                 endpoint,
                 address,
                 items,
+                at_most_once: false,
                 expires,
             },
             cancels,
--- a/crates/platform/tests/single_calls.rs
+++ b/crates/platform/tests/single_calls.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{LONG, item, local};
-use milletturn_engine::{Call, EndCause, Input, Transport};
+use milletturn_engine::{AttemptEnd, Call, EndCause, Input, Transport};
 use milletturn_platform::calls::Calls;
 use milletturn_policy::{EndpointId, MILLISECOND, Micros, Outcome};
 use milletturn_test_support::{Endpoint, OK};
@@ -28,8 +28,13 @@
     calls: Calls,
     received: mpsc::UnboundedReceiver<Input>,
     next: u64,
+    /// Calls carry what must run once.
+    at_most_once: bool,
 }
 
+/// Longer than a connection rests behind a response.
+const REST: Duration = Duration::from_millis(10);
+
 impl Rig {
     fn new(endpoint: SocketAddr) -> Self {
         let (calls, received) = common::calls(endpoint);
@@ -37,6 +42,7 @@
             calls,
             received,
             next: 0,
+            at_most_once: false,
         }
     }
 
@@ -51,6 +57,7 @@
                 endpoint,
                 address,
                 items: vec![item],
+                at_most_once: self.at_most_once,
                 expires,
             },
             cancels,
@@ -92,6 +99,15 @@
         }
     }
 
+    /// The end of the next call.
+    async fn end(&mut self) -> AttemptEnd {
+        loop {
+            if let Some(Input::AttemptEnded(end)) = common::next_input(&mut self.received).await {
+                return end;
+            }
+        }
+    }
+
     /// The question that a call on a new connection asks.
     async fn asked(&mut self) -> oneshot::Sender<Instant> {
         match common::next_input(&mut self.received).await {
@@ -114,7 +130,7 @@
             (Outcome::Unsent { no_slot: false }, EndCause::NotStarted)
         );
         assert_eq!(endpoint.count(), 0);
-        tokio::time::sleep(Duration::from_millis(10)).await; // the rest that a connection gets
+        tokio::time::sleep(REST).await;
         let _cancel = rig.start(endpoint.address, 10);
         assert_eq!(
             rig.heard(None).await.outcome,
@@ -173,13 +189,7 @@
             .await
             .send(Instant::now() + LONG)
             .expect("it waits for this");
-        let mut seen = Vec::new();
-        while !seen.ends_with(b"\r\n\r\nx") {
-            let mut bytes = [0; 1024];
-            let count = stream.read(&mut bytes).await.expect("open");
-            assert!(count > 0, "the call breaks off");
-            seen.extend_from_slice(&bytes[..count]);
-        }
+        read_request(&mut stream).await;
         (stream, cancel)
     }
 }
@@ -315,6 +325,81 @@
     format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
+/// Reads one request to its end.
+async fn read_request(stream: &mut TcpStream) {
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"\r\n\r\nx") {
+        let mut bytes = [0; 1024];
+        let count = stream.read(&mut bytes).await.expect("open");
+        assert!(count > 0, "the call breaks off");
+        seen.extend_from_slice(&bytes[..count]);
+    }
+}
+
+/// The ends of two calls on one connection, which is answered in this way.
+async fn two_calls(first: &str, second: &str) -> [AttemptEnd; 2] {
+    let mut rig = Listening::new().await;
+    let address = rig.listener.local_addr().expect("bound");
+    let (mut stream, _cancel) = rig.call().await;
+    stream.write_all(first.as_bytes()).await.expect("open");
+    let first = rig.rig.end().await;
+    tokio::time::sleep(REST).await;
+    let _cancel = rig.rig.start(address, 1);
+    read_request(&mut stream).await;
+    stream.write_all(second.as_bytes()).await.expect("open");
+    [first, rig.rig.end().await]
+}
+
+#[test]
+fn a_rejection_alike_to_an_earlier_one_proves_nothing() {
+    local(async {
+        let rejection = response("503 No", "");
+        let [first, second] = two_calls(&rejection, &rejection).await;
+        let refused = Outcome::Refused { wait: None };
+        assert_eq!((first.outcome, first.ambiguous), (refused, false));
+        assert_eq!((second.outcome, second.ambiguous), (refused, true));
+        let other = response("503 No", "other");
+        let [_, second] = two_calls(&rejection, &other).await;
+        assert_eq!((second.outcome, second.ambiguous), (refused, false));
+    });
+}
+
+#[test]
+fn a_connection_behind_a_410_is_closed() {
+    // guards against a copy of it that ends the next message with nothing owed
+    local(async {
+        let mut rig = Listening::new().await;
+        let (mut stream, _cancel) = rig.call().await;
+        let gone = response("410 Gone", "");
+        stream.write_all(gone.as_bytes()).await.expect("open");
+        assert_eq!(
+            rig.rig.end().await.outcome,
+            Outcome::Unsent { no_slot: false }
+        );
+        assert_eq!(stream.read(&mut [0; 8]).await.expect("readable"), 0);
+    });
+}
+
+#[test]
+fn what_must_run_once_goes_on_no_connection_that_has_brought_a_rejection() {
+    local(async {
+        let mut rig = Listening::new().await;
+        let address = rig.listener.local_addr().expect("bound");
+        let (mut stream, _cancel) = rig.call().await;
+        let rejection = response("503 No", "");
+        stream.write_all(rejection.as_bytes()).await.expect("open");
+        rig.rig.end().await;
+        tokio::time::sleep(REST).await;
+        rig.rig.at_most_once = true;
+        let _cancel = rig.rig.start(address, 1);
+        let (_other, _) = rig
+            .listener
+            .accept()
+            .await
+            .expect("a connection of its own");
+    });
+}
+
 #[test]
 fn a_response_before_the_last_byte_of_its_request_delivers_nothing() {
     local(async {
--- a/crates/policy/benches/turn.rs
+++ b/crates/policy/benches/turn.rs
@@ -50,6 +50,7 @@
             latency: MILLISECOND,
             closed: false,
             report: Vec::new(),
+            ambiguous: false,
         };
         sends.map(ended).collect()
     }
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -212,22 +212,7 @@
                 let id = self.unit_of(*endpoint);
                 self.heed(id, *wait, actions);
             }
-            Event::Ended {
-                message,
-                attempt,
-                outcome,
-                latency,
-                closed,
-                report,
-                ..
-            } => {
-                self.learn_outcome(*message, *attempt, *outcome, *latency, report, actions);
-                self.agenda.touch(*message);
-                if *outcome == Outcome::Success || *closed {
-                    self.close(*message, actions);
-                }
-                self.forget_if_done(*message);
-            }
+            Event::Ended { .. } => self.on_attempt_ended(event, actions),
             Event::Dropped(message) => {
                 self.close(*message, actions);
                 self.forget_if_done(*message);
@@ -307,7 +292,7 @@
         self.agenda.stir(destination);
     }
 
-    fn learn_outcome(
+    pub(crate) fn learn_outcome(
         &mut self,
         id: MessageId,
         index: usize,
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -569,6 +569,8 @@
         closed: bool,
         /// Load report, if any.
         report: Vec<f64>,
+        /// The response may be a copy of an earlier one: whatever the outcome, this attempt may have run.
+        ambiguous: bool,
     },
     /// The answer has started; the client owns this attempt now.
     Started {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 )]
 
 mod agenda;
+mod attempt_end;
 mod books;
 mod decide;
 mod dormancy;
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -95,6 +95,7 @@
         latency,
         closed: outcome == Outcome::Success,
         report: Vec::new(),
+        ambiguous: false,
     }
 }
 
@@ -106,6 +107,14 @@
     end
 }
 
+/// The same end, by a response that may be a copy.
+pub(crate) fn ambiguous(mut end: Event) -> Event {
+    if let Event::Ended { ambiguous, .. } = &mut end {
+        *ambiguous = true;
+    }
+    end
+}
+
 impl Rig {
     pub(crate) fn new(settings: Settings, entries: Vec<Entry>) -> Self {
         let sender = Sender::new(settings, 11).expect("settings make sense");
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -155,6 +155,33 @@
     }
 }
 
+#[test]
+fn a_rejection_that_may_be_a_copy_counts_as_a_run() {
+    let mut rig = Rig::new(settings(40), pool(3));
+    rig.tell(vec![message(1, UNSAFE, 7), message(2, KEYED, 7)]);
+    for id in [1, 2] {
+        let (endpoint, attempt) = rig.last_send(id);
+        let refused = Outcome::Refused { wait: None };
+        rig.tell(vec![ambiguous(ended(
+            id,
+            attempt,
+            endpoint,
+            refused,
+            MILLISECOND,
+        ))]);
+    }
+    rig.run(T0 + 40 * SECOND);
+    assert_eq!(rig.sends_of(1).len(), 1, "it must not run twice");
+    assert!(rig.failed(1) && !rig.refused(1));
+    let sends = rig.sends_of(2);
+    assert!(sends.len() > 1, "its key is remembered for a while");
+    let window = 12 * SECOND;
+    assert!(
+        sends.iter().all(|&at| at <= window),
+        "and not beyond its window: {sends:?}"
+    );
+}
+
 #[test]
 fn a_keyed_message_stays_in_its_zone_and_window() {
     let mut far = entry(2, 7);
--- a/crates/scale/src/roles/turn.rs
+++ b/crates/scale/src/roles/turn.rs
@@ -86,6 +86,7 @@
             latency: MILLISECOND,
             closed: false,
             report: Vec::new(),
+            ambiguous: false,
         };
         self.sends().into_iter().map(ended).collect()
     }
--- a/crates/simulator-adapter/src/events.rs
+++ b/crates/simulator-adapter/src/events.rs
@@ -93,6 +93,7 @@
             latency,
             closed,
             report,
+            ambiguous: false,
         })
     }
 
--- a/crates/test-support/src/cold_fleet.rs
+++ b/crates/test-support/src/cold_fleet.rs
@@ -164,6 +164,7 @@
                     latency: now - sent,
                     closed: outcome == Outcome::Success,
                     report,
+                    ambiguous: false,
                 });
             }
         }
--- a/crates/test-support/src/limited_fleet/play.rs
+++ b/crates/test-support/src/limited_fleet/play.rs
@@ -204,6 +204,7 @@
                     latency: now - call.sent,
                     closed: success,
                     report,
+                    ambiguous: false,
                 });
                 if let Some(known) = success.then(|| waiting.remove(&message)).flatten() {
                     held.remove(&message);
--- a/crates/test-support/src/virtual_transport.rs
+++ b/crates/test-support/src/virtual_transport.rs
@@ -113,6 +113,7 @@
                         closed,
                         report: Vec::new(),
                         cause: EndCause::ForeignProcess,
+                        ambiguous: false,
                         connection_use: None,
                     };
                     let _ = inputs.send(Input::AttemptEnded(ended));
