Number the calls of a coordination client, so that a response answers no call but its own

Seen: with a second copy of an earlier response on its connection, a coordinator's or member's next call got that response: a heartbeat that nobody confirmed would have counted, and a command's outcome would have been that of another one. Cause: Client in coordination-protocol kept its connection and took what came next for the response, as the endpoint calls did. Change: each call carries its number on the connection in the header milletturn-call, and the server repeats it. Another number, or none on a connection that had told one, leaves the outcome unknown and closes the connection; a server that tells none gets each call on a connection of its own. The golden requests have the new header, and the stand-in of the golden replica repeats it.

--- a/crates/coordination-protocol/src/client.rs
+++ b/crates/coordination-protocol/src/client.rs
@@ -1,7 +1,7 @@
 //! The client's side of a call: one connection to one server, opened when it is needed.
 
 use crate::messages::{
-    COORDINATOR_HEADER, ErrorResponse, GROUP_HEADER, MAX_BODY_BYTES, ORIGIN_HEADER,
+    CALL_HEADER, COORDINATOR_HEADER, ErrorResponse, GROUP_HEADER, MAX_BODY_BYTES, ORIGIN_HEADER,
     PROTOCOL_VERSION, VERSION_HEADER,
 };
 use bytes::Bytes;
@@ -17,13 +17,22 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// A client of one coordinator, session proxy or shard map, with one connection and one call at a time.
+/// A client of one coordinator, session proxy or shard map, with one connection and one call at a time. The connection is
+/// kept only with a server that tells which of its calls a response answers.
 #[derive(Debug)]
 pub struct Client {
     address: String,
     group: String,
     origin: Option<String>,
-    connection: Option<SendRequest<Full<Bytes>>>,
+    connection: Option<Connection>,
+}
+
+/// An open connection.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// How many calls were made on it.
+    calls: u64,
 }
 
 /// A response that arrived, whether or not the call was done.
@@ -82,6 +91,14 @@
         /// What is wrong with the body.
         source: serde_json::Error,
     },
+    /// The response is that to another call of the connection.
+    #[error("a response to call {found:?} of the connection came for call {expected}")]
+    OtherCall {
+        /// The number of the call on its connection.
+        expected: u64,
+        /// The number that the response has.
+        found: Option<u64>,
+    },
     /// The time for the call is over.
     #[error("nothing within {} ms", .0.as_millis())]
     Timeout(Duration),
@@ -145,16 +162,25 @@
         body: Option<&impl Serialize>,
         sent: &mut bool,
     ) -> Result<Reply<A>, CallFailure> {
-        let request = self.request(path, body)?;
-        let mut sender = match self.connection.take() {
-            Some(connection) if !connection.is_closed() => connection,
+        let mut connection = match self.connection.take() {
+            Some(connection) if !connection.sender.is_closed() => connection,
             _ => self.connect().await?,
         };
-        sender.ready().await?;
+        connection.calls += 1;
+        let call = connection.calls;
+        let request = self.request(path, body, call)?;
+        connection.sender.ready().await?;
         *sent = true;
-        let response = sender.send_request(request).await?;
+        let response = connection.sender.send_request(request).await?;
         let reply = read_reply(response).await?;
-        self.connection = Some(sender);
+        if reply.call == Some(call) {
+            self.connection = Some(connection);
+        } else if reply.call.is_some() || call > 1 {
+            return Err(CallFailure::OtherCall {
+                expected: call,
+                found: reply.call,
+            });
+        }
         decode(reply)
     }
 
@@ -162,6 +188,7 @@
         &self,
         path: &str,
         body: Option<&impl Serialize>,
+        call: u64,
     ) -> Result<Request<Full<Bytes>>, CallFailure> {
         let (method, bytes) = match body {
             Some(body) => (
@@ -177,11 +204,12 @@
             .header(GROUP_HEADER, &self.group)
             .header(VERSION_HEADER, PROTOCOL_VERSION)
             .header(ORIGIN_HEADER, self.origin.as_deref().unwrap_or_default())
+            .header(CALL_HEADER, call)
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(bytes)))?)
     }
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, CallFailure> {
+    async fn connect(&self) -> Result<Connection, CallFailure> {
         let stream = TcpStream::connect(&self.address).await?;
         // without it responses still come, only later
         let _ = stream.set_nodelay(true);
@@ -190,7 +218,7 @@
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(Connection { sender, calls: 0 })
     }
 }
 
@@ -198,13 +226,18 @@
 struct RawReply {
     status: StatusCode,
     coordinator: Option<u64>,
+    /// The number of the call that it answers; none from a server that doesn't tell it.
+    call: Option<u64>,
     body: Bytes,
 }
 
 async fn read_reply(response: Response<Incoming>) -> Result<RawReply, CallFailure> {
     let status = response.status();
-    let header = response.headers().get(COORDINATOR_HEADER);
-    let coordinator = header.and_then(|value| value.to_str().ok()?.parse().ok());
+    let number = |name| {
+        let header = response.headers().get(name);
+        header.and_then(|value| value.to_str().ok()?.parse().ok())
+    };
+    let (coordinator, call) = (number(COORDINATOR_HEADER), number(CALL_HEADER));
     let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
         .collect()
         .await
@@ -213,6 +246,7 @@
     Ok(RawReply {
         status,
         coordinator,
+        call,
         body,
     })
 }
@@ -222,6 +256,7 @@
         status,
         coordinator,
         body,
+        ..
     } = reply;
     let unreadable = |source| CallFailure::Decode { status, source };
     let result = if status.is_success() {
--- a/crates/coordination-protocol/src/messages.rs
+++ b/crates/coordination-protocol/src/messages.rs
@@ -20,6 +20,9 @@
 /// Request header between coordinators: which initial state the caller's group was founded with. Coordinators that
 /// were founded with different states would make different states of the same commands.
 pub const ORIGIN_HEADER: &str = "milletturn-origin";
+/// Header with the number of a call on its connection, from 1: the response repeats it. HTTP/1.1 goes by order alone, and a
+/// second copy of an earlier response would be taken for that of the present call.
+pub const CALL_HEADER: &str = "milletturn-call";
 /// Response header with the number of the coordinator that answers.
 pub const COORDINATOR_HEADER: &str = "milletturn-steward";
 
--- a/crates/coordination-protocol/src/server.rs
+++ b/crates/coordination-protocol/src/server.rs
@@ -2,7 +2,7 @@
 //! that every call has to pass, bodies up to a bound, and errors as JSON.
 
 use crate::messages::{
-    COORDINATOR_HEADER, ErrorResponse, GROUP_HEADER, PROTOCOL_VERSION, VERSION_HEADER,
+    CALL_HEADER, COORDINATOR_HEADER, ErrorResponse, GROUP_HEADER, PROTOCOL_VERSION, VERSION_HEADER,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -205,6 +205,7 @@
 }
 
 async fn respond<H: Handler>(request: Request<Incoming>, handler: &H) -> Response<Full<Bytes>> {
+    let call = request.headers().get(CALL_HEADER).cloned();
     let result = match check_headers(&request, handler.group()) {
         Ok(()) => handler.handle(request).await,
         Err(error) => Err(error),
@@ -220,6 +221,9 @@
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(call) = call {
+        headers.insert(CALL_HEADER, call);
+    }
     if let Some(id) = handler.coordinator_id() {
         headers.insert(COORDINATOR_HEADER, HeaderValue::from(id));
     }
--- /dev/null
+++ b/crates/coordination-protocol/tests/duplicate_responses.rs
@@ -0,0 +1,119 @@
+//! A client whose connection brings responses twice: a call is answered by its own response or by none.
+
+use milletturn_coordination_protocol::client::{Client, ClientError, Reply};
+use milletturn_coordination_protocol::messages;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+
+const TIME_LIMIT: Duration = Duration::from_secs(20);
+
+/// Reads one request with no body; the number that the caller gave it, if it gave one.
+async fn read_call(stream: &mut TcpStream) -> Option<String> {
+    let mut text = String::new();
+    while !text.ends_with("\r\n\r\n") {
+        let mut bytes = [0; 1_024];
+        let count = stream.read(&mut bytes).await.expect("readable");
+        assert!(count > 0, "the call breaks off");
+        text.push_str(std::str::from_utf8(&bytes[..count]).expect("text"));
+    }
+    let prefix = format!("{}: ", messages::CALL_HEADER);
+    let number = text.lines().find_map(|line| line.strip_prefix(&prefix))?;
+    Some(number.to_string())
+}
+
+/// A response with a text, and the number of its call if the server is one that tells it.
+fn response(call: Option<&str>, text: &str) -> String {
+    let number = call.map_or_else(String::new, |call| {
+        format!("{}: {call}\r\n", messages::CALL_HEADER)
+    });
+    let length = text.len() + 2;
+    format!("HTTP/1.1 200 OK\r\n{number}content-length: {length}\r\n\r\n\"{text}\"")
+}
+
+async fn call(client: &mut Client) -> Result<Reply<String>, ClientError> {
+    client
+        .call::<String>(messages::STATUS_PATH, None::<&()>, TIME_LIMIT)
+        .await
+}
+
+async fn listen() -> (TcpListener, Client) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound").to_string();
+    (listener, Client::new(address, "north"))
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn a_copy_of_an_earlier_response_with_the_next_request_answers_no_call() {
+    run(async {
+        let (listener, mut client) = listen().await;
+        let serving = tokio::task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let first = read_call(&mut stream).await;
+            let first = response(first.as_deref(), "first");
+            stream.write_all(first.as_bytes()).await.expect("open");
+            let second = read_call(&mut stream).await;
+            let second = response(second.as_deref(), "second");
+            stream.write_all(first.as_bytes()).await.expect("open");
+            // the client may have left by then
+            let _ = stream.write_all(second.as_bytes()).await;
+        });
+        let reply = call(&mut client).await.expect("answered");
+        assert_eq!(reply.result, Ok("first".to_string()));
+        let unknown = call(&mut client).await;
+        assert!(
+            matches!(unknown, Err(ClientError::OutcomeUnknown { .. })),
+            "{unknown:?}"
+        );
+        serving.await.expect("served");
+    });
+}
+
+#[test]
+fn a_server_that_tells_no_numbers_gets_each_call_on_a_connection_of_its_own() {
+    run(async {
+        let (listener, mut client) = listen().await;
+        let serving = tokio::task::spawn_local(async move {
+            for text in ["first", "second"] {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                read_call(&mut stream).await;
+                let response = response(None, text);
+                stream.write_all(response.as_bytes()).await.expect("open");
+            }
+        });
+        for text in ["first", "second"] {
+            let reply = call(&mut client).await.expect("answered");
+            assert_eq!(reply.result, Ok(text.to_string()));
+        }
+        serving.await.expect("served");
+    });
+}
+
+#[test]
+fn a_server_that_tells_numbers_keeps_one_connection() {
+    run(async {
+        let (listener, mut client) = listen().await;
+        let serving = tokio::task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            for text in ["first", "second", "third"] {
+                let number = read_call(&mut stream).await;
+                let response = response(number.as_deref(), text);
+                stream.write_all(response.as_bytes()).await.expect("open");
+            }
+        });
+        for text in ["first", "second", "third"] {
+            let reply = call(&mut client).await.expect("answered");
+            assert_eq!(reply.result, Ok(text.to_string()));
+        }
+        serving.await.expect("served");
+    });
+}
--- a/crates/coordinator/tests/golden/wire.rs
+++ b/crates/coordinator/tests/golden/wire.rs
@@ -75,12 +75,17 @@
             let count = stream.read_buf(&mut bytes).await.expect("a request");
             assert_ne!(count, 0, "the caller left");
         }
-        requests.push(String::from_utf8(bytes).expect("text"));
+        let request = String::from_utf8(bytes).expect("text");
+        let call = request
+            .lines()
+            .find(|line| line.starts_with("milletturn-call: "));
         let (status, body) = reply.split_once(' ').expect("a status");
         let answer = format!(
-            "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {status} X\r\n{}\r\ncontent-length: {}\r\n\r\n{body}",
+            call.expect("a number"),
             body.len()
         );
+        requests.push(request);
         stream.write_all(answer.as_bytes()).await.expect("answered");
     }
     requests
--- a/crates/platform/tests/single_calls.rs
+++ b/crates/platform/tests/single_calls.rs
@@ -413,7 +413,7 @@
             .await
             .send(Instant::now() + LONG)
             .expect("it waits for this");
-        stream.read(&mut [0; 64]).await.expect("it begins");
+        assert!(stream.read(&mut [0; 64]).await.expect("it begins") > 0);
         let text = response("200 OK", "");
         stream.write_all(text.as_bytes()).await.expect("open");
         let heard = rig.heard(None).await;
