Take no response for one that has a second status line in its head or bytes left over

Seen: a part of a copy, then the endpoint's own response, read as one response: 'HTTP/1.1 200 HTTP/1.1 503 ...', or a head with Content-Length 8 whose missing bytes are the beginning of what follows. Cause: the content of such a response is new on its connection, and only content was looked at. Change: the raw bytes are searched for a second status line inside the head and counted behind it; on a connection that has carried a call, either makes the attempt one that may have run, and closes the connection. Why it works: a cut copy ends inside its head or its body, and the response behind it brings a status line or too many bytes.

--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -14,6 +14,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use milletturn_engine::{AttemptEnd, Call, CallItem, EndCause, Input, MAX_BODY_BYTES, Transport};
 use milletturn_logging::RateLimitedLog;
@@ -334,12 +336,14 @@
         let status = head.status.as_u16();
         return Answer::all(Outcome::Reset, EndCause::ResponseIncomplete(status));
     };
-    let fingerprint = Fingerprint::new(&head, &body);
-    if head.status == StatusCode::OK && !is_own(shared, call, &connection, fingerprint).await {
+    let is_copy = is_spliced(&connection.wire, &head, &body)
+        || head.status == StatusCode::OK && !is_own(shared, call, &connection, &head, &body).await;
+    if is_copy {
         let status = head.status.as_u16();
         return Answer::all(Outcome::Reset, EndCause::DuplicateResponse(status));
     }
     let answer = Answer::of_response(call, &head, &body, &shared.report_fields, &shared.faults);
+    let fingerprint = Fingerprint::new(&head, &body);
     if head.status == StatusCode::GONE {
         // a copy of it would end the next message, and nothing would be owed
         connection.retire();
@@ -361,18 +365,26 @@
     answer
 }
 
-/// Whether a complete response can only be the one to this call.
+/// Whether a response on a connection that has carried others reads like a part of a copy and the response behind it.
+fn is_spliced(wire: &Wire, head: &Parts, body: &[u8]) -> bool {
+    let has_leftover =
+        head.headers.contains_key(CONTENT_LENGTH) && wire.bytes_behind_head() > body.len();
+    !wire.is_first_call() && (wire.is_head_spliced() || has_leftover)
+}
+
+/// Whether a complete 200 can only be the response to this call.
 async fn is_own(
     shared: &Shared,
     call: &Call,
     connection: &Connection,
-    fingerprint: Fingerprint,
+    head: &Parts,
+    body: &[u8],
 ) -> bool {
     let wire = &connection.wire;
     let Some(response_time) = wire.response_time() else {
         return false;
     };
-    if !connection.has_carried(fingerprint) {
+    if !connection.has_carried(Fingerprint::new(head, body)) {
         return true;
     }
     let attribution = shared
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -21,6 +21,8 @@
 
 /// Longest line of a head that is looked at: a wait takes far less.
 const LINE_MOST: usize = 256;
+/// The beginning of a status line; each `d` is a digit.
+const STATUS_LINE: &[u8] = b"HTTP/1.d ddd";
 /// Bytes of an answer that are still looked at once nobody waits for it: more than a head has.
 const LAST_LOOK: usize = 4096;
 
@@ -53,6 +55,10 @@
     told: Box<dyn Fn(Micros)>,
     /// Bytes of 1xx answers ahead of the present call's answer.
     ahead: Cell<usize>,
+    /// Bytes behind the head of the present call's answer.
+    behind_head: Cell<usize>,
+    /// How much of a second status line has come inside the head.
+    second_status_line: Cell<usize>,
     seen: Notify,
     /// Where the present call counts its messages once it has been written whole.
     whole: RefCell<Option<Whole>>,
@@ -148,6 +154,8 @@
             line: RefCell::default(),
             told: Box::new(told),
             ahead: Cell::default(),
+            behind_head: Cell::default(),
+            second_status_line: Cell::default(),
             seen: Notify::default(),
             whole: RefCell::default(),
         }
@@ -168,6 +176,8 @@
         self.idle.set(false);
         self.look.set(reused);
         self.ahead.set(0);
+        self.behind_head.set(0);
+        self.second_status_line.set(0);
         self.answer.set(FirstLine::Status(0, 0));
         self.line.replace(Some(Vec::new()));
     }
@@ -202,6 +212,32 @@
         answered.checked_duration_since(written)
     }
 
+    /// Whether another status line stands inside the head, as when a part of a copy comes before a response.
+    pub(crate) fn is_head_spliced(&self) -> bool {
+        self.second_status_line.get() == STATUS_LINE.len()
+    }
+
+    /// One byte further in the search for a second status line.
+    fn look_for_status_line(&self, byte: u8) {
+        let found = self.second_status_line.get();
+        let Some(&expected) = STATUS_LINE.get(found) else {
+            return;
+        };
+        let fits = match expected {
+            b'd' => byte.is_ascii_digit(),
+            _ => byte == expected,
+        };
+        self.second_status_line.set(match fits {
+            true => found + 1,
+            false => usize::from(byte == STATUS_LINE[0]),
+        });
+    }
+
+    /// Bytes that have come behind the head of the present call's answer.
+    pub(crate) fn bytes_behind_head(&self) -> usize {
+        self.behind_head.get()
+    }
+
     /// Time since the last byte of the present call's request.
     pub(crate) fn since_written(&self) -> Duration {
         self.written_at
@@ -289,11 +325,23 @@
         }
         let mut line = self.answer.get();
         let mut ahead = self.ahead.get();
-        for byte in bytes {
+        let count = bytes.len();
+        for (number, byte) in bytes.iter_mut().enumerate() {
             match line {
-                FirstLine::Whole(_) if self.line.borrow().is_some() => self.pass_header(*byte),
-                FirstLine::Whole(_) | FirstLine::Nothing => break,
+                FirstLine::Whole(_) if self.line.borrow().is_some() => {
+                    self.look_for_status_line(*byte);
+                    self.pass_header(*byte);
+                }
+                FirstLine::Whole(_) => {
+                    let behind_head = self.behind_head.get() + count - number;
+                    self.behind_head.set(behind_head);
+                    break;
+                }
+                FirstLine::Nothing => break,
                 _ => {
+                    if matches!(line, FirstLine::Rest(_)) {
+                        self.look_for_status_line(*byte);
+                    }
                     line = line.pass(byte);
                     ahead += 1;
                 }
@@ -476,6 +524,27 @@
         );
     }
 
+    #[test]
+    fn a_second_status_line_in_the_head_is_found_and_nothing_else_is_taken_for_one() {
+        for (text, expected) in [
+            ("HTTP/1.1 200 HTTP/1.1 503 No\r\n\r\n", true),
+            ("HTTP/1.1 200 OKHTTP/1.0 200 OK\r\n\r\n", true),
+            ("HTTP/1.1 200 OK\r\nX-A: x0=HHTTP/1.1 503 No\r\n\r\n", true),
+            ("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n\r\n", false),
+            ("HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 503 No\r\n", false),
+            ("HTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", false),
+        ] {
+            for size in [1, 7, text.len()] {
+                let (wire, mut bytes) = (Wire::new(1, |_| {}), text.as_bytes().to_vec());
+                wire.begin(false, 0, 1, &Rc::default());
+                bytes
+                    .chunks_mut(size)
+                    .for_each(|chunk| wire.pass(chunk).expect("short enough"));
+                assert_eq!(wire.is_head_spliced(), expected, "{text}");
+            }
+        }
+    }
+
     #[test]
     fn answers_ahead_without_end_are_an_error() {
         let wire = Wire::new(1, |_| {});
