Judge an endpoint's first repeated response by what it holds, and keep run-once calls apart

Cause: until two responses are known, a repeated one counted after a quiet time; and calls with a message that must run once took connections of endpoints whose responses can't be told apart. Change: with fewer than two responses known, a repeated one with a body or load report is a copy; one with neither waits for quiet whenever it comes. Calls with a message that must run once reuse connections only of endpoints whose responses are known to differ. What is known of an endpoint is kept for 30 s. Why it works: nothing that can tell responses apart is left unused; what can't be repeated doesn't lean on it. Two tests more for responses that are alike.

--- a/crates/platform/src/call_text.rs
+++ b/crates/platform/src/call_text.rs
@@ -10,6 +10,8 @@
 use std::net::SocketAddr;
 use tokio::time::Instant;
 
+/// The header of an answer with the load report.
+pub(crate) const LOAD_REPORT: &str = "x-server-load";
 /// A longer told wait counts as this long: a destination that misspeaks is tried again after a month.
 const WAIT_MOST_S: f64 = 31.0 * 86_400.0;
 
@@ -112,7 +114,7 @@
 /// The load report in the order of the settings; none unless it is whole and sound.
 pub(crate) fn report_of(headers: &HeaderMap, fields: &[String]) -> Vec<f64> {
     let Some(text) = headers
-        .get("x-server-load")
+        .get(LOAD_REPORT)
         .and_then(|value| value.to_str().ok())
     else {
         return Vec::new();
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -9,7 +9,7 @@
 use crate::call_text::{bulk_size, request_of};
 use crate::connection::Connection;
 use crate::pools::Pools;
-use crate::response_history::{Attribution, Fingerprint, ResponseHistory};
+use crate::response_history::{Attribution, Content, Fingerprint, ResponseHistory};
 use crate::wire::Wire;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -131,10 +131,7 @@
             .pools
             .borrow_mut()
             .sweep(Instant::now(), self.0.idle_most, over);
-        self.0
-            .responses
-            .borrow_mut()
-            .evict(Instant::now(), self.0.idle_most);
+        self.0.responses.borrow_mut().evict(Instant::now());
     }
 
     fn item_bytes(&self, item: &CallItem) -> usize {
@@ -387,10 +384,11 @@
     if !connection.has_carried(Fingerprint::new(head, body)) {
         return true;
     }
-    let attribution = shared
-        .responses
-        .borrow()
-        .attribute_repeated(call.endpoint, response_time);
+    let attribution = shared.responses.borrow().attribute_repeated(
+        call.endpoint,
+        response_time,
+        Content::of(head, body),
+    );
     match attribution {
         Attribution::Own => true,
         Attribution::Copy => false,
@@ -449,7 +447,8 @@
         .ok()
 }
 
-/// An idle connection, best one that has brought no rejection yet.
+/// An idle connection, best one that has brought no rejection yet. What must run once takes none on which its response
+/// could be mistaken.
 async fn take_idle(shared: &Shared, call: &Call) -> Option<Connection> {
     let (endpoint, address) = (call.endpoint, call.address);
     let take = |usable: fn(&Connection) -> bool| {
@@ -457,11 +456,11 @@
         pools.take(endpoint, address, Instant::now(), REST, usable)
     };
     loop {
-        let idle =
-            take(|connection| !connection.has_rejected).or_else(|| match call.at_most_once {
-                true => None,
-                false => take(|_| true),
-            });
+        let idle = match call.at_most_once {
+            true if !shared.responses.borrow().is_distinctive(endpoint) => None,
+            true => take(|connection| !connection.has_rejected),
+            false => take(|connection| !connection.has_rejected).or_else(|| take(|_| true)),
+        };
         let (since, mut connection) = idle?;
         if since.elapsed() < shared.idle_most && connection.is_ready().await {
             return Some(connection);
--- a/crates/platform/src/response_history.rs
+++ b/crates/platform/src/response_history.rs
@@ -7,6 +7,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::call_text::LOAD_REPORT;
 use hyper::header::DATE;
 use hyper::http::response::Parts;
 use milletturn_policy::EndpointId;
@@ -18,6 +19,10 @@
 
 /// Responses of an endpoint that are remembered.
 const MAX_RECENT_RESPONSES: usize = 8;
+/// What an endpoint has not used for so long is forgotten.
+const MAX_AGE: Duration = Duration::from_secs(30);
+/// With fewer responses, nothing is known of how an endpoint's responses differ.
+const MIN_KNOWN_RESPONSES: usize = 2;
 /// A response that may be a copy counts once this many times the slowest recent response time has passed.
 const QUIET_FACTOR: u32 = 2;
 
@@ -38,6 +43,22 @@
     }
 }
 
+/// Whether a response has anything that may tell it from others: a body or a load report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Content {
+    Some,
+    None,
+}
+
+impl Content {
+    pub(crate) fn of(head: &Parts, body: &[u8]) -> Self {
+        match body.is_empty() && !head.headers.contains_key(LOAD_REPORT) {
+            true => Content::None,
+            false => Content::Some,
+        }
+    }
+}
+
 /// What a response with the content of an earlier one on its connection is taken for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Attribution {
@@ -71,19 +92,23 @@
             .iter()
             .map(|response| response.fingerprint)
             .collect();
-        self.recent.len() >= 2 && distinct.len() * 4 >= self.recent.len() * 3
+        !self.is_unknown() && distinct.len() * 4 >= self.recent.len() * 3
+    }
+
+    fn is_unknown(&self) -> bool {
+        self.recent.len() < MIN_KNOWN_RESPONSES
     }
 
-    fn attribute_repeated(&self, response_time: Duration) -> Attribution {
-        if self.is_distinctive() {
+    fn attribute_repeated(&self, response_time: Duration, content: Content) -> Attribution {
+        if self.is_distinctive() || self.is_unknown() && content == Content::Some {
             return Attribution::Copy;
         }
         let times = || self.recent.iter().map(|response| response.response_time);
         let (Some(fastest), Some(slowest)) = (times().min(), times().max()) else {
             return Attribution::Own;
         };
-        match response_time < fastest {
-            true => Attribution::OwnIfQuietFor(slowest * QUIET_FACTOR),
+        match self.is_unknown() || response_time < fastest {
+            true => Attribution::OwnIfQuietFor(slowest.max(response_time) * QUIET_FACTOR),
             false => Attribution::Own,
         }
     }
@@ -107,10 +132,20 @@
         &self,
         endpoint: EndpointId,
         response_time: Duration,
+        content: Content,
     ) -> Attribution {
-        self.0.get(&endpoint).map_or(Attribution::Own, |history| {
-            history.attribute_repeated(response_time)
-        })
+        match (self.0.get(&endpoint), content) {
+            (Some(history), _) => history.attribute_repeated(response_time, content),
+            (None, Content::Some) => Attribution::Copy,
+            (None, Content::None) => Attribution::OwnIfQuietFor(response_time * QUIET_FACTOR),
+        }
+    }
+
+    /// Whether the endpoint's responses are known to differ from each other.
+    pub(crate) fn is_distinctive(&self, endpoint: EndpointId) -> bool {
+        self.0
+            .get(&endpoint)
+            .is_some_and(EndpointHistory::is_distinctive)
     }
 
     /// Remembers the response to a call.
@@ -137,8 +172,8 @@
         self.0.remove(&endpoint);
     }
 
-    /// Forgets endpoints that have not responded for so long: none of their connections is still open.
-    pub(crate) fn evict(&mut self, now: Instant, max_age: Duration) {
-        self.0.retain(|_, history| now - history.used_at < max_age);
+    /// Forgets endpoints that have not responded for [`MAX_AGE`].
+    pub(crate) fn evict(&mut self, now: Instant) {
+        self.0.retain(|_, history| now - history.used_at < MAX_AGE);
     }
 }
--- a/crates/platform/src/response_history/tests.rs
+++ b/crates/platform/src/response_history/tests.rs
@@ -50,7 +50,7 @@
     let history = history(&["a", "b", "c", "d", "d"]);
     for time in [0, 99, 100, 5_000] {
         assert_eq!(
-            history.attribute_repeated(ENDPOINT, ms(time)),
+            history.attribute_repeated(ENDPOINT, ms(time), Content::None),
             Attribution::Copy
         );
     }
@@ -58,16 +58,28 @@
 
 #[test]
 fn where_responses_are_alike_one_that_comes_sooner_than_any_has_to_wait_for_quiet() {
-    for bodies in [&["a", "a", "a", "b"][..], &["a"][..]] {
-        let history = history(bodies);
-        let fastest = if bodies.len() == 1 { 200 } else { 100 };
-        assert_eq!(
-            history.attribute_repeated(ENDPOINT, ms(fastest - 1)),
-            Attribution::OwnIfQuietFor(ms(400))
-        );
+    let history = history(&["a", "a", "a", "b"]);
+    assert_eq!(
+        history.attribute_repeated(ENDPOINT, ms(99), Content::None),
+        Attribution::OwnIfQuietFor(ms(400))
+    );
+    assert_eq!(
+        history.attribute_repeated(ENDPOINT, ms(100), Content::None),
+        Attribution::Own
+    );
+}
+
+#[test]
+fn the_first_repeated_response_of_an_endpoint_is_a_copy_or_has_to_wait_for_quiet() {
+    let history = history(&["a"]);
+    assert_eq!(
+        history.attribute_repeated(ENDPOINT, ms(5_000), Content::Some),
+        Attribution::Copy
+    );
+    for (time, quiet) in [(0, 400), (200, 400), (300, 600)] {
         assert_eq!(
-            history.attribute_repeated(ENDPOINT, ms(fastest)),
-            Attribution::Own
+            history.attribute_repeated(ENDPOINT, ms(time), Content::None),
+            Attribution::OwnIfQuietFor(ms(quiet))
         );
     }
 }
@@ -78,16 +90,13 @@
     bodies.extend(["b", "c", "d", "e", "f", "g", "h", "i"]);
     let mut history = history(&bodies);
     assert_eq!(
-        history.attribute_repeated(ENDPOINT, ms(500)),
+        history.attribute_repeated(ENDPOINT, ms(500), Content::None),
         Attribution::Copy
     );
     let now = Instant::now();
-    history.evict(now, ms(1_000));
+    history.evict(now);
     assert_eq!(history.0.len(), 1);
-    history.evict(now + ms(2_000), ms(1_000));
+    history.evict(now + 2 * MAX_AGE);
     assert!(history.0.is_empty());
-    assert_eq!(
-        history.attribute_repeated(ENDPOINT, ms(0)),
-        Attribution::Own
-    );
+    assert!(!history.is_distinctive(ENDPOINT));
 }
--- a/tests/duplicate_responses.rs
+++ b/tests/duplicate_responses.rs
@@ -150,6 +150,23 @@
     assert!(fixture.copies() > 0, "copies were sent");
 }
 
+#[test]
+fn a_copy_of_a_200_in_the_middle_of_the_next_call_delivers_nothing_where_all_are_alike() {
+    assert_no_loss(reject_crossed_alike, SERVICE_TIME / 2);
+}
+
+#[test]
+fn what_must_run_once_meets_no_copy_where_all_are_alike() {
+    let fixture = Fixture::new(
+        reject_crossed_alike,
+        CopyMoment::InNextCall(SERVICE_TIME - SERVICE_TIME / 20),
+        2,
+    );
+    let ids = fixture.hand_in("order", MESSAGES);
+    fixture.assert_none_lost(&ids);
+    assert_eq!(fixture.copies(), 0, "each call has a connection of its own");
+}
+
 #[test]
 fn a_copy_of_a_200_with_the_next_request_delivers_nothing() {
     assert_no_loss(reject_crossed, Duration::ZERO);
