Let run-once calls leave idle connections only where copies may be mistaken

Cause: take_idle in calls.rs kept run-once calls off connections that had brought a rejection, and off all until two distinct successes. Change: they leave idle connections only of endpoints whose responses are known to be alike or bare, and one idle connection makes room for the new one.

--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -322,7 +322,7 @@
         tokio::task::spawn_local(async move {
             if let Some(body) = whole(body).await {
                 let fingerprint = Fingerprint::new(&head, &body);
-                record_success(&shared, endpoint, &connection, fingerprint);
+                record_success(&shared, endpoint, &connection, (&head, &body));
                 keep(&shared, endpoint, address, connection, fingerprint);
             }
         });
@@ -355,7 +355,7 @@
         };
     }
     if head.status == StatusCode::OK {
-        record_success(shared, call.endpoint, &connection, fingerprint);
+        record_success(shared, call.endpoint, &connection, (&head, &body));
     }
     connection.has_rejected |= !answer.is_all_delivered();
     keep(shared, call.endpoint, call.address, connection, fingerprint);
@@ -404,11 +404,12 @@
     shared: &Shared,
     endpoint: EndpointId,
     connection: &Connection,
-    fingerprint: Fingerprint,
+    (head, body): (&Parts, &[u8]),
 ) {
+    let response = (Fingerprint::new(head, body), Content::of(head, body));
     if let Some(response_time) = connection.wire.response_time() {
         let mut responses = shared.responses.borrow_mut();
-        responses.record(endpoint, fingerprint, response_time, Instant::now());
+        responses.record(endpoint, response, response_time, Instant::now());
     }
 }
 
@@ -447,21 +448,22 @@
         .ok()
 }
 
-/// An idle connection, best one that has brought no rejection yet. What must run once takes none on which its response
-/// could be mistaken.
+/// An idle connection, best one that has brought no rejection yet. What must run once takes none where a copy may be
+/// mistaken; such a one makes room for the connection that is opened in its place.
 async fn take_idle(shared: &Shared, call: &Call) -> Option<Connection> {
     let (endpoint, address) = (call.endpoint, call.address);
     let take = |usable: fn(&Connection) -> bool| {
         let mut pools = shared.pools.borrow_mut();
         pools.take(endpoint, address, Instant::now(), REST, usable)
     };
+    let may_mistake = shared.responses.borrow().may_mistake_copies(endpoint);
     loop {
-        let idle = match call.at_most_once {
-            true if !shared.responses.borrow().is_distinctive(endpoint) => None,
-            true => take(|connection| !connection.has_rejected),
-            false => take(|connection| !connection.has_rejected).or_else(|| take(|_| true)),
-        };
-        let (since, mut connection) = idle?;
+        let clean = take(|connection| !connection.has_rejected);
+        let (since, mut connection) = clean.or_else(|| take(|_| true))?;
+        if call.at_most_once && may_mistake {
+            connection.retire();
+            return None;
+        }
         if since.elapsed() < shared.idle_most && connection.is_ready().await {
             return Some(connection);
         }
--- a/crates/platform/src/response_history.rs
+++ b/crates/platform/src/response_history.rs
@@ -74,6 +74,7 @@
 #[derive(Debug, Clone, Copy)]
 struct RecentResponse {
     fingerprint: Fingerprint,
+    content: Content,
     response_time: Duration,
 }
 
@@ -99,6 +100,12 @@
         self.recent.len() < MIN_KNOWN_RESPONSES
     }
 
+    /// Whether a repeated response would be taken for a copy, and not for the call's own.
+    fn tells_copies(&self) -> bool {
+        let has_content = |response: &RecentResponse| response.content == Content::Some;
+        self.is_distinctive() || self.is_unknown() && self.recent.iter().all(has_content)
+    }
+
     fn attribute_repeated(&self, response_time: Duration, content: Content) -> Attribution {
         if self.is_distinctive() || self.is_unknown() && content == Content::Some {
             return Attribution::Copy;
@@ -141,23 +148,24 @@
         }
     }
 
-    /// Whether the endpoint's responses are known to differ from each other.
-    pub(crate) fn is_distinctive(&self, endpoint: EndpointId) -> bool {
+    /// Whether the endpoint's responses are known to be such that a copy may be taken for a call's own.
+    pub(crate) fn may_mistake_copies(&self, endpoint: EndpointId) -> bool {
         self.0
             .get(&endpoint)
-            .is_some_and(EndpointHistory::is_distinctive)
+            .is_some_and(|history| !history.tells_copies())
     }
 
     /// Remembers the response to a call.
     pub(crate) fn record(
         &mut self,
         endpoint: EndpointId,
-        fingerprint: Fingerprint,
+        (fingerprint, content): (Fingerprint, Content),
         response_time: Duration,
         now: Instant,
     ) {
         let response = RecentResponse {
             fingerprint,
+            content,
             response_time,
         };
         let history = self.0.entry(endpoint).or_insert_with(|| EndpointHistory {
