Describe each response once, and share what three tests of the protocol wrote alike

Need: read again, each response on a kept connection was hashed up to three times, two tuples stood for one record, the tests of the protocol had a third copy of their runner, and the two fault tests their own search of a sender's log. Change: ResponseIdentity is made once for each response and handed on; tests/common of coordination-protocol has the runner; Node has records_of. Result: behaviour as before.

--- a/crates/coordination-protocol/tests/duplicate_responses.rs
+++ b/crates/coordination-protocol/tests/duplicate_responses.rs
@@ -1,11 +1,13 @@
 //! A client whose connection brings responses twice: a call is answered by its own response or by none.
 
+mod common;
+
+use common::run;
 use milletturn_coordination_protocol::client::{Client, ClientError, Reply};
 use milletturn_coordination_protocol::messages;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::LocalSet;
 
 const TIME_LIMIT: Duration = Duration::from_secs(20);
 
@@ -44,14 +46,6 @@
     (listener, Client::new(address, "north"))
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn a_copy_of_an_earlier_response_with_the_next_request_answers_no_call() {
     run(async {
--- a/crates/coordination-protocol/tests/golden.rs
+++ b/crates/coordination-protocol/tests/golden.rs
@@ -1,6 +1,9 @@
 //! The text on the wire, as it was written before the sources got their present names: each message, path, header and
 //! status. Members, coordinators and session proxies of two versions talk with each other, so none of it may change.
 
+mod common;
+
+use common::run;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use milletturn_coordination::state::{Event, EventKind, Resource, Session};
@@ -31,7 +34,6 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::LocalSet;
 
 /// Texts by name, one a line.
 struct Golden {
@@ -699,14 +701,6 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 async fn open<H: Handler>(handler: H) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("bound").to_string();
--- a/crates/coordination-protocol/tests/shard_map.rs
+++ b/crates/coordination-protocol/tests/shard_map.rs
@@ -1,6 +1,9 @@
 //! Synchronization of the shard map: from a source over a replica to a sender; calls that are none are rejected and harm
 //! nothing.
 
+mod common;
+
+use common::run;
 use milletturn_coordination_protocol::Client;
 use milletturn_coordination_protocol::server::{ConnectionLimit, Server};
 use milletturn_coordination_protocol::shard_map::{
@@ -16,7 +19,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{JoinHandle, LocalSet};
+use tokio::task::JoinHandle;
 
 const GROUP: &str = "north";
 const MOST: Duration = Duration::from_secs(60);
@@ -71,14 +74,6 @@
     (address, serving)
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 fn assert_in_sync(replica: &Rc<RefCell<ShardMapReplica>>, source: &Rc<RefCell<ShardMapSource>>) {
     let (replica, source) = (replica.borrow(), source.borrow());
     for shard in replica.subscribed() {
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -9,7 +9,7 @@
 use crate::call_text::{bulk_size, request_of};
 use crate::connection::Connection;
 use crate::pools::Pools;
-use crate::response_history::{Attribution, Content, Fingerprint, ResponseHistory};
+use crate::response_history::{Attribution, ResponseHistory, ResponseIdentity};
 use crate::wire::Wire;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -321,9 +321,9 @@
         let (shared, endpoint, address) = (shared.clone(), call.endpoint, call.address);
         tokio::task::spawn_local(async move {
             if let Some(body) = whole(body).await {
-                let fingerprint = Fingerprint::new(&head, &body);
-                record_success(&shared, endpoint, &connection, (&head, &body));
-                keep(&shared, endpoint, address, connection, fingerprint);
+                let identity = ResponseIdentity::of(&head, &body);
+                record_success(&shared, endpoint, &connection, identity);
+                keep(&shared, endpoint, address, connection, identity);
             }
         });
         return answer;
@@ -333,20 +333,20 @@
         let status = head.status.as_u16();
         return Answer::all(Outcome::Reset, EndCause::ResponseIncomplete(status));
     };
+    let identity = ResponseIdentity::of(&head, &body);
     let is_copy = is_spliced(&connection.wire, &head, &body)
-        || head.status == StatusCode::OK && !is_own(shared, call, &connection, &head, &body).await;
+        || head.status == StatusCode::OK && !is_own(shared, call, &connection, identity).await;
     if is_copy {
         let status = head.status.as_u16();
         return Answer::all(Outcome::Reset, EndCause::DuplicateResponse(status));
     }
     let answer = Answer::of_response(call, &head, &body, &shared.report_fields, &shared.faults);
-    let fingerprint = Fingerprint::new(&head, &body);
     if head.status == StatusCode::GONE {
         // a copy of it would end the next message, and nothing would be owed
         connection.retire();
         return answer;
     }
-    if head.status != StatusCode::OK && connection.has_carried(fingerprint) {
+    if head.status != StatusCode::OK && connection.has_carried(identity.fingerprint) {
         // rejections are often alike: it counts as one but proves nothing, and the call's own may still come
         connection.retire();
         return Answer {
@@ -355,10 +355,10 @@
         };
     }
     if head.status == StatusCode::OK {
-        record_success(shared, call.endpoint, &connection, (&head, &body));
+        record_success(shared, call.endpoint, &connection, identity);
     }
     connection.has_rejected |= !answer.is_all_delivered();
-    keep(shared, call.endpoint, call.address, connection, fingerprint);
+    keep(shared, call.endpoint, call.address, connection, identity);
     answer
 }
 
@@ -374,20 +374,19 @@
     shared: &Shared,
     call: &Call,
     connection: &Connection,
-    head: &Parts,
-    body: &[u8],
+    identity: ResponseIdentity,
 ) -> bool {
     let wire = &connection.wire;
     let Some(response_time) = wire.response_time() else {
         return false;
     };
-    if !connection.has_carried(Fingerprint::new(head, body)) {
+    if !connection.has_carried(identity.fingerprint) {
         return true;
     }
     let attribution = shared.responses.borrow().attribute_repeated(
         call.endpoint,
         response_time,
-        Content::of(head, body),
+        identity.content,
     );
     match attribution {
         Attribution::Own => true,
@@ -404,12 +403,11 @@
     shared: &Shared,
     endpoint: EndpointId,
     connection: &Connection,
-    (head, body): (&Parts, &[u8]),
+    identity: ResponseIdentity,
 ) {
-    let response = (Fingerprint::new(head, body), Content::of(head, body));
     if let Some(response_time) = connection.wire.response_time() {
         let mut responses = shared.responses.borrow_mut();
-        responses.record(endpoint, response, response_time, Instant::now());
+        responses.record(endpoint, identity, response_time, Instant::now());
     }
 }
 
@@ -419,9 +417,9 @@
     endpoint: EndpointId,
     address: SocketAddr,
     mut connection: Connection,
-    fingerprint: Fingerprint,
+    identity: ResponseIdentity,
 ) {
-    connection.record(fingerprint);
+    connection.record(identity.fingerprint);
     if connection.wire.calls() < MAX_CALLS_PER_CONNECTION {
         give_back(shared, endpoint, address, connection);
     } else {
--- a/crates/platform/src/response_history.rs
+++ b/crates/platform/src/response_history.rs
@@ -51,7 +51,7 @@
 }
 
 impl Content {
-    pub(crate) fn of(head: &Parts, body: &[u8]) -> Self {
+    fn of(head: &Parts, body: &[u8]) -> Self {
         match body.is_empty() && !head.headers.contains_key(LOAD_REPORT) {
             true => Content::None,
             false => Content::Some,
@@ -59,6 +59,22 @@
     }
 }
 
+/// A response as far as it can be told from others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ResponseIdentity {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) content: Content,
+}
+
+impl ResponseIdentity {
+    pub(crate) fn of(head: &Parts, body: &[u8]) -> Self {
+        ResponseIdentity {
+            fingerprint: Fingerprint::new(head, body),
+            content: Content::of(head, body),
+        }
+    }
+}
+
 /// What a response with the content of an earlier one on its connection is taken for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Attribution {
@@ -73,8 +89,7 @@
 /// A response of an endpoint, and the time that it took.
 #[derive(Debug, Clone, Copy)]
 struct RecentResponse {
-    fingerprint: Fingerprint,
-    content: Content,
+    identity: ResponseIdentity,
     response_time: Duration,
 }
 
@@ -91,7 +106,7 @@
         let distinct: HashSet<Fingerprint> = self
             .recent
             .iter()
-            .map(|response| response.fingerprint)
+            .map(|response| response.identity.fingerprint)
             .collect();
         !self.is_unknown() && distinct.len() * 4 >= self.recent.len() * 3
     }
@@ -102,7 +117,7 @@
 
     /// Whether a repeated response would be taken for a copy, and not for the call's own.
     fn tells_copies(&self) -> bool {
-        let has_content = |response: &RecentResponse| response.content == Content::Some;
+        let has_content = |response: &RecentResponse| response.identity.content == Content::Some;
         self.is_distinctive() || self.is_unknown() && self.recent.iter().all(has_content)
     }
 
@@ -159,13 +174,12 @@
     pub(crate) fn record(
         &mut self,
         endpoint: EndpointId,
-        (fingerprint, content): (Fingerprint, Content),
+        identity: ResponseIdentity,
         response_time: Duration,
         now: Instant,
     ) {
         let response = RecentResponse {
-            fingerprint,
-            content,
+            identity,
             response_time,
         };
         let history = self.0.entry(endpoint).or_insert_with(|| EndpointHistory {
--- a/crates/platform/src/response_history/tests.rs
+++ b/crates/platform/src/response_history/tests.rs
@@ -22,8 +22,11 @@
     for (number, body) in bodies.iter().enumerate() {
         let time = if number + 1 == bodies.len() { 200 } else { 100 };
         let response = fingerprint(200, &[], body);
-        let response = (response, Content::Some);
-        history.record(ENDPOINT, response, ms(time), Instant::now());
+        let identity = ResponseIdentity {
+            fingerprint: response,
+            content: Content::Some,
+        };
+        history.record(ENDPOINT, identity, ms(time), Instant::now());
     }
     history
 }
@@ -117,7 +120,10 @@
         );
     }
     let mut bare = ResponseHistory::default();
-    let response = (fingerprint(200, &[], ""), Content::None);
-    bare.record(ENDPOINT, response, ms(100), Instant::now());
+    let identity = ResponseIdentity {
+        fingerprint: fingerprint(200, &[], ""),
+        content: Content::None,
+    };
+    bare.record(ENDPOINT, identity, ms(100), Instant::now());
     assert!(bare.may_mistake_copies(ENDPOINT));
 }
--- a/tests/duplicate_responses.rs
+++ b/tests/duplicate_responses.rs
@@ -119,18 +119,9 @@
         open().cloned().collect()
     }
 
-    /// The sender's records of a message.
-    fn records(&self, id: &str) -> Vec<String> {
-        let log = self.node.log.lock().expect("not poisoned");
-        let of_message = log
-            .iter()
-            .filter(|line| line.contains(&format!("\"{id}\"")));
-        of_message.cloned().collect()
-    }
-
     fn assert_none_lost(&self, ids: &[String]) {
         let lost = self.lost(ids);
-        let first = lost.first().map(|id| self.records(id).join("\n"));
+        let first = lost.first().map(|id| self.node.records_of(id));
         assert!(
             lost.is_empty(),
             "{} of {} lost, {} copies: {lost:?}\n{}",
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -303,6 +303,14 @@
         self.raw(&message(class, id, dest, time_ms, body)).0
     }
 
+    /// The lines of its log that name a message.
+    pub(crate) fn records_of(&self, id: &str) -> String {
+        let log = self.log.lock().expect("not poisoned");
+        let quoted = format!("\"{id}\"");
+        let of_message = log.iter().filter(|line| line.contains(&quoted));
+        of_message.cloned().collect::<Vec<_>>().join("\n")
+    }
+
     /// Ends the process with no warning.
     pub(crate) fn kill(&mut self) {
         let _ = self.process.kill();
--- a/tests/response_faults.rs
+++ b/tests/response_faults.rs
@@ -100,7 +100,10 @@
             thread::sleep(Duration::from_millis(20));
         }
         let (open, seed) = (self.open(), self.seed);
-        let records = open.first().map(|id| self.records(id)).unwrap_or_default();
+        let records = open
+            .first()
+            .map(|id| self.node.records_of(id))
+            .unwrap_or_default();
         assert!(
             open.is_empty(),
             "seed {seed}: {} of {} lost: {open:?}\n{records}",
@@ -109,7 +112,7 @@
         );
         let executions = self.executions.lock().expect("not poisoned");
         for (id, runs) in &executions.runs {
-            let records = || self.records(id);
+            let records = || self.node.records_of(id);
             assert!(
                 *runs <= 1 || !id.starts_with("order"),
                 "seed {seed}: {id} ran {runs} times\n{}",
@@ -124,14 +127,6 @@
         );
         assert!(executions.copies > 20, "seed {seed}: copies were sent");
     }
-
-    /// The sender's records of a message.
-    fn records(&self, id: &str) -> String {
-        let log = self.node.log.lock().expect("not poisoned");
-        let quoted = format!("\"{id}\"");
-        let of_message = log.iter().filter(|line| line.contains(&quoted));
-        of_message.cloned().collect::<Vec<_>>().join("\n")
-    }
 }
 
 #[test]
