Log what ties a response to its call, and what came on a connection without one

Result: the tests of access log, admin, engine and platform pass; the golden log has a line more of each kind, its earlier lines are as they were.

--- a/crates/access-log/src/observer.rs
+++ b/crates/access-log/src/observer.rs
@@ -1,9 +1,9 @@
 //! Writes the records of one sender into its log.
 
 use crate::record::{AccessEvent, AccessRecord, AttemptOutcome, GiveUpReason, RECORD_PREFIX};
-use milletturn_engine::{CloseReason, EndCause, EndReason, EngineEvent, Observer};
+use milletturn_engine::{Attribution, CloseReason, EndCause, EndReason, EngineEvent, Observer};
 use milletturn_policy::Outcome;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// An observer that logs each event of the engine as a record, and hands it on to the next observer.
 pub struct AccessLogObserver {
@@ -83,11 +83,14 @@
             connection,
             calls,
             reason,
+            unsolicited,
         } => AccessEvent::ConnectionClosed {
             uid: uid.to_string(),
             connection,
             calls,
             reason: close_text(reason).to_string(),
+            unsolicited_status: unsolicited.and_then(|data| data.status),
+            unsolicited_after_us: unsolicited.and_then(|data| microseconds(data.after_request)),
         },
         EngineEvent::RetryAfter { uid, wait } => AccessEvent::RetryAfter {
             uid: uid.to_string(),
@@ -138,12 +141,19 @@
             call_on_connection: connection_use.map(|at| at.call_on_connection),
             response_after_us: connection_use
                 .and_then(|at| at.response_after)
-                .and_then(|after| u64::try_from(after.as_micros()).ok()),
+                .and_then(microseconds),
+            attributed_by: connection_use
+                .and_then(|at| at.attributed_by)
+                .map(|attribution| attribution_text(attribution).to_string()),
         },
         _ => return None,
     })
 }
 
+fn microseconds(duration: Duration) -> Option<u64> {
+    u64::try_from(duration.as_micros()).ok()
+}
+
 fn non_negative(microseconds: i64) -> u64 {
     u64::try_from(microseconds).unwrap_or(0)
 }
@@ -200,3 +210,13 @@
         CloseReason::NotReusable => "not reusable",
     }
 }
+
+/// The text of an attribution in the log; readers of logs go by it.
+fn attribution_text(attribution: Attribution) -> &'static str {
+    match attribution {
+        Attribution::FirstCall => "first call",
+        Attribution::NewContent => "new content",
+        Attribution::ResponseTime => "response time",
+        Attribution::Quiet => "quiet",
+    }
+}
--- a/crates/access-log/src/record.rs
+++ b/crates/access-log/src/record.rs
@@ -94,6 +94,9 @@
             skip_serializing_if = "Option::is_none"
         )]
         response_after_us: Option<u64>,
+        /// What ties the response to the call, such as `first call`.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        attributed_by: Option<String>,
     },
     /// A connection to an endpoint was closed.
     #[serde(rename = "closed")]
@@ -107,6 +110,16 @@
         /// Why, such as `evicted` or `unsolicited data`.
         #[serde(rename = "why")]
         reason: String,
+        /// The status of the response that came while no call was out.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        unsolicited_status: Option<u16>,
+        /// Time from the last request to what came while no call was out, in microseconds.
+        #[serde(
+            rename = "unsolicited_after",
+            default,
+            skip_serializing_if = "Option::is_none"
+        )]
+        unsolicited_after_us: Option<u64>,
     },
     /// A message was delivered.
     Delivered {
--- a/crates/access-log/tests/golden.rs
+++ b/crates/access-log/tests/golden.rs
@@ -6,8 +6,8 @@
 };
 use milletturn_engine::observer::NoopObserver;
 use milletturn_engine::{
-    ArrivalOutcome, CloseReason, ConnectionUse, EndCause, EndReason, Ending, EngineEvent, Observer,
-    SharedStr,
+    ArrivalOutcome, Attribution, CloseReason, ConnectionUse, EndCause, EndReason, Ending,
+    EngineEvent, Observer, SharedStr, UnsolicitedData,
 };
 use milletturn_policy::Outcome;
 use std::time::Duration;
@@ -42,6 +42,7 @@
         connection: None,
         call_on_connection: None,
         response_after_us: None,
+        attributed_by: None,
     }
 }
 
@@ -171,6 +172,7 @@
             connection: None,
             call_on_connection: None,
             response_after_us: None,
+            attributed_by: None,
         }
     );
     assert_eq!(
@@ -217,14 +219,19 @@
 
 fn emit_attempts(observe: &mut impl FnMut(&EngineEvent<'_>)) {
     let id = SharedStr::new(b"m-1").expect("an id");
-    let connection_use = |connection, call_on_connection, response_after| ConnectionUse {
-        connection,
-        call_on_connection,
-        response_after,
-    };
     let connection_uses = [
-        connection_use(3, 2, Some(Duration::from_millis(80))),
-        connection_use(4, 1, None),
+        ConnectionUse {
+            connection: 3,
+            call_on_connection: 2,
+            response_after: Some(Duration::from_millis(80)),
+            attributed_by: None,
+        },
+        ConnectionUse {
+            connection: 4,
+            call_on_connection: 1,
+            response_after: None,
+            attributed_by: None,
+        },
     ];
     for attempt in 0..2 {
         observe(&EngineEvent::AttemptStarted {
@@ -309,6 +316,38 @@
     observe(&EngineEvent::Classes(&[]));
 }
 
+/// An attempt whose response came on the first call of its connection, and a connection that brought another response behind
+/// it.
+fn emit_attributed(observe: &mut impl FnMut(&EngineEvent<'_>)) {
+    observe(&EngineEvent::AttemptEnded {
+        id: &SharedStr::new(b"m-3").expect("an id"),
+        uid: "s-1",
+        attempt: 0,
+        call: 51,
+        cause: EndCause::Response(200),
+        destination: 7,
+        outcome: Outcome::Success,
+        latency: 0,
+        report: &[],
+        connection_use: Some(ConnectionUse {
+            connection: 7,
+            call_on_connection: 1,
+            response_after: Some(Duration::from_millis(20)),
+            attributed_by: Some(Attribution::FirstCall),
+        }),
+    });
+    observe(&EngineEvent::ConnectionClosed {
+        uid: "s-1",
+        connection: 7,
+        calls: 1,
+        reason: CloseReason::UnsolicitedData,
+        unsolicited: Some(UnsolicitedData {
+            status: Some(503),
+            after_request: Duration::from_millis(90),
+        }),
+    });
+}
+
 fn emit_events(mut observe: impl FnMut(&EngineEvent<'_>)) {
     observe(&EngineEvent::Accepted {
         id: "m-1",
@@ -336,8 +375,10 @@
             connection,
             calls: 2,
             reason,
+            unsolicited: None,
         });
     }
+    emit_attributed(&mut observe);
 }
 
 /// Standard error is the log, and a process has one: the events are emitted in a process of their own, which is this test
--- a/crates/admin/src/metrics/tests.rs
+++ b/crates/admin/src/metrics/tests.rs
@@ -91,6 +91,7 @@
             connection: 1,
             calls: 2,
             reason,
+            unsolicited: None,
         });
     }
     let text = metrics.render(EngineStatus::default());
--- a/crates/engine/src/input.rs
+++ b/crates/engine/src/input.rs
@@ -8,7 +8,7 @@
 use crate::observer::EngineEvent;
 use crate::reconfiguration::ListOrigin;
 use crate::shared_str::SharedStr;
-use crate::transport::{AttemptEnd, CloseReason};
+use crate::transport::{AttemptEnd, CloseReason, UnsolicitedData};
 use milletturn_policy::{EndpointId, Event, MessageId, Micros, Settings, SettingsError};
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -47,6 +47,8 @@
         calls: u64,
         /// Why.
         reason: CloseReason,
+        /// What came on it while no call was out.
+        unsolicited: Option<UnsolicitedData>,
     },
     /// The endpoint list, or a change of it.
     EndpointsListed(EndpointListUpdate),
@@ -104,6 +106,7 @@
                 connection,
                 calls,
                 reason,
+                unsolicited,
             } => {
                 let uid = self.endpoint_name(endpoint);
                 self.observer.observe(&EngineEvent::ConnectionClosed {
@@ -111,6 +114,7 @@
                     connection,
                     calls,
                     reason,
+                    unsolicited,
                 });
             }
             Input::EndpointsListed(update) => self.on_endpoints_listed(update, ListOrigin::Source),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -74,4 +74,7 @@
 pub use ports::Ports;
 pub use shared_str::{SharedStr, SharedStrError, stable_hash};
 pub use snapshot::{ForeignCall, RestoredEngine, Snapshot};
-pub use transport::{AttemptEnd, Call, CallItem, CloseReason, ConnectionUse, EndCause, Transport};
+pub use transport::{
+    AttemptEnd, Attribution, Call, CallItem, CloseReason, ConnectionUse, EndCause, Transport,
+    UnsolicitedData,
+};
--- a/crates/engine/src/observer.rs
+++ b/crates/engine/src/observer.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ArrivalOutcome, CloseReason, ConnectionUse, EndCause, EndReason, Ending, JournalError,
-    SharedStr,
+    SharedStr, UnsolicitedData,
 };
 use milletturn_policy::{Micros, Outcome};
 
@@ -81,6 +81,8 @@
         calls: u64,
         /// Why.
         reason: CloseReason,
+        /// What came on it while no call was out.
+        unsolicited: Option<UnsolicitedData>,
     },
     /// An endpoint asked for a pause.
     RetryAfter {
--- a/crates/engine/src/transport.rs
+++ b/crates/engine/src/transport.rs
@@ -46,6 +46,19 @@
     ForeignProcess,
 }
 
+/// Why a response is taken for the one to its call. It is for people who investigate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Attribution {
+    /// The call is the first of its connection.
+    FirstCall,
+    /// No earlier response of the connection had the same content.
+    NewContent,
+    /// It has earlier content, and took as long as the endpoint's responses do.
+    ResponseTime,
+    /// It has earlier content, came early, and nothing came behind it.
+    Quiet,
+}
+
 /// Where on a connection a call was made. It is for people who investigate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionUse {
@@ -55,6 +68,17 @@
     pub call_on_connection: u64,
     /// Time from the last byte of the request to the first byte behind it; `None` if either is missing.
     pub response_after: Option<Duration>,
+    /// What ties the response to the call; `None` without a response that counts.
+    pub attributed_by: Option<Attribution>,
+}
+
+/// Bytes that came on a connection while no call was out. It is for people who investigate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnsolicitedData {
+    /// The status of the response that they begin with, where they do.
+    pub status: Option<u16>,
+    /// Time since the last byte of the request before.
+    pub after_request: Duration,
 }
 
 /// Why a connection to an endpoint was closed.
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -9,7 +9,7 @@
 use crate::call_text::{bulk_size, request_of};
 use crate::connection::Connection;
 use crate::pools::Pools;
-use crate::response_history::{Attribution, ResponseHistory, ResponseIdentity};
+use crate::response_history::{Repeated, ResponseHistory, ResponseIdentity};
 use crate::wire::Wire;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -17,7 +17,9 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use milletturn_engine::{AttemptEnd, Call, CallItem, EndCause, Input, MAX_BODY_BYTES, Transport};
+use milletturn_engine::{
+    AttemptEnd, Attribution, Call, CallItem, EndCause, Input, MAX_BODY_BYTES, Transport,
+};
 use milletturn_logging::RateLimitedLog;
 use milletturn_policy::{EndpointId, Outcome};
 use std::cell::{Cell, RefCell};
@@ -316,6 +318,7 @@
     let (head, body) = response.into_parts();
     let is_single_200 = head.status == StatusCode::OK && call.items.len() == 1;
     if is_single_200 && connection.wire.is_first_call() && connection.wire.is_request_complete() {
+        connection.wire.set_attribution(Attribution::FirstCall);
         let answer = Answer::of_response(call, &head, &[], &shared.report_fields, &shared.faults);
         // the outcome is known; the rest of the response only frees the connection
         let (shared, endpoint, address) = (shared.clone(), call.endpoint, call.address);
@@ -381,21 +384,30 @@
         return false;
     };
     if !connection.has_carried(identity.fingerprint) {
+        wire.set_attribution(match wire.is_first_call() {
+            true => Attribution::FirstCall,
+            false => Attribution::NewContent,
+        });
         return true;
     }
-    let attribution = shared.responses.borrow().attribute_repeated(
+    let repeated = shared.responses.borrow().attribute_repeated(
         call.endpoint,
         response_time,
         identity.content,
     );
-    match attribution {
-        Attribution::Own => true,
-        Attribution::Copy => false,
-        Attribution::OwnIfQuietFor(time) => {
+    let own_by = match repeated {
+        Repeated::Own => Some(Attribution::ResponseTime),
+        Repeated::Copy => None,
+        Repeated::OwnIfQuietFor(time) => {
             let rest = time.saturating_sub(wire.since_written());
-            timeout(rest, wire.disturbed()).await.is_err()
+            let is_quiet = timeout(rest, wire.disturbed()).await.is_err();
+            is_quiet.then_some(Attribution::Quiet)
         }
+    };
+    if let Some(attribution) = own_by {
+        wire.set_attribution(attribution);
     }
+    own_by.is_some()
 }
 
 /// Remembers a success, by which later responses of the endpoint are judged.
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -104,7 +104,7 @@
 
     /// Records that it ended with no call on it, by what its bytes tell.
     pub(crate) fn ended_idle(&mut self) {
-        self.close_reason = match self.wire.has_unsolicited_data() {
+        self.close_reason = match self.wire.unsolicited_data().is_some() {
             true => CloseReason::UnsolicitedData,
             false => CloseReason::ClosedByPeer,
         };
@@ -122,6 +122,7 @@
             connection: self.wire.number(),
             calls: self.wire.calls(),
             reason: self.close_reason,
+            unsolicited: self.wire.unsolicited_data(),
         });
     }
 }
--- a/crates/platform/src/response_history.rs
+++ b/crates/platform/src/response_history.rs
@@ -77,7 +77,7 @@
 
 /// What a response with the content of an earlier one on its connection is taken for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Attribution {
+pub(crate) enum Repeated {
     /// The response to the call.
     Own,
     /// A second copy of the earlier response.
@@ -121,17 +121,17 @@
         self.is_distinctive() || self.is_unknown() && self.recent.iter().all(has_content)
     }
 
-    fn attribute_repeated(&self, response_time: Duration, content: Content) -> Attribution {
+    fn attribute_repeated(&self, response_time: Duration, content: Content) -> Repeated {
         if self.is_distinctive() || self.is_unknown() && content == Content::Some {
-            return Attribution::Copy;
+            return Repeated::Copy;
         }
         let times = || self.recent.iter().map(|response| response.response_time);
         let (Some(fastest), Some(slowest)) = (times().min(), times().max()) else {
-            return Attribution::Own;
+            return Repeated::Own;
         };
         match self.is_unknown() || response_time < fastest {
-            true => Attribution::OwnIfQuietFor(slowest.max(response_time) * QUIET_FACTOR),
-            false => Attribution::Own,
+            true => Repeated::OwnIfQuietFor(slowest.max(response_time) * QUIET_FACTOR),
+            false => Repeated::Own,
         }
     }
 
@@ -155,11 +155,11 @@
         endpoint: EndpointId,
         response_time: Duration,
         content: Content,
-    ) -> Attribution {
+    ) -> Repeated {
         match (self.0.get(&endpoint), content) {
             (Some(history), _) => history.attribute_repeated(response_time, content),
-            (None, Content::Some) => Attribution::Copy,
-            (None, Content::None) => Attribution::OwnIfQuietFor(response_time * QUIET_FACTOR),
+            (None, Content::Some) => Repeated::Copy,
+            (None, Content::None) => Repeated::OwnIfQuietFor(response_time * QUIET_FACTOR),
         }
     }
 
--- a/crates/platform/src/response_history/tests.rs
+++ b/crates/platform/src/response_history/tests.rs
@@ -55,7 +55,7 @@
     for time in [0, 99, 100, 5_000] {
         assert_eq!(
             history.attribute_repeated(ENDPOINT, ms(time), Content::None),
-            Attribution::Copy
+            Repeated::Copy
         );
     }
 }
@@ -65,11 +65,11 @@
     let history = history(&["a", "a", "a", "b"]);
     assert_eq!(
         history.attribute_repeated(ENDPOINT, ms(99), Content::None),
-        Attribution::OwnIfQuietFor(ms(400))
+        Repeated::OwnIfQuietFor(ms(400))
     );
     assert_eq!(
         history.attribute_repeated(ENDPOINT, ms(100), Content::None),
-        Attribution::Own
+        Repeated::Own
     );
 }
 
@@ -78,12 +78,12 @@
     let history = history(&["a"]);
     assert_eq!(
         history.attribute_repeated(ENDPOINT, ms(5_000), Content::Some),
-        Attribution::Copy
+        Repeated::Copy
     );
     for (time, quiet) in [(0, 400), (200, 400), (300, 600)] {
         assert_eq!(
             history.attribute_repeated(ENDPOINT, ms(time), Content::None),
-            Attribution::OwnIfQuietFor(ms(quiet))
+            Repeated::OwnIfQuietFor(ms(quiet))
         );
     }
 }
@@ -95,7 +95,7 @@
     let mut history = history(&bodies);
     assert_eq!(
         history.attribute_repeated(ENDPOINT, ms(500), Content::None),
-        Attribution::Copy
+        Repeated::Copy
     );
     let now = Instant::now();
     history.evict(now);
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -6,7 +6,7 @@
 mod tests;
 
 use crate::call_text::wait_in;
-use milletturn_engine::{ConnectionUse, MAX_BODY_BYTES};
+use milletturn_engine::{Attribution, ConnectionUse, MAX_BODY_BYTES, UnsolicitedData};
 use milletturn_policy::Micros;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -41,8 +41,10 @@
     answered_at: Cell<Option<Instant>>,
     /// No call is out.
     idle: Cell<bool>,
-    /// Bytes came while no call was out.
-    unsolicited: Cell<bool>,
+    /// What came while no call was out.
+    unsolicited: Cell<Option<UnsolicitedData>>,
+    /// What ties the present call's response to it.
+    attributed_by: Cell<Option<Attribution>>,
     /// The connection has ended.
     ended: Cell<bool>,
     /// Wakes who waits for what comes behind a response.
@@ -67,6 +69,13 @@
     whole: RefCell<Option<Whole>>,
 }
 
+/// The status in the status line that bytes begin with; none if they don't.
+fn status_at_start(bytes: &[u8]) -> Option<u16> {
+    let line = bytes.strip_prefix(b"HTTP/1.")?;
+    let status = line.get(2..5)?;
+    std::str::from_utf8(status).ok()?.parse().ok()
+}
+
 impl fmt::Debug for Wire {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Wire")
@@ -149,6 +158,7 @@
             answered_at: Cell::default(),
             idle: Cell::default(),
             unsolicited: Cell::default(),
+            attributed_by: Cell::default(),
             ended: Cell::default(),
             changed: Notify::default(),
             written: Cell::default(),
@@ -177,6 +187,7 @@
         self.written_at.set(None);
         self.answered_at.set(None);
         self.idle.set(false);
+        self.attributed_by.set(None);
         self.look.set(reused);
         self.ahead.set(0);
         self.behind_head.set(0);
@@ -261,16 +272,31 @@
         }
     }
 
-    pub(crate) fn has_unsolicited_data(&self) -> bool {
+    /// What came while no call was out.
+    pub(crate) fn unsolicited_data(&self) -> Option<UnsolicitedData> {
         self.unsolicited.get()
     }
 
+    fn set_unsolicited(&self, bytes: &[u8]) {
+        let data = UnsolicitedData {
+            status: status_at_start(bytes),
+            after_request: self.since_written(),
+        };
+        self.unsolicited.set(self.unsolicited.get().or(Some(data)));
+    }
+
+    /// Records what ties the present call's response to it.
+    pub(crate) fn set_attribution(&self, attribution: Attribution) {
+        self.attributed_by.set(Some(attribution));
+    }
+
     /// The present call's place on the connection, and how fast its answer came.
     pub(crate) fn connection_use(&self) -> ConnectionUse {
         ConnectionUse {
             connection: self.number,
             call_on_connection: self.calls.get(),
             response_after: self.response_time(),
+            attributed_by: self.attributed_by.get(),
         }
     }
 
@@ -321,8 +347,9 @@
 
     fn pass(&self, bytes: &mut [u8]) -> io::Result<()> {
         if !bytes.is_empty() {
-            self.unsolicited
-                .set(self.unsolicited.get() || self.idle.get());
+            if self.idle.get() {
+                self.set_unsolicited(bytes);
+            }
             let answered_at = self.answered_at.get().or_else(|| Some(Instant::now()));
             self.answered_at.set(answered_at);
         }
@@ -386,7 +413,9 @@
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
             Err(error) => Err(error),
             Ok(bytes) => {
-                self.wire.unsolicited.set(bytes > 0);
+                if bytes > 0 {
+                    self.wire.set_unsolicited(&[]);
+                }
                 Err(io::Error::new(io::ErrorKind::ConnectionAborted, "not idle"))
             }
         }
