--- a/crates/access-log/src/observer.rs
+++ b/crates/access-log/src/observer.rs
@@ -51,8 +51,10 @@
             id: id.to_string(),
             destination,
         },
-        EngineEvent::AttemptStarted { .. } | EngineEvent::AttemptEnded { .. } => {
-            return attempt_event(event);
+        EngineEvent::AttemptStarted { .. }
+        | EngineEvent::AttemptEnded { .. }
+        | EngineEvent::ConnectionClosed { .. } => {
+            return transport_event(event);
         }
         EngineEvent::Delivered {
             id,
@@ -78,6 +80,20 @@
             reason: give_up_reason(reason),
             never_attempted,
         },
+        EngineEvent::RetryAfter { uid, wait } => AccessEvent::RetryAfter {
+            uid: uid.to_string(),
+            delay_us: non_negative(wait),
+        },
+        EngineEvent::PolicyLog(text) => AccessEvent::PolicyLog {
+            text: text.to_string(),
+        },
+        EngineEvent::Classes(_) | EngineEvent::JournalFailed(_) => return None,
+    })
+}
+
+/// The record's part of an event of an attempt or a connection; none for other events.
+fn transport_event(event: &EngineEvent<'_>) -> Option<AccessEvent> {
+    Some(match *event {
         EngineEvent::ConnectionClosed {
             uid,
             connection,
@@ -92,20 +108,6 @@
             unsolicited_status: unsolicited.and_then(|data| data.status),
             unsolicited_after_us: unsolicited.and_then(|data| microseconds(data.after_request)),
         },
-        EngineEvent::RetryAfter { uid, wait } => AccessEvent::RetryAfter {
-            uid: uid.to_string(),
-            delay_us: non_negative(wait),
-        },
-        EngineEvent::PolicyLog(text) => AccessEvent::PolicyLog {
-            text: text.to_string(),
-        },
-        EngineEvent::Classes(_) | EngineEvent::JournalFailed(_) => return None,
-    })
-}
-
-/// The record's part of an event of an attempt; none for other events.
-fn attempt_event(event: &EngineEvent<'_>) -> Option<AccessEvent> {
-    Some(match *event {
         EngineEvent::AttemptStarted {
             id,
             destination,
--- a/crates/access-log/tests/golden.rs
+++ b/crates/access-log/tests/golden.rs
@@ -219,19 +219,15 @@
 
 fn emit_attempts(observe: &mut impl FnMut(&EngineEvent<'_>)) {
     let id = SharedStr::new(b"m-1").expect("an id");
+    let connection_use = |connection, call_on_connection, response_after| ConnectionUse {
+        connection,
+        call_on_connection,
+        response_after,
+        attributed_by: None,
+    };
     let connection_uses = [
-        ConnectionUse {
-            connection: 3,
-            call_on_connection: 2,
-            response_after: Some(Duration::from_millis(80)),
-            attributed_by: None,
-        },
-        ConnectionUse {
-            connection: 4,
-            call_on_connection: 1,
-            response_after: None,
-            attributed_by: None,
-        },
+        connection_use(3, 2, Some(Duration::from_millis(80))),
+        connection_use(4, 1, None),
     ];
     for attempt in 0..2 {
         observe(&EngineEvent::AttemptStarted {
--- a/crates/test-support/src/duplicating_proxy.rs
+++ b/crates/test-support/src/duplicating_proxy.rs
@@ -1,6 +1,6 @@
 //! A fault proxy in front of an endpoint, which sends some of its responses twice.
 
-use crate::{Request, read_http};
+use crate::{Request, asks_to_close, read_http};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -20,6 +20,26 @@
     InNextCall(Duration),
 }
 
+/// What a copy has in common with the response that it repeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CopyContent {
+    /// All bytes.
+    Same,
+    /// The status. Its headers are other ones, such as those of a newer load report, and suit the request that it meets.
+    OtherHeaders,
+}
+
+/// Which responses are sent twice, and how.
+#[derive(Debug, Clone, Copy)]
+pub struct Duplication {
+    /// When a copy is sent.
+    pub moment: CopyMoment,
+    /// What it holds.
+    pub content: CopyContent,
+    /// Of each connection's responses, every so-manieth is sent twice.
+    pub period: usize,
+}
+
 /// The proxy. Each connection of the sender's is one connection here, and each of its requests one at the endpoint.
 #[derive(Debug, Clone)]
 pub struct DuplicatingProxy {
@@ -30,9 +50,9 @@
 }
 
 impl DuplicatingProxy {
-    /// Listens at once. Of each connection's responses, every `period`th is sent twice.
+    /// Listens at once.
     #[must_use]
-    pub fn new(endpoint: SocketAddr, moment: CopyMoment, period: usize) -> Self {
+    pub fn new(endpoint: SocketAddr, duplication: Duplication) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let proxy = DuplicatingProxy {
             address: listener.local_addr().expect("bound"),
@@ -46,7 +66,7 @@
                     endpoint,
                     copies: copies.clone(),
                 };
-                thread::spawn(move || forwarding.run(moment, period));
+                thread::spawn(move || forwarding.run(duplication));
             }
         });
         proxy
@@ -61,14 +81,17 @@
 }
 
 impl Forwarding {
-    /// Runs until either side is gone.
-    fn run(mut self, moment: CopyMoment, period: usize) -> Option<()> {
+    /// Runs until either side is gone, or until the response to a request that asks for the connection's end.
+    fn run(mut self, duplication: Duplication) -> Option<()> {
         let mut requests = BufReader::new(self.stream.try_clone().ok()?);
-        let mut last_response: Option<Vec<u8>> = None;
+        let mut last_response: Option<Request> = None;
         for number in 1.. {
             let mut request = read_http(&mut requests)?;
-            let copy = last_response.take().filter(|_| number % period == 0);
-            let delay = match (&copy, moment) {
+            let closes = asks_to_close(&request);
+            let copy = last_response
+                .take()
+                .filter(|_| number % duplication.period == 0);
+            let delay = match (&copy, duplication.moment) {
                 (Some(_), CopyMoment::InNextCall(delay)) => Some(delay),
                 _ => None,
             };
@@ -79,24 +102,33 @@
             upstream.write_all(&bytes_of(&request)).ok()?;
             if let (Some(copy), Some(delay)) = (copy, delay) {
                 thread::sleep(delay);
-                self.send_copy(&copy)?;
+                self.send_copy(copy, duplication.content, closes)?;
             }
-            let response = bytes_of(&read_http(&mut BufReader::new(upstream))?);
-            self.stream.write_all(&response).ok()?;
-            match moment {
-                CopyMoment::AfterResponse(delay) if number % period == 0 => {
+            let response = read_http(&mut BufReader::new(upstream))?;
+            self.stream.write_all(&bytes_of(&response)).ok()?;
+            match duplication.moment {
+                CopyMoment::AfterResponse(delay) if number % duplication.period == 0 => {
                     thread::sleep(delay);
-                    self.send_copy(&response)?;
+                    self.send_copy(response, duplication.content, closes)?;
                 }
                 _ => last_response = Some(response),
             }
+            if closes {
+                return None;
+            }
         }
         None
     }
 
-    fn send_copy(&mut self, response: &[u8]) -> Option<()> {
-        self.copies.fetch_add(1, Ordering::SeqCst);
-        self.stream.write_all(response).ok()
+    fn send_copy(&mut self, mut copy: Request, content: CopyContent, closes: bool) -> Option<()> {
+        let number = self.copies.fetch_add(1, Ordering::SeqCst);
+        if content == CopyContent::OtherHeaders {
+            copy.headers.insert("x-copy".into(), number.to_string());
+            if closes {
+                copy.headers.insert("connection".into(), "close".into());
+            }
+        }
+        self.stream.write_all(&bytes_of(&copy)).ok()
     }
 }
 
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -20,7 +20,7 @@
 mod variants;
 mod virtual_transport;
 
-pub use duplicating_proxy::{COPY_HEADER, CopyMoment, DuplicatingProxy};
+pub use duplicating_proxy::{COPY_HEADER, CopyContent, CopyMoment, DuplicatingProxy, Duplication};
 pub use effects::Effects;
 pub use engine_ports::{RecordingTransport, START, arrival, listed, ports};
 pub use memory_journal::MemoryJournal;
@@ -114,6 +114,11 @@
     Some(request)
 }
 
+/// Whether the connection is to be closed behind the response.
+fn asks_to_close(request: &Request) -> bool {
+    request.header("connection").eq_ignore_ascii_case("close")
+}
+
 /// What an endpoint does with a call.
 #[derive(Debug, Clone)]
 pub enum Reply {
@@ -195,11 +200,13 @@
                 }
                 Reply::Close => return,
             };
+            let closes = asks_to_close(&request);
+            let connection_header = if closes { "Connection: close\r\n" } else { "" };
             let text = format!(
-                "HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {head}\r\n{connection_header}Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
-            if stream.write_all(text.as_bytes()).is_err() || last {
+            if stream.write_all(text.as_bytes()).is_err() || last || closes {
                 return;
             }
         }
--- a/crates/test-support/src/unreliable_endpoint.rs
+++ b/crates/test-support/src/unreliable_endpoint.rs
@@ -1,7 +1,7 @@
 //! An endpoint that keeps to no rule of HTTP: by its seed it answers, rejects, fails, hangs and sends copies of earlier
 //! responses, and it records what really ran.
 
-use crate::{Request, read_http};
+use crate::{Request, asks_to_close, read_http};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::RngCore;
 use std::collections::BTreeMap;
@@ -93,6 +93,9 @@
                 self.pause(0, 30);
                 self.send_copy()?;
             }
+            if asks_to_close(&request) && fate != Fate::Silent {
+                return None;
+            }
         }
     }
 
@@ -147,15 +150,15 @@
         match fate {
             Fate::Delivered => {
                 let text = self.success(request);
-                self.respond("200 OK", &text)?;
+                self.respond(request, "200 OK", &text)?;
                 let mut executions = self.executions.lock().expect("not poisoned");
                 for id in request.ids() {
                     *executions.delivered.entry(id).or_default() += 1;
                 }
                 Some(())
             }
-            Fate::Rejected => self.respond("503 Service Unavailable", ""),
-            Fate::Failed => self.respond("500 Internal Server Error", ""),
+            Fate::Rejected => self.respond(request, "503 Service Unavailable", ""),
+            Fate::Failed => self.respond(request, "500 Internal Server Error", ""),
             Fate::Closed => {
                 // who reads on gets an end
                 let _ = self.stream.shutdown(Shutdown::Both);
@@ -177,9 +180,15 @@
         }
     }
 
-    fn respond(&mut self, status: &str, body: &str) -> Option<()> {
+    fn respond(&mut self, request: &Request, status: &str, body: &str) -> Option<()> {
         let length = body.len();
-        let text = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
+        let connection_header = match asks_to_close(request) {
+            true => "Connection: close\r\n",
+            false => "",
+        };
+        let text = format!(
+            "HTTP/1.1 {status}\r\n{connection_header}Content-Length: {length}\r\n\r\n{body}"
+        );
         self.earlier.push(text.clone().into_bytes());
         self.stream.write_all(text.as_bytes()).ok()
     }
--- a/tests/duplicate_responses.rs
+++ b/tests/duplicate_responses.rs
@@ -46,6 +46,22 @@
     }
 }
 
+/// Never answers what a copy crosses.
+fn ignore_crossed(crossed: bool, number: usize) -> Reply {
+    match crossed {
+        true => Reply::Silence,
+        false => Reply::Answer("200 OK", number.to_string()),
+    }
+}
+
+/// Closes the connection on what a copy crosses.
+fn close_crossed(crossed: bool, number: usize) -> Reply {
+    match crossed {
+        true => Reply::Close,
+        false => Reply::Answer("200 OK", number.to_string()),
+    }
+}
+
 const REJECTED: &str = "503 Service Unavailable";
 
 /// An endpoint, and the proxy between it and the sender.
@@ -59,20 +75,35 @@
 }
 
 impl Fixture {
-    /// Of each connection's responses, every `period`th is sent twice.
-    fn new(script: Script, moment: CopyMoment, period: usize) -> Self {
+    /// Of each connection's responses, every second one is sent twice.
+    fn new(script: Script, moment: CopyMoment) -> Self {
+        Self::with(script, SERVICE_TIME, moment, CopyContent::Same)
+    }
+
+    /// `usual_time` is what the endpoint takes for a call that no copy crosses.
+    fn with(
+        script: Script,
+        usual_time: Duration,
+        moment: CopyMoment,
+        content: CopyContent,
+    ) -> Self {
         let delivered: Arc<Mutex<Vec<String>>> = Arc::default();
         let ran = delivered.clone();
         let endpoint = Endpoint::new(move |request, number| {
             let crossed = !request.header(COPY_HEADER).is_empty();
-            thread::sleep(SERVICE_TIME);
+            thread::sleep(if crossed { SERVICE_TIME } else { usual_time });
             let reply = script(crossed, number);
-            if !matches!(reply, Reply::Answer(REJECTED, _)) {
+            if matches!(reply, Reply::Answer("200 OK", _)) {
                 ran.lock().expect("not poisoned").extend(request.ids());
             }
             reply
         });
-        let proxy = DuplicatingProxy::new(endpoint.address, moment, period);
+        let duplication = Duplication {
+            moment,
+            content,
+            period: 2,
+        };
+        let proxy = DuplicatingProxy::new(endpoint.address, duplication);
         let agent = Agent::new(vec![list(&[("s-1", proxy.address, "one", 7, "up")])]);
         let node = Node::traced(&agent).ready();
         Fixture {
@@ -135,7 +166,7 @@
 
 /// Copies of 200s that cross the next request, each of which the endpoint rejects.
 fn assert_no_loss(script: Script, delay: Duration) {
-    let fixture = Fixture::new(script, CopyMoment::InNextCall(delay), 2);
+    let fixture = Fixture::new(script, CopyMoment::InNextCall(delay));
     let ids = fixture.hand_in("webhook", MESSAGES);
     fixture.assert_none_lost(&ids);
     assert!(fixture.copies() > 0, "copies were sent");
@@ -151,7 +182,6 @@
     let fixture = Fixture::new(
         reject_crossed_alike,
         CopyMoment::InNextCall(SERVICE_TIME - SERVICE_TIME / 20),
-        2,
     );
     let ids = fixture.hand_in("order", MESSAGES);
     fixture.assert_none_lost(&ids);
@@ -178,7 +208,6 @@
     let fixture = Fixture::new(
         reject_crossed,
         CopyMoment::AfterResponse(Duration::from_millis(10)),
-        2,
     );
     let ids = fixture.hand_in("webhook", MESSAGES);
     fixture.assert_none_lost(&ids);
@@ -188,7 +217,73 @@
 
 #[test]
 fn a_copy_of_a_rejection_repeats_no_message_that_runs() {
-    let fixture = Fixture::new(deliver_crossed, CopyMoment::InNextCall(Duration::ZERO), 2);
+    let fixture = Fixture::new(deliver_crossed, CopyMoment::InNextCall(Duration::ZERO));
+    let ids = fixture.hand_in("order", MESSAGES);
+    fixture.assert_none_lost(&ids);
+    let mut ran = fixture.delivered();
+    let runs = ran.len();
+    ran.sort();
+    ran.dedup();
+    assert_eq!(runs, ran.len(), "each ran once at most");
+}
+
+/// Second 200s with other headers than those before, so long after the next request.
+fn assert_no_loss_by_other_headers(script: Script, delay: Duration) {
+    let fixture = Fixture::with(
+        script,
+        SERVICE_TIME,
+        CopyMoment::InNextCall(delay),
+        CopyContent::OtherHeaders,
+    );
+    let ids = fixture.hand_in("webhook", MESSAGES);
+    fixture.assert_none_lost(&ids);
+    assert!(fixture.copies() > 0, "copies were sent");
+}
+
+#[test]
+fn a_second_200_with_other_headers_delivers_nothing() {
+    assert_no_loss_by_other_headers(reject_crossed, Duration::ZERO);
+}
+
+#[test]
+fn a_second_200_with_other_headers_in_the_middle_of_the_next_call_delivers_nothing() {
+    assert_no_loss_by_other_headers(reject_crossed, SERVICE_TIME / 2);
+}
+
+#[test]
+fn a_second_200_with_other_headers_delivers_nothing_where_no_response_follows() {
+    assert_no_loss_by_other_headers(ignore_crossed, Duration::ZERO);
+}
+
+#[test]
+fn a_copy_of_a_200_delivers_nothing_where_the_endpoint_closes() {
+    let fixture = Fixture::new(close_crossed, CopyMoment::InNextCall(Duration::ZERO));
+    let ids = fixture.hand_in("webhook", MESSAGES);
+    fixture.assert_none_lost(&ids);
+    assert!(fixture.copies() > 0, "copies were sent");
+}
+
+#[test]
+fn a_copy_of_a_200_delivers_nothing_where_all_are_alike_and_fast() {
+    let fixture = Fixture::with(
+        reject_crossed_alike,
+        SERVICE_TIME / 8,
+        CopyMoment::InNextCall(Duration::from_millis(1)),
+        CopyContent::Same,
+    );
+    let ids = fixture.hand_in("webhook", MESSAGES);
+    fixture.assert_none_lost(&ids);
+    assert!(fixture.copies() > 0, "copies were sent");
+}
+
+#[test]
+fn a_second_rejection_with_other_headers_repeats_no_message_that_runs() {
+    let fixture = Fixture::with(
+        deliver_crossed,
+        SERVICE_TIME,
+        CopyMoment::InNextCall(Duration::ZERO),
+        CopyContent::OtherHeaders,
+    );
     let ids = fixture.hand_in("order", MESSAGES);
     fixture.assert_none_lost(&ids);
     let mut ran = fixture.delivered();
