Count a response only if it is its connection's first or last, or names its messages

Cause: a 200 on a kept connection was told from a copy of an earlier one by its content, and where contents are alike by the time that it took. A second 200 with another header or load report passed as 'new content', one at a fast endpoint as 'quiet': is_own in calls.rs. Change: content and time decide nothing any more, response_history.rs is gone. A response counts if no response came before it on its connection, if it names the call's messages (bulk responses do; single ones that repeat X-Request-ID), or if the endpoint was asked to close the connection behind it and did so with nothing else on it (Connection: close announced, end of stream, no byte behind the body). All else is a 200 that delivers nothing, or a rejection that proves nothing. So a connection carries two calls where responses name nothing. A call that is given up closes its connection at once, also while it waits for the endpoint to close; a wait told in a response behind another one is heard. Why it works: the two guesses are replaced by what an added response can't have: there is no earlier one to repeat, it names other messages, or it makes one response too many before the end. Replaced: the repeated 503 with another content was believed and is not any more, unless it ends its connection (stricter); run-once calls shared no connection where responses are alike, now they do and the test asserts that none is lost or repeated; copies on idle connections are sent behind each first response, those behind a last one have a test of their own; three calls on one connection are asserted with responses that name their request, and two connections without; a text behind a head without length counts as extra data. The unreliable endpoint sends copies twice as often, some with another header.

--- a/crates/access-log/src/observer.rs
+++ b/crates/access-log/src/observer.rs
@@ -217,8 +217,7 @@
 fn attribution_text(attribution: Attribution) -> &'static str {
     match attribution {
         Attribution::FirstCall => "first call",
-        Attribution::NewContent => "new content",
-        Attribution::ResponseTime => "response time",
-        Attribution::Quiet => "quiet",
+        Attribution::NamesMessages => "names messages",
+        Attribution::LastCall => "last call",
     }
 }
--- a/crates/engine/src/transport.rs
+++ b/crates/engine/src/transport.rs
@@ -33,8 +33,8 @@
     NoResponseHead,
     /// A response head with this status came, and its body did not end.
     ResponseIncomplete(u16),
-    /// A response with this status came that may be a second copy of an earlier one on its connection, or came
-    /// before the request was written completely.
+    /// A response with this status came that nothing ties to the call, such as a second copy of an earlier one on its
+    /// connection, or that came before the request was written completely.
     DuplicateResponse(u16),
     /// The call's time was up.
     TimedOut,
@@ -49,14 +49,12 @@
 /// Why a response is taken for the one to its call. It is for people who investigate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Attribution {
-    /// The call is the first of its connection.
+    /// No response came before it on its connection.
     FirstCall,
-    /// No earlier response of the connection had the same content.
-    NewContent,
-    /// It has earlier content, and took as long as the endpoint's responses do.
-    ResponseTime,
-    /// It has earlier content, came early, and nothing came behind it.
-    Quiet,
+    /// It names the messages of the call, which the connection had not carried before.
+    NamesMessages,
+    /// The endpoint was asked to close the connection behind it, and did so with nothing else on it.
+    LastCall,
 }
 
 /// Where on a connection a call was made. It is for people who investigate.
@@ -111,7 +109,7 @@
     pub report: Vec<f64>,
     /// What the transport observed.
     pub cause: EndCause,
-    /// The response may be a copy of an earlier one on its connection: whatever the outcome, the attempt may have run.
+    /// Nothing ties the response to the call: whatever the outcome, the attempt may have run.
     pub ambiguous: bool,
     /// Where on a connection it was made; `None` for an attempt that got no connection.
     pub connection_use: Option<ConnectionUse>,
@@ -128,7 +126,7 @@
     pub address: SocketAddr,
     /// The messages that it carries, one at least.
     pub items: Vec<CallItem>,
-    /// One of them must never run twice: a rejection of this call has to be beyond doubt.
+    /// One of them must never run twice: its response has to be beyond doubt.
     pub at_most_once: bool,
     /// When it times out.
     pub expires: Instant,
--- a/crates/platform/src/call_text.rs
+++ b/crates/platform/src/call_text.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use hyper::header::{HOST, HeaderMap, RETRY_AFTER};
+use hyper::header::{CONNECTION, HOST, HeaderMap, RETRY_AFTER};
 use milletturn_engine::{CallItem, SharedStr};
 use milletturn_policy::{MILLISECOND, Micros, Outcome};
 use std::collections::HashMap;
@@ -11,15 +11,27 @@
 use tokio::time::Instant;
 
 /// The header of an answer with the load report.
-pub(crate) const LOAD_REPORT: &str = "x-server-load";
+const LOAD_REPORT: &str = "x-server-load";
+/// The header with a message's id.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
 /// A longer told wait counts as this long: a destination that misspeaks is tried again after a month.
 const WAIT_MOST_S: f64 = 31.0 * 86_400.0;
 
+/// What becomes of the connection behind a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Persistence {
+    /// Either side may go on using it.
+    Keep,
+    /// The endpoint is asked to close it.
+    Close,
+}
+
 /// The request, and the fewest bytes that it takes on the wire.
 pub(crate) fn request_of(
     address: SocketAddr,
     items: &[CallItem],
     expires: Instant,
+    persistence: Persistence,
 ) -> Option<(Request<Full<Bytes>>, u64)> {
     let (path, body) = match items {
         [item] => ("/inbox", item.body.clone()),
@@ -35,11 +47,14 @@
         .header("x-timeout", format!("{left}m"))
         .header("content-length", size);
     if let [item] = items {
-        request = request.header("x-request-id", item.id.as_str());
+        request = request.header(REQUEST_ID, item.id.as_str());
         if let Some(key) = &item.key {
             request = request.header("idempotency-key", key.as_str());
         }
     }
+    if persistence == Persistence::Close {
+        request = request.header(CONNECTION, "close");
+    }
     let request = request.body(Full::new(body)).ok()?;
     let line = "POST  HTTP/1.1\r\n\r\n".len() + path.len();
     let headers: usize = request
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -5,16 +5,15 @@
 //! tell, such as the first line of an answer whose head it rejects, is seen by `Wired` on the raw bytes.
 
 use crate::answer::Answer;
+use crate::attribution::{CloseBehaviour, CloseBehaviours, announces_close, names_messages};
 use crate::budget::Budget;
-use crate::call_text::{bulk_size, request_of};
+use crate::call_text::{Persistence, bulk_size, request_of};
 use crate::connection::Connection;
 use crate::pools::Pools;
-use crate::response_history::{Repeated, ResponseHistory, ResponseIdentity};
 use crate::wire::Wire;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use milletturn_engine::{
@@ -37,6 +36,8 @@
 const HEAD_OF_200: Duration = Duration::from_millis(200);
 /// A connection rests so long after an answer: what comes right behind that must not meet the next call.
 const REST: Duration = Duration::from_millis(5);
+/// Longest wait for an endpoint to close a connection behind its response.
+const CLOSE: Duration = Duration::from_secs(1);
 /// A connection carries no more calls, so that what it remembers of each stays small.
 const MAX_CALLS_PER_CONNECTION: u64 = 256;
 /// Longest wait for the descriptor of an idle connection that gives way to a new one.
@@ -60,7 +61,7 @@
     tries: Rc<Cell<u64>>,
     /// Connections opened so far.
     opened: Cell<u64>,
-    responses: RefCell<ResponseHistory>,
+    close_behaviours: RefCell<CloseBehaviours>,
 }
 
 impl Calls {
@@ -90,7 +91,7 @@
             inputs,
             tries,
             opened: Cell::default(),
-            responses: RefCell::default(),
+            close_behaviours: RefCell::default(),
         }))
     }
 }
@@ -118,7 +119,7 @@
     /// The endpoint gets no calls any more: its connections go, also those that a call still holds.
     fn remove_endpoint(&self, endpoint: EndpointId) {
         self.0.pools.borrow_mut().forget(endpoint);
-        self.0.responses.borrow_mut().forget(endpoint);
+        self.0.close_behaviours.borrow_mut().forget(endpoint);
     }
 
     /// Gives back the connections to an endpoint that carry nothing now.
@@ -133,7 +134,6 @@
             .pools
             .borrow_mut()
             .sweep(Instant::now(), self.0.idle_most, over);
-        self.0.responses.borrow_mut().evict(Instant::now());
     }
 
     fn item_bytes(&self, item: &CallItem) -> usize {
@@ -240,7 +240,10 @@
                 }
             },
         };
-        let Some((request, least)) = request_of(call.address, &call.items, call.expires) else {
+        let attribution = connection.record.attribution(&call.items);
+        let persistence = persistence_of(shared, call, attribution);
+        let request = request_of(call.address, &call.items, call.expires, persistence);
+        let Some((request, least)) = request else {
             return Answer::all(
                 Outcome::Unsent { no_slot: false },
                 EndCause::RequestIncomplete,
@@ -249,6 +252,9 @@
         connection
             .wire
             .begin(reused, least, call.items.len() as u64, &shared.tries);
+        if persistence == Persistence::Close {
+            connection.wire.set_closing();
+        }
         *wire.borrow_mut() = Some(connection.wire.clone());
         let before = connection.wire.written.get();
         let response = {
@@ -267,7 +273,7 @@
             }
         };
         return match response {
-            Some(Ok(response)) => read(shared, call, connection, response).await,
+            Some(Ok(response)) => read(shared, call, connection, attribution, response).await,
             Some(Err(_)) => {
                 let written = connection.wire.written.get() - before;
                 // an idle connection that had closed before a byte was written carried no call at all
@@ -309,24 +315,36 @@
     }
 }
 
+/// What the connection is asked for. A run-once call that is the first of its connection also finds out whether the
+/// endpoint closes in order, where that is not known.
+fn persistence_of(shared: &Shared, call: &Call, attribution: Attribution) -> Persistence {
+    let is_unknown = || shared.close_behaviours.borrow().is_unknown(call.endpoint);
+    match attribution {
+        Attribution::LastCall => Persistence::Close,
+        Attribution::FirstCall if call.at_most_once && is_unknown() => Persistence::Close,
+        Attribution::FirstCall | Attribution::NamesMessages => Persistence::Keep,
+    }
+}
+
 async fn read(
     shared: &Rc<Shared>,
     call: &Call,
-    mut connection: Connection,
+    connection: Connection,
+    attribution: Attribution,
     response: Response<Incoming>,
 ) -> Answer {
     let (head, body) = response.into_parts();
     let is_single_200 = head.status == StatusCode::OK && call.items.len() == 1;
-    if is_single_200 && connection.wire.is_first_call() && connection.wire.is_request_complete() {
-        connection.wire.set_attribution(Attribution::FirstCall);
+    let is_first = attribution == Attribution::FirstCall;
+    if is_single_200 && is_first && connection.wire.is_request_complete() {
+        connection.wire.set_attribution(attribution);
         let answer = Answer::of_response(call, &head, &[], &shared.report_fields, &shared.faults);
         // the outcome is known; the rest of the response only frees the connection
         let (shared, endpoint, address) = (shared.clone(), call.endpoint, call.address);
+        let items = call.items.clone();
         tokio::task::spawn_local(async move {
-            if let Some(body) = whole(body).await {
-                let identity = ResponseIdentity::of(&head, &body);
-                record_success(&shared, endpoint, &connection, identity);
-                keep(&shared, endpoint, address, connection, identity);
+            if whole(body).await.is_some() {
+                keep(&shared, endpoint, address, connection, &items, &head, true).await;
             }
         });
         return answer;
@@ -336,103 +354,102 @@
         let status = head.status.as_u16();
         return Answer::all(Outcome::Reset, EndCause::ResponseIncomplete(status));
     };
-    let identity = ResponseIdentity::of(&head, &body);
-    let is_copy = is_spliced(&connection.wire, &head, &body)
-        || head.status == StatusCode::OK && !is_own(shared, call, &connection, identity).await;
-    if is_copy {
-        let status = head.status.as_u16();
-        return Answer::all(Outcome::Reset, EndCause::DuplicateResponse(status));
-    }
     let answer = Answer::of_response(call, &head, &body, &shared.report_fields, &shared.faults);
-    if head.status == StatusCode::GONE {
-        // a copy of it would end the next message, and nothing would be owed
-        connection.retire();
-        return answer;
+    if !is_own(shared, call, &connection, attribution, &head, &body).await {
+        return unattributed(&head, connection, answer);
     }
-    if head.status != StatusCode::OK && connection.has_carried(identity.fingerprint) {
-        // rejections are often alike: it counts as one but proves nothing, and the call's own may still come
+    connection.wire.set_attribution(attribution);
+    let is_all_delivered = answer.is_all_delivered();
+    if head.status == StatusCode::GONE {
         connection.retire();
-        return Answer {
-            ambiguous: true,
-            ..answer
-        };
-    }
-    if head.status == StatusCode::OK {
-        record_success(shared, call.endpoint, &connection, identity);
+    } else {
+        let (shared, endpoint, address) = (shared.clone(), call.endpoint, call.address);
+        let items = call.items.clone();
+        tokio::task::spawn_local(async move {
+            let all = is_all_delivered;
+            keep(&shared, endpoint, address, connection, &items, &head, all).await;
+        });
     }
-    connection.has_rejected |= !answer.is_all_delivered();
-    keep(shared, call.endpoint, call.address, connection, identity);
     answer
 }
 
-/// Whether a response on a connection that has carried others reads like a part of a copy and the response behind it.
-fn is_spliced(wire: &Wire, head: &Parts, body: &[u8]) -> bool {
-    let has_leftover =
-        head.headers.contains_key(CONTENT_LENGTH) && wire.bytes_behind_head() > body.len();
-    !wire.is_first_call() && (wire.is_head_spliced() || has_leftover)
+/// What a response means that nothing ties to the call: a 200 delivers nothing, and a rejection counts as one but the call
+/// may have run.
+fn unattributed(head: &Parts, connection: Connection, answer: Answer) -> Answer {
+    connection.retire();
+    match head.status {
+        StatusCode::OK => Answer::all(
+            Outcome::Reset,
+            EndCause::DuplicateResponse(head.status.as_u16()),
+        ),
+        _ => Answer {
+            ambiguous: true,
+            ..answer
+        },
+    }
 }
 
-/// Whether a complete 200 can only be the response to this call.
+/// Whether a complete response can only be the one to this call.
 async fn is_own(
     shared: &Shared,
     call: &Call,
     connection: &Connection,
-    identity: ResponseIdentity,
+    attribution: Attribution,
+    head: &Parts,
+    body: &[u8],
 ) -> bool {
     let wire = &connection.wire;
-    let Some(response_time) = wire.response_time() else {
-        return false;
-    };
-    if !connection.has_carried(identity.fingerprint) {
-        wire.set_attribution(match wire.is_first_call() {
-            true => Attribution::FirstCall,
-            false => Attribution::NewContent,
-        });
-        return true;
-    }
-    let repeated = shared.responses.borrow().attribute_repeated(
-        call.endpoint,
-        response_time,
-        identity.content,
-    );
-    let own_by = match repeated {
-        Repeated::Own => Some(Attribution::ResponseTime),
-        Repeated::Copy => None,
-        Repeated::OwnIfQuietFor(time) => {
-            let rest = time.saturating_sub(wire.since_written());
-            let is_quiet = timeout(rest, wire.disturbed()).await.is_err();
-            is_quiet.then_some(Attribution::Quiet)
+    let is_early = wire.response_time().is_none();
+    match attribution {
+        Attribution::FirstCall => !is_early || head.status != StatusCode::OK,
+        Attribution::NamesMessages => {
+            !is_early && !wire.has_extra_data() && names_messages(&call.items, head, body)
+        }
+        Attribution::LastCall => {
+            !is_early && ends_connection(shared, call.endpoint, connection, head).await
         }
-    };
-    if let Some(attribution) = own_by {
-        wire.set_attribution(attribution);
     }
-    own_by.is_some()
 }
 
-/// Remembers a success, by which later responses of the endpoint are judged.
-fn record_success(
+/// Whether the endpoint closes the connection behind a response as it was asked to, with nothing else on it. What it does is
+/// remembered.
+async fn ends_connection(
     shared: &Shared,
     endpoint: EndpointId,
     connection: &Connection,
-    identity: ResponseIdentity,
-) {
-    if let Some(response_time) = connection.wire.response_time() {
-        let mut responses = shared.responses.borrow_mut();
-        responses.record(endpoint, identity, response_time, Instant::now());
+    head: &Parts,
+) -> bool {
+    let wire = &connection.wire;
+    let has_ended = timeout(CLOSE, wire.ended()).await.is_ok();
+    if wire.has_extra_data() {
+        return false;
     }
+    let behaviour = match announces_close(head) && has_ended && wire.ended_behind_answer() {
+        true => CloseBehaviour::InOrder,
+        false => CloseBehaviour::Other,
+    };
+    let mut behaviours = shared.close_behaviours.borrow_mut();
+    behaviours.record(endpoint, behaviour);
+    behaviour == CloseBehaviour::InOrder
 }
 
-/// Keeps a connection for the next call.
-fn keep(
+/// Keeps a connection behind a response, if it may carry a further call.
+async fn keep(
     shared: &Shared,
     endpoint: EndpointId,
     address: SocketAddr,
     mut connection: Connection,
-    identity: ResponseIdentity,
+    items: &[CallItem],
+    head: &Parts,
+    is_all_delivered: bool,
 ) {
-    connection.record(identity.fingerprint);
-    if connection.wire.calls() < MAX_CALLS_PER_CONNECTION {
+    connection.record.record(items, head, is_all_delivered);
+    if connection.wire.is_closing() {
+        if connection.wire.is_first_call() {
+            ends_connection(shared, endpoint, &connection, head).await;
+        }
+        connection.retire();
+    } else if connection.wire.calls() < MAX_CALLS_PER_CONNECTION {
         give_back(shared, endpoint, address, connection);
     } else {
         connection.retire();
@@ -458,22 +475,26 @@
         .ok()
 }
 
-/// An idle connection, best one that has brought no rejection yet. What must run once takes none where a copy may be
-/// mistaken; such a one makes room for the connection that is opened in its place.
+/// An idle connection whose next response can be tied to the call. One that can't serve it makes room for the connection
+/// that is opened in its place.
 async fn take_idle(shared: &Shared, call: &Call) -> Option<Connection> {
     let (endpoint, address) = (call.endpoint, call.address);
-    let take = |usable: fn(&Connection) -> bool| {
+    let is_usable = |connection: &Connection| {
+        let attribution = connection.record.attribution(&call.items);
+        let behaviours = shared.close_behaviours.borrow();
+        behaviours.allow(endpoint, attribution, call.at_most_once)
+    };
+    let take = |usable: &dyn Fn(&Connection) -> bool| {
         let mut pools = shared.pools.borrow_mut();
         pools.take(endpoint, address, Instant::now(), REST, usable)
     };
-    let may_mistake = shared.responses.borrow().may_mistake_copies(endpoint);
     loop {
-        let clean = take(|connection| !connection.has_rejected);
-        let (since, mut connection) = clean.or_else(|| take(|_| true))?;
-        if call.at_most_once && may_mistake {
-            connection.retire();
+        let Some((since, mut connection)) = take(&is_usable) else {
+            if let Some((_, connection)) = take(&|_| true) {
+                connection.retire();
+            }
             return None;
-        }
+        };
         if since.elapsed() < shared.idle_most && connection.is_ready().await {
             return Some(connection);
         }
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to an endpoint: opened, kept between calls, and reported with a reason when it is closed.
 
-use crate::response_history::Fingerprint;
+use crate::attribution::ConnectionRecord;
 use crate::wire::{Wire, Wired};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -8,12 +8,12 @@
 use hyper_util::rt::TokioIo;
 use milletturn_engine::{CloseReason, Input, MAX_BODY_BYTES};
 use milletturn_policy::EndpointId;
-use std::collections::HashSet;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::task::AbortHandle;
 
 /// An open connection to an endpoint, with at most one call at a time. Dropping it closes it.
 pub(crate) struct Connection {
@@ -21,10 +21,10 @@
     pub(crate) wire: Rc<Wire>,
     endpoint: EndpointId,
     close_reason: CloseReason,
-    /// It has brought a rejection or an error: a copy of that would be taken for the next one.
-    pub(crate) has_rejected: bool,
-    /// The responses that it has brought.
-    carried: HashSet<Fingerprint>,
+    /// What it has carried.
+    pub(crate) record: ConnectionRecord,
+    /// The task that reads and writes it.
+    driver: AbortHandle,
     inputs: mpsc::UnboundedSender<Input>,
 }
 
@@ -54,7 +54,7 @@
             .handshake(TokioIo::new(wired))
             .await?;
         let watched = wire.clone();
-        tokio::task::spawn_local(async move {
+        let driver = tokio::task::spawn_local(async move {
             // the call on it, if there is one, is told
             let _ = connection.await;
             watched.set_ended();
@@ -64,8 +64,8 @@
             wire,
             endpoint,
             close_reason: CloseReason::CallFailed,
-            has_rejected: false,
-            carried: HashSet::new(),
+            record: ConnectionRecord::default(),
+            driver: driver.abort_handle(),
             inputs: inputs.clone(),
         })
     }
@@ -81,16 +81,6 @@
         self.close_reason = CloseReason::NotReusable;
     }
 
-    /// Whether it has brought a response with this content.
-    pub(crate) fn has_carried(&self, response: Fingerprint) -> bool {
-        self.carried.contains(&response)
-    }
-
-    /// Remembers the response to a call.
-    pub(crate) fn record(&mut self, response: Fingerprint) {
-        self.carried.insert(response);
-    }
-
     /// Whether it can still carry a call. One that can't ended while it was idle.
     pub(crate) async fn is_ready(&mut self) -> bool {
         let ready = self.sender.ready().await.is_ok();
@@ -113,6 +103,8 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        // a call that is given up ends at the endpoint with its connection, also one that waits for the endpoint to close
+        self.driver.abort();
         if self.close_reason == CloseReason::Evicted && self.sender.is_closed() {
             self.ended_idle();
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod agent;
 mod answer;
 mod asking;
+mod attribution;
 mod budget;
 mod call_text;
 pub mod calls;
@@ -20,7 +21,6 @@
 mod list;
 pub mod notices;
 mod pools;
-mod response_history;
 mod wire;
 
 pub use asking::{Asking, Failure};
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -60,15 +60,26 @@
     told: Box<dyn Fn(Micros)>,
     /// Bytes of 1xx answers ahead of the present call's answer.
     ahead: Cell<usize>,
-    /// Bytes behind the head of the present call's answer.
-    behind_head: Cell<usize>,
-    /// How much of a second status line has come inside the head.
+    /// Bytes of the body that are still to come; none where the head does not tell its length.
+    body_left: Cell<Option<u64>>,
+    /// Bytes have come behind the end of the present call's answer.
+    extra: Cell<bool>,
+    /// How much of a second status line has come.
     second_status_line: Cell<usize>,
+    /// The endpoint was asked to close the connection behind the present call's answer.
+    closing: Cell<bool>,
+    /// The endpoint has ended its sending.
+    end_of_stream: Cell<bool>,
     seen: Notify,
     /// Where the present call counts its messages once it has been written whole.
     whole: RefCell<Option<Whole>>,
 }
 
+/// The value of a `Content-Length`; none if it is no number.
+fn length_in(value: &[u8]) -> Option<u64> {
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
 /// The status in the status line that bytes begin with; none if they don't.
 fn status_at_start(bytes: &[u8]) -> Option<u16> {
     let line = bytes.strip_prefix(b"HTTP/1.")?;
@@ -167,8 +178,11 @@
             line: RefCell::default(),
             told: Box::new(told),
             ahead: Cell::default(),
-            behind_head: Cell::default(),
+            body_left: Cell::default(),
+            extra: Cell::default(),
             second_status_line: Cell::default(),
+            closing: Cell::default(),
+            end_of_stream: Cell::default(),
             seen: Notify::default(),
             whole: RefCell::default(),
         }
@@ -190,12 +204,24 @@
         self.attributed_by.set(None);
         self.look.set(reused);
         self.ahead.set(0);
-        self.behind_head.set(0);
+        self.body_left.set(None);
+        self.extra.set(false);
         self.second_status_line.set(0);
+        self.closing.set(false);
         self.answer.set(FirstLine::Status(0, 0));
         self.line.replace(Some(Vec::new()));
     }
 
+    /// The present call asks the endpoint to close the connection: it is read up to its end.
+    pub(crate) fn set_closing(&self) {
+        self.closing.set(true);
+    }
+
+    /// Whether the present call asks the endpoint to close the connection.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
     /// The call is over and its answer read.
     pub(crate) fn set_idle(&self) {
         self.idle.set(true);
@@ -226,9 +252,15 @@
         answered.checked_duration_since(written)
     }
 
-    /// Whether another status line stands inside the head, as when a part of a copy comes before a response.
-    pub(crate) fn is_head_spliced(&self) -> bool {
-        self.second_status_line.get() == STATUS_LINE.len()
+    /// Whether the present call's answer is all that came behind its request, up to the end of the stream.
+    pub(crate) fn ended_behind_answer(&self) -> bool {
+        self.end_of_stream.get() && !self.has_extra_data()
+    }
+
+    /// Whether more than one answer, or parts of several, came behind the present call's request.
+    pub(crate) fn has_extra_data(&self) -> bool {
+        let has_second_status_line = self.second_status_line.get() == STATUS_LINE.len();
+        self.extra.get() || has_second_status_line
     }
 
     /// One byte further in the search for a second status line.
@@ -247,9 +279,21 @@
         });
     }
 
-    /// Bytes that have come behind the head of the present call's answer.
-    pub(crate) fn bytes_behind_head(&self) -> usize {
-        self.behind_head.get()
+    /// These bytes stand behind the head of the present call's answer. What follows its body is another answer, whose
+    /// head may tell a wait.
+    fn pass_behind_head(&self, bytes: &[u8]) {
+        for (position, byte) in bytes.iter().enumerate() {
+            match self.body_left.get() {
+                Some(0) if !self.extra.replace(true) => {
+                    self.set_unsolicited(&bytes[position..]);
+                    self.line.replace(Some(Vec::new()));
+                    self.pass_header(*byte);
+                }
+                Some(0) => self.pass_header(*byte),
+                Some(left) => self.body_left.set(Some(left - 1)),
+                None => self.look_for_status_line(*byte),
+            }
+        }
     }
 
     /// Time since the last byte of the present call's request.
@@ -265,8 +309,8 @@
         self.changed.notify_one();
     }
 
-    /// Ends once the connection has ended, as it does when something comes behind a response.
-    pub(crate) async fn disturbed(&self) {
+    /// Ends once the connection has ended, as it does when something comes behind an answer.
+    pub(crate) async fn ended(&self) {
         while !self.ended.get() {
             self.changed.notified().await;
         }
@@ -336,8 +380,15 @@
             .position(|&other| other == b':')
             .filter(|_| text.len() < LINE_MOST);
         let header = colon.map(|at| (&text[..at], &text[at + 1..]));
-        let named = header.filter(|(name, _)| name.eq_ignore_ascii_case(b"retry-after"));
-        let wait = named.and_then(|(_, value)| wait_in(value));
+        let value_of = |wanted: &[u8]| {
+            let named = header.filter(|(name, _)| name.eq_ignore_ascii_case(wanted));
+            named.map(|(_, value)| value)
+        };
+        let wait = value_of(b"retry-after").and_then(wait_in);
+        let length = value_of(b"content-length").and_then(length_in);
+        if !self.extra.get() && length.is_some() {
+            self.body_left.set(length);
+        }
         line.clear();
         drop(slot);
         if let Some(wait) = wait {
@@ -355,7 +406,7 @@
         }
         let mut line = self.answer.get();
         let mut ahead = self.ahead.get();
-        let count = bytes.len();
+        let mut behind_head = None;
         for (number, byte) in bytes.iter_mut().enumerate() {
             match line {
                 FirstLine::Whole(_) if self.line.borrow().is_some() => {
@@ -363,8 +414,7 @@
                     self.pass_header(*byte);
                 }
                 FirstLine::Whole(_) => {
-                    let behind_head = self.behind_head.get() + count - number;
-                    self.behind_head.set(behind_head);
+                    behind_head = Some(number);
                     break;
                 }
                 FirstLine::Nothing => break,
@@ -377,6 +427,9 @@
                 }
             }
         }
+        if let Some(rest) = behind_head.and_then(|number| bytes.get(number..)) {
+            self.pass_behind_head(rest);
+        }
         self.ahead.set(ahead);
         self.answer.set(line);
         if matches!(line, FirstLine::Whole(_) | FirstLine::Nothing) {
@@ -457,8 +510,12 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
+        let room = buffer.remaining();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let new = buffer.filled_mut().get_mut(before..).unwrap_or_default();
+        if new.is_empty() && room > 0 {
+            self.wire.end_of_stream.set(true);
+        }
         Poll::Ready(self.wire.pass(new))
     }
 }
@@ -493,6 +550,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.wire.closing.get() && !self.wire.end_of_stream.get() {
+            let mut bytes = [0; LAST_LOOK];
+            ready!(
+                self.as_mut()
+                    .poll_read(context, &mut ReadBuf::new(&mut bytes))
+            )?;
+        }
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/crates/platform/src/wire/tests.rs
+++ b/crates/platform/src/wire/tests.rs
@@ -56,13 +56,27 @@
 }
 
 #[test]
-fn a_second_status_line_in_the_head_is_found_and_nothing_else_is_taken_for_one() {
+fn what_stands_behind_an_answer_or_inside_its_head_is_found_and_nothing_else_is_taken_for_it() {
     for (text, expected) in [
         ("HTTP/1.1 200 HTTP/1.1 503 No\r\n\r\n", true),
         ("HTTP/1.1 200 OKHTTP/1.0 200 OK\r\n\r\n", true),
         ("HTTP/1.1 200 OK\r\nX-A: x0=HHTTP/1.1 503 No\r\n\r\n", true),
         ("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n\r\n", false),
-        ("HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 503 No\r\n", false),
+        ("HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 503 No\r\n", true),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokH", true),
+        (
+            "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nHTTP/1.1 503",
+            false,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            false,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nHTTP/1.1 503 No",
+            true,
+        ),
         ("HTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", false),
     ] {
         for size in [1, 7, text.len()] {
@@ -71,7 +85,7 @@
             bytes
                 .chunks_mut(size)
                 .for_each(|chunk| wire.pass(chunk).expect("short enough"));
-            assert_eq!(wire.is_head_spliced(), expected, "{text}");
+            assert_eq!(wire.has_extra_data(), expected, "{text}");
         }
     }
 }
--- a/crates/platform/tests/single_calls.rs
+++ b/crates/platform/tests/single_calls.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{LONG, item, local};
-use milletturn_engine::{AttemptEnd, Call, EndCause, Input, Transport};
+use milletturn_engine::{AttemptEnd, Attribution, Call, EndCause, Input, Transport};
 use milletturn_platform::calls::Calls;
 use milletturn_policy::{EndpointId, MILLISECOND, Micros, Outcome};
 use milletturn_test_support::{Endpoint, OK};
@@ -336,8 +336,15 @@
     }
 }
 
+/// What an endpoint does behind its second response.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Then {
+    Close,
+    StayOpen,
+}
+
 /// The ends of two calls on one connection, which is answered in this way.
-async fn two_calls(first: &str, second: &str) -> [AttemptEnd; 2] {
+async fn two_calls(first: &str, second: &str, then: Then) -> [AttemptEnd; 2] {
     let mut rig = Listening::new().await;
     let address = rig.listener.local_addr().expect("bound");
     let (mut stream, _cancel) = rig.call().await;
@@ -347,20 +354,150 @@
     let _cancel = rig.rig.start(address, 1);
     read_request(&mut stream).await;
     stream.write_all(second.as_bytes()).await.expect("open");
+    if then == Then::Close {
+        stream.shutdown().await.expect("open");
+    }
     [first, rig.rig.end().await]
 }
 
+/// A response behind which the endpoint says that it closes the connection.
+fn last_response(status: &str, body: &str) -> String {
+    response(status, body).replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")
+}
+
 #[test]
-fn a_rejection_alike_to_an_earlier_one_proves_nothing() {
+fn a_rejection_that_does_not_end_its_connection_proves_nothing() {
     local(async {
-        let rejection = response("503 No", "");
-        let [first, second] = two_calls(&rejection, &rejection).await;
+        let first = response("503 No", "");
         let refused = Outcome::Refused { wait: None };
-        assert_eq!((first.outcome, first.ambiguous), (refused, false));
-        assert_eq!((second.outcome, second.ambiguous), (refused, true));
-        let other = response("503 No", "other");
-        let [_, second] = two_calls(&rejection, &other).await;
-        assert_eq!((second.outcome, second.ambiguous), (refused, false));
+        for (second, then, ambiguous) in [
+            (first.clone(), Then::StayOpen, true),
+            (first.clone(), Then::Close, true),
+            (response("503 No", "other"), Then::Close, true),
+            (last_response("503 No", ""), Then::StayOpen, true),
+            (last_response("503 No", "") + &first, Then::Close, true),
+            (last_response("503 No", ""), Then::Close, false),
+        ] {
+            let [first, end] = two_calls(&first, &second, then).await;
+            assert_eq!((first.outcome, first.ambiguous), (refused, false));
+            let seen = (end.outcome, end.ambiguous);
+            assert_eq!(seen, (refused, ambiguous), "{second} {then:?}");
+        }
+    });
+}
+
+#[test]
+fn a_200_that_does_not_end_its_connection_delivers_nothing() {
+    local(async {
+        let first = response("200 OK", "first");
+        let rejection = response("503 No", "");
+        let duplicate = (Outcome::Reset, EndCause::DuplicateResponse(200));
+        for (second, then) in [
+            (first.clone(), Then::Close),
+            (response("200 OK", "other"), Then::StayOpen),
+            (response("200 OK", "other"), Then::Close),
+            (last_response("200 OK", "other"), Then::StayOpen),
+            (last_response("200 OK", "") + &rejection, Then::Close),
+        ] {
+            let [_, end] = two_calls(&first, &second, then).await;
+            assert_eq!((end.outcome, end.cause), duplicate, "{second} {then:?}");
+        }
+        let last = last_response("200 OK", "other");
+        let [_, end] = two_calls(&first, &last, Then::Close).await;
+        let used = end.connection_use.expect("on a connection");
+        assert_eq!(end.outcome, Outcome::Success);
+        assert_eq!(used.attributed_by, Some(Attribution::LastCall));
+    });
+}
+
+#[test]
+fn a_last_call_that_is_given_up_closes_its_connection_at_once() {
+    // guards against a call that goes on at the endpoint beside the next attempt
+    local(async {
+        let mut rig = Listening::new().await;
+        let address = rig.listener.local_addr().expect("bound");
+        let (mut stream, _cancel) = rig.call().await;
+        let text = response("200 OK", "");
+        stream.write_all(text.as_bytes()).await.expect("open");
+        rig.rig.end().await;
+        tokio::time::sleep(REST).await;
+        let cancel = rig.rig.start(address, 1);
+        read_request(&mut stream).await;
+        cancel.send(0).expect("it listens");
+        assert_eq!(rig.rig.end().await.outcome, Outcome::Cancelled);
+        let closed = timeout(LONG, stream.read(&mut [0; 8])).await;
+        assert_eq!(closed.expect("in time").expect("readable"), 0);
+    });
+}
+
+#[test]
+fn the_wait_of_a_response_behind_another_one_is_heard() {
+    local(async {
+        let mut rig = Listening::new().await;
+        let address = rig.listener.local_addr().expect("bound");
+        let (mut stream, _cancel) = rig.call().await;
+        let first = response("200 OK", "");
+        stream.write_all(first.as_bytes()).await.expect("open");
+        rig.rig.end().await;
+        tokio::time::sleep(REST).await;
+        let _cancel = rig.rig.start(address, 1);
+        read_request(&mut stream).await;
+        let both = first + HEAD + "no";
+        stream.write_all(both.as_bytes()).await.expect("open");
+        stream.shutdown().await.expect("open");
+        let heard = rig.rig.heard(None).await;
+        assert_eq!(heard.waits, vec![1500 * MILLISECOND]);
+        assert_eq!(heard.outcome, Outcome::Reset);
+    });
+}
+
+#[test]
+fn an_endpoint_that_does_not_close_gets_a_connection_for_each_call() {
+    local(async {
+        let mut rig = Listening::new().await;
+        let address = rig.listener.local_addr().expect("bound");
+        let (mut stream, _cancel) = rig.call().await;
+        let text = response("200 OK", "");
+        stream.write_all(text.as_bytes()).await.expect("open");
+        rig.rig.end().await;
+        tokio::time::sleep(REST).await;
+        let _cancel = rig.rig.start(address, 1);
+        read_request(&mut stream).await;
+        stream.write_all(text.as_bytes()).await.expect("open");
+        assert_eq!(rig.rig.end().await.outcome, Outcome::Reset);
+        for _ in 0..2 {
+            let (mut stream, _cancel) = rig.call().await;
+            stream.write_all(text.as_bytes()).await.expect("open");
+            assert_eq!(rig.rig.end().await.outcome, Outcome::Success);
+            tokio::time::sleep(REST).await;
+        }
+    });
+}
+
+#[test]
+fn responses_that_repeat_the_request_id_share_a_connection_and_one_that_does_not_delivers_nothing()
+{
+    local(async {
+        let mut rig = Listening::new().await;
+        let address = rig.listener.local_addr().expect("bound");
+        let naming = |number: usize| {
+            let id = format!("\r\nX-Request-ID: m{number}\r\n\r\n");
+            response("200 OK", "").replace("\r\n\r\n", &id)
+        };
+        let (mut stream, _cancel) = rig.call().await;
+        for number in 0..4 {
+            let text = naming(number);
+            stream.write_all(text.as_bytes()).await.expect("open");
+            assert_eq!(rig.rig.end().await.outcome, Outcome::Success);
+            tokio::time::sleep(REST).await;
+            let _cancel = rig.rig.start(address, 1);
+            read_request(&mut stream).await;
+        }
+        let earlier = naming(1);
+        stream.write_all(earlier.as_bytes()).await.expect("open");
+        let end = rig.rig.end().await;
+        let duplicate = (Outcome::Reset, EndCause::DuplicateResponse(200));
+        assert_eq!((end.outcome, end.cause), duplicate);
     });
 }
 
@@ -382,7 +519,7 @@
 }
 
 #[test]
-fn what_must_run_once_gets_a_connection_of_its_own_where_responses_are_bare() {
+fn what_must_run_once_gets_a_connection_of_its_own_where_nothing_is_known_of_the_endpoint() {
     local(async {
         let mut rig = Listening::new().await;
         let address = rig.listener.local_addr().expect("bound");
--- a/crates/test-support/src/unreliable_endpoint.rs
+++ b/crates/test-support/src/unreliable_endpoint.rs
@@ -112,7 +112,7 @@
         if self.earlier.is_empty() {
             return CopyMoment::Never;
         }
-        match self.below(12) {
+        match self.below(6) {
             0 => CopyMoment::WithRequest,
             1 => CopyMoment::InService,
             2 => CopyMoment::BeforeResponse,
@@ -131,12 +131,18 @@
         }
     }
 
-    /// Sends any earlier response again, now and then only a part of it.
+    /// Sends any earlier response again, now and then only a part of it, or with another header.
     fn send_copy(&mut self) -> Option<()> {
         let which = self.below(self.earlier.len() as u32) as usize;
-        let copy = self.earlier[which].clone();
+        let mut copy = self.earlier[which].clone();
         let length = match self.below(5) {
             0 => 1 + self.below(copy.len() as u32) as usize,
+            1 => {
+                let header = format!("X-Copy: {}\r\n", self.random.next_u32());
+                let headers = copy.iter().position(|&byte| byte == b'\n')? + 1;
+                copy.splice(headers..headers, header.into_bytes());
+                copy.len()
+            }
             _ => copy.len(),
         };
         self.executions.lock().expect("not poisoned").copies += 1;
--- a/tests/duplicate_responses.rs
+++ b/tests/duplicate_responses.rs
@@ -87,6 +87,15 @@
         moment: CopyMoment,
         content: CopyContent,
     ) -> Self {
+        let duplication = Duplication {
+            moment,
+            content,
+            period: 2,
+        };
+        Self::behind(script, usual_time, duplication)
+    }
+
+    fn behind(script: Script, usual_time: Duration, duplication: Duplication) -> Self {
         let delivered: Arc<Mutex<Vec<String>>> = Arc::default();
         let ran = delivered.clone();
         let endpoint = Endpoint::new(move |request, number| {
@@ -98,11 +107,6 @@
             }
             reply
         });
-        let duplication = Duplication {
-            moment,
-            content,
-            period: 2,
-        };
         let proxy = DuplicatingProxy::new(endpoint.address, duplication);
         let agent = Agent::new(vec![list(&[("s-1", proxy.address, "one", 7, "up")])]);
         let node = Node::traced(&agent).ready();
@@ -150,6 +154,15 @@
         open().cloned().collect()
     }
 
+    /// Each message ran once at most.
+    fn assert_none_repeated(&self) {
+        let mut ran = self.delivered();
+        let runs = ran.len();
+        ran.sort();
+        ran.dedup();
+        assert_eq!(runs, ran.len(), "each ran once at most");
+    }
+
     fn assert_none_lost(&self, ids: &[String]) {
         let lost = self.lost(ids);
         let first = lost.first().map(|id| self.node.records_of(id));
@@ -178,14 +191,14 @@
 }
 
 #[test]
-fn what_must_run_once_meets_no_copy_where_all_are_alike() {
+fn what_must_run_once_is_neither_lost_nor_repeated_where_all_are_alike() {
     let fixture = Fixture::new(
         reject_crossed_alike,
         CopyMoment::InNextCall(SERVICE_TIME - SERVICE_TIME / 20),
     );
     let ids = fixture.hand_in("order", MESSAGES);
     fixture.assert_none_lost(&ids);
-    assert_eq!(fixture.copies(), 0, "each call has a connection of its own");
+    fixture.assert_none_repeated();
 }
 
 #[test]
@@ -205,26 +218,33 @@
 
 #[test]
 fn a_copy_of_a_200_on_an_idle_connection_delivers_nothing() {
-    let fixture = Fixture::new(
-        reject_crossed,
-        CopyMoment::AfterResponse(Duration::from_millis(10)),
-    );
+    let duplication = Duplication {
+        moment: CopyMoment::AfterResponse(Duration::from_millis(10)),
+        content: CopyContent::Same,
+        period: 1,
+    };
+    let fixture = Fixture::behind(reject_crossed, SERVICE_TIME, duplication);
     let ids = fixture.hand_in("webhook", MESSAGES);
     fixture.assert_none_lost(&ids);
     assert!(fixture.copies() > 0, "copies were sent");
     assert_eq!(fixture.endpoint.count(), ids.len(), "and none was repeated");
 }
 
+#[test]
+fn a_copy_of_a_200_behind_the_last_response_of_a_connection_loses_nothing() {
+    let moment = CopyMoment::AfterResponse(Duration::from_millis(10));
+    let fixture = Fixture::new(reject_crossed, moment);
+    let ids = fixture.hand_in("webhook", MESSAGES);
+    fixture.assert_none_lost(&ids);
+    assert!(fixture.copies() > 0, "copies were sent");
+}
+
 #[test]
 fn a_copy_of_a_rejection_repeats_no_message_that_runs() {
     let fixture = Fixture::new(deliver_crossed, CopyMoment::InNextCall(Duration::ZERO));
     let ids = fixture.hand_in("order", MESSAGES);
     fixture.assert_none_lost(&ids);
-    let mut ran = fixture.delivered();
-    let runs = ran.len();
-    ran.sort();
-    ran.dedup();
-    assert_eq!(runs, ran.len(), "each ran once at most");
+    fixture.assert_none_repeated();
 }
 
 /// Second 200s with other headers than those before, so long after the next request.
@@ -286,9 +306,5 @@
     );
     let ids = fixture.hand_in("order", MESSAGES);
     fixture.assert_none_lost(&ids);
-    let mut ran = fixture.delivered();
-    let runs = ran.len();
-    ran.sort();
-    ran.dedup();
-    assert_eq!(runs, ran.len(), "each ran once at most");
+    fixture.assert_none_repeated();
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -50,8 +50,36 @@
 #[test]
 fn connections_are_kept_and_left_before_the_endpoint_closes_them() {
     // guards against a handshake for each call, and against writing to a connection about to close
+    let endpoint = Endpoint::new(|request, _| repeating_id(request));
+    let node = Node::with(one(&endpoint).address, 3.0, 1.0).ready();
+    hand_in_three(&node, &endpoint);
+    assert_eq!(endpoint.connections.load(Ordering::SeqCst), 1);
+    std::thread::sleep(Duration::from_millis(1000)); // the idle time itself
+    assert_eq!(node.hand_in("webhook", "late", 7, 20_000, b"x"), 202);
+    wait_until("delivered", || endpoint.count() == 4);
+    assert_eq!(endpoint.request(3).connection, 1);
+}
+
+#[test]
+fn a_connection_carries_two_calls_where_responses_name_no_request() {
     let endpoint = Endpoint::new(|_, _| OK);
     let node = Node::with(one(&endpoint).address, 3.0, 1.0).ready();
+    hand_in_three(&node, &endpoint);
+    assert_eq!(endpoint.connections.load(Ordering::SeqCst), 2);
+    let asked: Vec<bool> = (0..3)
+        .map(|number| endpoint.request(number).header("connection") == "close")
+        .collect();
+    assert_eq!(asked, [false, true, false]);
+}
+
+/// Delivered, and the response repeats the request's id.
+fn repeating_id(request: &Request) -> Reply {
+    let head = format!("200 OK\r\nX-Request-ID: {}", request.header("x-request-id"));
+    Reply::Answer(head.leak(), String::new())
+}
+
+/// Hands in three messages, each once the one before is delivered.
+fn hand_in_three(node: &Node, endpoint: &Endpoint) {
     for n in 0..3 {
         assert_eq!(
             node.hand_in("webhook", &format!("m{n}"), 7, 20_000, b"x"),
@@ -63,11 +91,6 @@
         assert_eq!(endpoint.count(), n + 1);
         std::thread::sleep(Duration::from_millis(20)); // the rest that a connection gets behind an answer
     }
-    assert_eq!(endpoint.connections.load(Ordering::SeqCst), 1);
-    std::thread::sleep(Duration::from_millis(1000)); // the idle time itself
-    assert_eq!(node.hand_in("webhook", "late", 7, 20_000, b"x"), 202);
-    wait_until("delivered", || endpoint.count() == 4);
-    assert_eq!(endpoint.request(3).connection, 1);
 }
 
 #[test]
