Stop a request whose rejection comes before its last byte

Callers would see: a message that must run once runs twice. A rejection that comes while the request is still being written says that the call never ran, and its connection was kept: the rest of the request was written on, and the endpoint could run it. Cause: read in calls.rs gave the connection back whatever was left to be written. Change: such a rejection counts as one only while the request is incomplete, and the connection is closed with it; where the request was complete by the time that the response was read, the rejection is ambiguous. Test: a_rejection_before_the_last_byte_of_its_request_stops_the_request; without the change the connection stays open and the test times out.

--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -360,7 +360,9 @@
     }
     connection.wire.set_attribution(attribution);
     let is_all_delivered = answer.is_all_delivered();
-    if head.status == StatusCode::GONE {
+    let is_early = connection.wire.response_time().is_none();
+    if head.status == StatusCode::GONE || is_early {
+        // what is left of an early response's request must not be written: it never ran
         connection.retire();
     } else {
         let (shared, endpoint, address) = (shared.clone(), call.endpoint, call.address);
@@ -401,7 +403,10 @@
     let wire = &connection.wire;
     let is_early = wire.response_time().is_none();
     match attribution {
-        Attribution::FirstCall => !is_early || head.status != StatusCode::OK,
+        Attribution::FirstCall if is_early => {
+            head.status != StatusCode::OK && !wire.is_request_complete()
+        }
+        Attribution::FirstCall => true,
         Attribution::NamesMessages => {
             !is_early && !wire.has_extra_data() && names_messages(&call.items, head, body)
         }
--- a/crates/platform/tests/single_calls.rs
+++ b/crates/platform/tests/single_calls.rs
@@ -540,6 +540,38 @@
     });
 }
 
+#[test]
+fn a_rejection_before_the_last_byte_of_its_request_stops_the_request() {
+    // guards against a request that goes on, and may run, behind a rejection that says that it never did
+    local(async {
+        const BODY_BYTES: usize = 30_000_000;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let mut rig = Rig::new(address);
+        let _cancel = rig.start(address, BODY_BYTES);
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        rig.asked()
+            .await
+            .send(Instant::now() + LONG)
+            .expect("it waits for this");
+        assert!(stream.read(&mut [0; 64]).await.expect("it begins") > 0);
+        let text = response("503 No", "");
+        stream.write_all(text.as_bytes()).await.expect("open");
+        let end = rig.end().await;
+        assert_eq!(end.outcome, Outcome::Refused { wait: None });
+        assert!(!end.ambiguous);
+        let (mut count, mut bytes) = (0, vec![0; 1 << 20]);
+        while let Ok(more) = timeout(LONG, stream.read(&mut bytes))
+            .await
+            .expect("an end")
+            && more > 0
+        {
+            count += more;
+        }
+        assert!(count < BODY_BYTES, "{count} bytes came");
+    });
+}
+
 #[test]
 fn a_response_before_the_last_byte_of_its_request_delivers_nothing() {
     local(async {
