Give the reading of responses, the socket and the first line files of their own

Change: calls/response.rs (ResponseReader, CompletedCall in place of a function of seven arguments), wire/stream.rs (MonitoredStream, before: Wired), wire/first_line.rs. No behaviour is changed.

--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -2,20 +2,18 @@
 //!
 //! Nothing here sends a call again by itself: a repeat that the decision module doesn't know of would be a
 //! duplicate. When it is unsure whether a call may have run, the outcome says that it may. What hyper does not
-//! tell, such as the first line of an answer whose head it rejects, is seen by `Wired` on the raw bytes.
+//! tell, such as the first line of an answer whose head it rejects, is seen by `MonitoredStream` on the raw bytes.
 
+mod response;
+
+use self::response::{READ_TIMEOUT, ResponseReader};
 use crate::answer::Answer;
-use crate::attribution::{CloseBehaviour, CloseBehaviours, announces_close, names_messages};
+use crate::attribution::CloseBehaviours;
 use crate::budget::Budget;
 use crate::call_text::{Persistence, bulk_size, request_of};
 use crate::connection::Connection;
 use crate::pools::Pools;
 use crate::wire::Wire;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
-use hyper::http::response::Parts;
-use hyper::{Response, StatusCode};
 use milletturn_engine::{
     AttemptEnd, Attribution, Call, CallItem, EndCause, Input, MAX_BODY_BYTES, Transport,
 };
@@ -29,17 +27,11 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout};
 
-/// Longest time for the rest of an answer whose first bytes have come: no answer is large.
-const DRAIN: Duration = Duration::from_secs(1);
 /// Longest wait for the rest of the head behind a first line that says 200: the message is delivered, and only
 /// the load report would be missed.
 const HEAD_OF_200: Duration = Duration::from_millis(200);
 /// A connection rests so long after an answer: what comes right behind that must not meet the next call.
 const REST: Duration = Duration::from_millis(5);
-/// Longest wait for an endpoint to close a connection behind its response.
-const CLOSE: Duration = Duration::from_secs(1);
-/// A connection carries no more calls, so that what it remembers of each stays small.
-const MAX_CALLS_PER_CONNECTION: u64 = 256;
 /// Longest wait for the descriptor of an idle connection that gives way to a new one.
 const PLACE: Duration = Duration::from_millis(200);
 
@@ -264,7 +256,7 @@
                 biased;
                 response = &mut response => Some(response),
                 () = connection.wire.first_line() => {
-                    let time = if delivered(wire, call.items.len()) { HEAD_OF_200 } else { DRAIN };
+                    let time = if delivered(wire, call.items.len()) { HEAD_OF_200 } else { READ_TIMEOUT };
                     timeout(time, response).await.ok()
                 }
                 () = unwritten(&connection.wire, before + least, begun_by) => {
@@ -273,7 +265,14 @@
             }
         };
         return match response {
-            Some(Ok(response)) => read(shared, call, connection, attribution, response).await,
+            Some(Ok(response)) => {
+                let reader = ResponseReader {
+                    shared,
+                    call,
+                    attribution,
+                };
+                reader.read(connection, response).await
+            }
             Some(Err(_)) => {
                 let written = connection.wire.written.get() - before;
                 // an idle connection that had closed before a byte was written carried no call at all
@@ -326,149 +325,6 @@
     }
 }
 
-async fn read(
-    shared: &Rc<Shared>,
-    call: &Call,
-    connection: Connection,
-    attribution: Attribution,
-    response: Response<Incoming>,
-) -> Answer {
-    let (head, body) = response.into_parts();
-    let is_single_200 = head.status == StatusCode::OK && call.items.len() == 1;
-    let is_first = attribution == Attribution::FirstCall;
-    if is_single_200 && is_first && connection.wire.is_request_complete() {
-        connection.wire.set_attribution(attribution);
-        let answer = Answer::of_response(call, &head, &[], &shared.report_fields, &shared.faults);
-        // the outcome is known; the rest of the response only frees the connection
-        let (shared, endpoint, address) = (shared.clone(), call.endpoint, call.address);
-        let items = call.items.clone();
-        tokio::task::spawn_local(async move {
-            if whole(body).await.is_some() {
-                keep(&shared, endpoint, address, connection, &items, &head, true).await;
-            }
-        });
-        return answer;
-    }
-    // all else counts only when the response is complete: a spoilt one may stand for a call that has run
-    let Some(body) = whole(body).await else {
-        let status = head.status.as_u16();
-        return Answer::all(Outcome::Reset, EndCause::ResponseIncomplete(status));
-    };
-    let answer = Answer::of_response(call, &head, &body, &shared.report_fields, &shared.faults);
-    if !is_own(shared, call, &connection, attribution, &head, &body).await {
-        return unattributed(&head, connection, answer);
-    }
-    connection.wire.set_attribution(attribution);
-    let is_all_delivered = answer.is_all_delivered();
-    let is_early = connection.wire.response_time().is_none();
-    if head.status == StatusCode::GONE || is_early {
-        // what is left of an early response's request must not be written: it never ran
-        connection.retire();
-    } else {
-        let (shared, endpoint, address) = (shared.clone(), call.endpoint, call.address);
-        let items = call.items.clone();
-        tokio::task::spawn_local(async move {
-            let all = is_all_delivered;
-            keep(&shared, endpoint, address, connection, &items, &head, all).await;
-        });
-    }
-    answer
-}
-
-/// What a response means that nothing ties to the call: a 200 delivers nothing, and a rejection counts as one but the call
-/// may have run.
-fn unattributed(head: &Parts, connection: Connection, answer: Answer) -> Answer {
-    connection.retire();
-    match head.status {
-        StatusCode::OK => Answer::all(
-            Outcome::Reset,
-            EndCause::DuplicateResponse(head.status.as_u16()),
-        ),
-        _ => Answer {
-            ambiguous: true,
-            ..answer
-        },
-    }
-}
-
-/// Whether a complete response can only be the one to this call.
-async fn is_own(
-    shared: &Shared,
-    call: &Call,
-    connection: &Connection,
-    attribution: Attribution,
-    head: &Parts,
-    body: &[u8],
-) -> bool {
-    let wire = &connection.wire;
-    let is_early = wire.response_time().is_none();
-    match attribution {
-        Attribution::FirstCall if is_early => {
-            head.status != StatusCode::OK && !wire.is_request_complete()
-        }
-        Attribution::FirstCall => true,
-        Attribution::NamesMessages => {
-            !is_early && !wire.has_extra_data() && names_messages(&call.items, head, body)
-        }
-        Attribution::LastCall => {
-            !is_early && ends_connection(shared, call.endpoint, connection, head).await
-        }
-    }
-}
-
-/// Whether the endpoint closes the connection behind a response as it was asked to, with nothing else on it. What it does is
-/// remembered.
-async fn ends_connection(
-    shared: &Shared,
-    endpoint: EndpointId,
-    connection: &Connection,
-    head: &Parts,
-) -> bool {
-    let wire = &connection.wire;
-    let has_ended = timeout(CLOSE, wire.ended()).await.is_ok();
-    if wire.has_extra_data() {
-        return false;
-    }
-    let behaviour = match announces_close(head) && has_ended && wire.ended_behind_answer() {
-        true => CloseBehaviour::InOrder,
-        false => CloseBehaviour::Other,
-    };
-    let mut behaviours = shared.close_behaviours.borrow_mut();
-    behaviours.record(endpoint, behaviour);
-    behaviour == CloseBehaviour::InOrder
-}
-
-/// Keeps a connection behind a response, if it may carry a further call.
-async fn keep(
-    shared: &Shared,
-    endpoint: EndpointId,
-    address: SocketAddr,
-    mut connection: Connection,
-    items: &[CallItem],
-    head: &Parts,
-    is_all_delivered: bool,
-) {
-    connection.record.record(items, head, is_all_delivered);
-    if connection.wire.is_closing() {
-        if connection.wire.is_first_call() {
-            ends_connection(shared, endpoint, &connection, head).await;
-        }
-        connection.retire();
-    } else if connection.wire.calls() < MAX_CALLS_PER_CONNECTION {
-        give_back(shared, endpoint, address, connection);
-    } else {
-        connection.retire();
-    }
-}
-
-/// The body, if it ends in time and is no larger than any may be.
-async fn whole(body: Incoming) -> Option<Bytes> {
-    let collected = timeout(DRAIN, Limited::new(body, MAX_BODY_BYTES).collect())
-        .await
-        .ok()?;
-    collected.ok().map(http_body_util::Collected::to_bytes)
-}
-
 /// A descriptor for a new connection; the oldest idle one gives way if there is no other.
 async fn place(shared: &Shared) -> Option<OwnedSemaphorePermit> {
     if shared.places.available_permits() == 0 {
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -1,7 +1,7 @@
 //! One connection to an endpoint: opened, kept between calls, and reported with a reason when it is closed.
 
 use crate::attribution::ConnectionRecord;
-use crate::wire::{Wire, Wired};
+use crate::wire::{MonitoredStream, Wire};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -44,14 +44,14 @@
             // nobody listens any more only when the process ends
             let _ = told.send(Input::RetryAfter { endpoint, wait });
         }));
-        let wired = Wired {
+        let monitored = MonitoredStream {
             stream,
             wire: wire.clone(),
             _place: slot,
         };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BODY_BYTES)
-            .handshake(TokioIo::new(wired))
+            .handshake(TokioIo::new(monitored))
             .await?;
         let watched = wire.clone();
         let driver = tokio::task::spawn_local(async move {
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -2,33 +2,29 @@
 //! written, the first line of an answer whose head is rejected, a told wait as soon as its line is there, and whether
 //! something came that nobody asked for.
 
+mod first_line;
+mod stream;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use self::stream::MonitoredStream;
+
+use self::first_line::FirstLine;
 use crate::call_text::wait_in;
 use milletturn_engine::{Attribution, ConnectionUse, MAX_BODY_BYTES, UnsolicitedData};
 use milletturn_policy::Micros;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::fmt;
-use std::io::{self, Read};
-use std::mem::MaybeUninit;
-use std::pin::Pin;
+use std::io;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
-use tokio::sync::{Notify, OwnedSemaphorePermit};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Longest line of a head that is looked at: a wait takes far less.
 const LINE_MOST: usize = 256;
 /// The beginning of a status line; each `d` is a digit.
 const STATUS_LINE: &[u8] = b"HTTP/1.d ddd";
-/// Bytes of an answer that are still looked at once nobody waits for it: more than a head has.
-const LAST_LOOK: usize = 4096;
-
 /// What the raw bytes of a connection tell.
 pub(crate) struct Wire {
     /// The connection's number, unique in this process.
@@ -104,61 +100,6 @@
     tries: Rc<Cell<u64>>,
 }
 
-/// How far the first line of the answer that counts has come. 1xx answers ahead of it are passed over.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-enum FirstLine {
-    /// So many bytes of `HTTP/1.x NNN` have come, and its number so far.
-    Status(usize, u16),
-    /// The line of a final answer, up to its end.
-    Rest(u16),
-    /// A 1xx answer; true at the start of a line.
-    Ahead(bool),
-    Whole(u16),
-    /// No call is out, or this is no answer.
-    #[default]
-    Nothing,
-}
-
-impl FirstLine {
-    /// One byte further. 101 becomes 100 for hyper, which would take it for the end of HTTP here; no call asks
-    /// for that.
-    fn pass(self, byte: &mut u8) -> Self {
-        const START: &[u8] = b"HTTP/1.";
-        match (self, *byte) {
-            (FirstLine::Status(0, _), b'\r' | b'\n') => self,
-            (FirstLine::Status(at, _), found)
-                if at < START.len() && START.get(at) == Some(&found) =>
-            {
-                FirstLine::Status(at + 1, 0)
-            }
-            (FirstLine::Status(7, _), b'0' | b'1') => FirstLine::Status(8, 0),
-            (FirstLine::Status(8, _), b' ') => FirstLine::Status(9, 0),
-            (FirstLine::Status(at @ 9..=11, code), b'0'..=b'9') => {
-                let code = code * 10 + u16::from(*byte - b'0');
-                if at == 11 && code == 101 {
-                    *byte = b'0';
-                }
-                FirstLine::Status(at + 1, code)
-            }
-            (FirstLine::Status(12, 100..200), b' ' | b'\r' | b'\n') => {
-                FirstLine::Ahead(*byte == b'\n')
-            }
-            (FirstLine::Status(12, code), b'\n') | (FirstLine::Rest(code), b'\n') => {
-                FirstLine::Whole(code)
-            }
-            (FirstLine::Status(12, code), b' ' | b'\r') | (FirstLine::Rest(code), _) => {
-                FirstLine::Rest(code)
-            }
-            (FirstLine::Ahead(true), b'\n') => FirstLine::Status(0, 0),
-            (FirstLine::Ahead(start), b'\r') => FirstLine::Ahead(start),
-            (FirstLine::Ahead(_), b'\n') => FirstLine::Ahead(true),
-            (FirstLine::Ahead(_), _) => FirstLine::Ahead(false),
-            (FirstLine::Whole(code), _) => FirstLine::Whole(code),
-            (FirstLine::Status(..) | FirstLine::Nothing, _) => FirstLine::Nothing,
-        }
-    }
-}
-
 impl Wire {
     /// A new connection with this number. `told` hears of the waits that its answers tell.
     pub(crate) fn new(number: u64, told: impl Fn(Micros) + 'static) -> Self {
@@ -443,120 +384,3 @@
         Ok(())
     }
 }
-
-/// An endpoint's stream, with an eye on the raw bytes.
-#[derive(Debug)]
-pub(crate) struct Wired {
-    /// The socket.
-    pub stream: TcpStream,
-    /// What its bytes tell.
-    pub wire: Rc<Wire>,
-    /// Its descriptor; free again when this is dropped.
-    pub _place: OwnedSemaphorePermit,
-}
-
-impl Wired {
-    /// An error if something came behind the last answer, or the end: it must not be taken for the answer to
-    /// the call that is about to be written.
-    fn look(&self) -> io::Result<()> {
-        if !self.wire.look.take() {
-            return Ok(());
-        }
-        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            Err(error) => Err(error),
-            Ok(bytes) => {
-                if bytes > 0 {
-                    self.wire.set_unsolicited(&[]);
-                }
-                Err(io::Error::new(io::ErrorKind::ConnectionAborted, "not idle"))
-            }
-        }
-    }
-
-    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &result {
-            let written = self.wire.written.get() + *bytes as u64;
-            self.wire.written.set(written);
-            if let Some(whole) = self
-                .wire
-                .whole
-                .borrow_mut()
-                .take_if(|whole| written >= whole.at)
-            {
-                whole.tries.set(whole.tries.get() + whole.messages);
-                self.wire.written_at.set(Some(Instant::now()));
-            }
-        }
-        result
-    }
-}
-
-impl Drop for Wired {
-    /// Nobody waits for the answer any more, but what has come of it may tell a wait, and that binds.
-    fn drop(&mut self) {
-        let mut bytes = [0; LAST_LOOK];
-        if let Ok(count) = (&*SockRef::from(&self.stream)).read(&mut bytes) {
-            // an error is for who reads on
-            let _ = self.wire.pass(bytes.get_mut(..count).unwrap_or_default());
-        }
-    }
-}
-
-impl AsyncRead for Wired {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let room = buffer.remaining();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let new = buffer.filled_mut().get_mut(before..).unwrap_or_default();
-        if new.is_empty() && room > 0 {
-            self.wire.end_of_stream.set(true);
-        }
-        Poll::Ready(self.wire.pass(new))
-    }
-}
-
-impl AsyncWrite for Wired {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.look()?;
-        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
-        self.count(result)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.look()?;
-        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.count(result)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        while self.wire.closing.get() && !self.wire.end_of_stream.get() {
-            let mut bytes = [0; LAST_LOOK];
-            ready!(
-                self.as_mut()
-                    .poll_read(context, &mut ReadBuf::new(&mut bytes))
-            )?;
-        }
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
