Ask an endpoint again to close its connections 30 s after it did not

Need: one connection that broke behind its response, as in a partition, marked its endpoint for good as one that does not close, and each call there got a connection of its own from then on. Change: what did not close in order is forgotten after 30 s; unit tests of the attribution rules.

--- a/crates/platform/src/attribution.rs
+++ b/crates/platform/src/attribution.rs
@@ -6,6 +6,9 @@
 //! names the call's messages; or the endpoint was asked to close the connection behind it, and did so with nothing else on
 //! it.
 
+#[cfg(test)]
+mod tests;
+
 use crate::call_text::REQUEST_ID;
 use hyper::StatusCode;
 use hyper::header::{CONNECTION, HeaderMap};
@@ -13,6 +16,11 @@
 use milletturn_engine::{Attribution, CallItem, SharedStr};
 use milletturn_policy::EndpointId;
 use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// An endpoint that did not close a connection in order is asked again after this time.
+const MAX_AGE: Duration = Duration::from_secs(30);
 
 /// What earlier calls of one connection say about the next one's response.
 #[derive(Debug, Default)]
@@ -94,12 +102,19 @@
 
 /// What endpoints were seen to do. Its size is that of the list of endpoints.
 #[derive(Debug, Default)]
-pub(crate) struct CloseBehaviours(HashMap<EndpointId, CloseBehaviour>);
+pub(crate) struct CloseBehaviours(HashMap<EndpointId, (CloseBehaviour, Instant)>);
 
 impl CloseBehaviours {
     /// Remembers what an endpoint did.
-    pub(crate) fn record(&mut self, endpoint: EndpointId, behaviour: CloseBehaviour) {
-        self.0.insert(endpoint, behaviour);
+    pub(crate) fn record(&mut self, endpoint: EndpointId, behaviour: CloseBehaviour, now: Instant) {
+        self.0.insert(endpoint, (behaviour, now));
+    }
+
+    /// Forgets which endpoints did not close, once that is [`MAX_AGE`] ago: a broken connection may have been all.
+    pub(crate) fn evict(&mut self, now: Instant) {
+        self.0.retain(|_, (behaviour, seen_at)| {
+            *behaviour == CloseBehaviour::InOrder || now - *seen_at < MAX_AGE
+        });
     }
 
     /// Forgets an endpoint.
@@ -123,7 +138,7 @@
         match (attribution, self.0.get(&endpoint)) {
             (Attribution::FirstCall | Attribution::NamesMessages, _) => true,
             (Attribution::LastCall, None) => !at_most_once,
-            (Attribution::LastCall, Some(behaviour)) => *behaviour == CloseBehaviour::InOrder,
+            (Attribution::LastCall, Some((behaviour, _))) => *behaviour == CloseBehaviour::InOrder,
         }
     }
 }
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -126,6 +126,7 @@
             .pools
             .borrow_mut()
             .sweep(Instant::now(), self.0.idle_most, over);
+        self.0.close_behaviours.borrow_mut().evict(Instant::now());
     }
 
     fn item_bytes(&self, item: &CallItem) -> usize {
--- a/crates/platform/src/calls/response.rs
+++ b/crates/platform/src/calls/response.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Longest time for the rest of a response whose first bytes have come: no response is large.
 pub(super) const READ_TIMEOUT: Duration = Duration::from_secs(1);
@@ -168,7 +168,7 @@
         false => CloseBehaviour::Other,
     };
     let mut behaviours = shared.close_behaviours.borrow_mut();
-    behaviours.record(endpoint, behaviour);
+    behaviours.record(endpoint, behaviour, Instant::now());
     behaviour == CloseBehaviour::InOrder
 }
 
