Give a last response up once another one has come behind it

Need: an endpoint that sends bytes without end behind the last response of a connection kept the sender reading for a second of processor time. Change: it ends once the head of another response has come, whose told wait is heard.

--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -158,6 +158,13 @@
         self.closing.set(true);
     }
 
+    /// Whether it is still open whether the present call's answer is the last one: its stream has not ended, nor has the head
+    /// of another answer.
+    fn awaits_end(&self) -> bool {
+        let is_answered_twice = self.has_extra_data() && self.line.borrow().is_none();
+        self.closing.get() && !self.end_of_stream.get() && !is_answered_twice
+    }
+
     /// Whether the present call asks the endpoint to close the connection.
     pub(crate) fn is_closing(&self) -> bool {
         self.closing.get()
--- a/crates/platform/src/wire/stream.rs
+++ b/crates/platform/src/wire/stream.rs
@@ -121,7 +121,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        while self.wire.closing.get() && !self.wire.end_of_stream.get() {
+        while self.wire.awaits_end() {
             let mut bytes = [0; LAST_LOOK];
             ready!(
                 self.as_mut()
--- a/crates/platform/tests/single_calls.rs
+++ b/crates/platform/tests/single_calls.rs
@@ -430,6 +430,30 @@
     });
 }
 
+#[test]
+fn a_last_response_with_bytes_without_end_behind_it_is_given_up_at_once() {
+    // guards against an endpoint that keeps the sender reading
+    local(async {
+        let mut rig = Listening::new().await;
+        let address = rig.listener.local_addr().expect("bound");
+        let (mut stream, _cancel) = rig.call().await;
+        let first = response("200 OK", "");
+        stream.write_all(first.as_bytes()).await.expect("open");
+        rig.rig.end().await;
+        tokio::time::sleep(REST).await;
+        let _cancel = rig.rig.start(address, 1);
+        read_request(&mut stream).await;
+        let both = last_response("200 OK", "") + &first;
+        stream.write_all(both.as_bytes()).await.expect("open");
+        let filler = vec![b'x'; 1 << 16];
+        let flood = async { while stream.write_all(&filler).await.is_ok() {} };
+        let begin = Instant::now();
+        let (end, ()) = tokio::join!(rig.rig.end(), flood);
+        assert_eq!(end.outcome, Outcome::Reset);
+        assert!(begin.elapsed() < Duration::from_millis(500));
+    });
+}
+
 #[test]
 fn the_wait_of_a_response_behind_another_one_is_heard() {
     local(async {
