Name time limits, descriptors and steps of the transport by the field's terms

Need: names such as REST, PLACE, leave, unwritten and places had to be explained to readers of calls.rs. Change: MIN_IDLE_TIME, DESCRIPTOR_TIMEOUT, HEAD_TIMEOUT_BEHIND_200, ask_to_start, write_timeout, descriptors, attempts_written. No behaviour is changed.

--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -29,11 +29,11 @@
 
 /// Longest wait for the rest of the head behind a first line that says 200: the message is delivered, and only
 /// the load report would be missed.
-const HEAD_OF_200: Duration = Duration::from_millis(200);
+const HEAD_TIMEOUT_BEHIND_200: Duration = Duration::from_millis(200);
 /// A connection rests so long after an answer: what comes right behind that must not meet the next call.
-const REST: Duration = Duration::from_millis(5);
+const MIN_IDLE_TIME: Duration = Duration::from_millis(5);
 /// Longest wait for the descriptor of an idle connection that gives way to a new one.
-const PLACE: Duration = Duration::from_millis(200);
+const DESCRIPTOR_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The connections to the endpoints and what calls have in common: the transport of the platform.
 #[derive(Clone)]
@@ -42,46 +42,46 @@
 struct Shared {
     pools: RefCell<Pools<Connection>>,
     /// Descriptors for connections.
-    places: Arc<Semaphore>,
+    descriptors: Arc<Semaphore>,
     /// Connections are given up somewhat before the endpoint would close them.
-    idle_most: Duration,
+    max_idle_time: Duration,
     dial_timeout: Duration,
     report_fields: Vec<String>,
     faults: RateLimitedLog,
     inputs: mpsc::UnboundedSender<Input>,
     /// Messages written whole to endpoints.
-    tries: Rc<Cell<u64>>,
+    attempts_written: Rc<Cell<u64>>,
     /// Connections opened so far.
     opened: Cell<u64>,
     close_behaviours: RefCell<CloseBehaviours>,
 }
 
 impl Calls {
-    /// No connections yet. `idle` is when endpoints close idle ones, zero where that is not known. `tries` counts
-    /// messages that have been written whole.
+    /// No connections yet. `idle` is when endpoints close idle ones, zero where that is not known. `attempts_written`
+    /// counts messages that have been written whole.
     pub fn new(
         idle: Duration,
         dial_timeout: Duration,
         report_fields: Vec<String>,
         budget: &Budget,
         inputs: mpsc::UnboundedSender<Input>,
-        tries: Rc<Cell<u64>>,
+        attempts_written: Rc<Cell<u64>>,
     ) -> Self {
         let idle = if idle.is_zero() {
             Duration::from_secs(5)
         } else {
             idle
         };
-        let idle_most = (idle * 9 / 10).min(idle.saturating_sub(Duration::from_millis(300)));
+        let max_idle_time = (idle * 9 / 10).min(idle.saturating_sub(Duration::from_millis(300)));
         Calls(Rc::new(Shared {
             pools: RefCell::new(Pools::new(budget.idle)),
-            places: Arc::new(Semaphore::new(budget.endpoints)),
-            idle_most,
+            descriptors: Arc::new(Semaphore::new(budget.endpoints)),
+            max_idle_time,
             dial_timeout,
             report_fields,
             faults: RateLimitedLog::default(),
             inputs,
-            tries,
+            attempts_written,
             opened: Cell::default(),
             close_behaviours: RefCell::default(),
         }))
@@ -91,8 +91,8 @@
 impl Calls {
     /// Descriptors for connections that are free.
     #[must_use]
-    pub fn places(&self) -> Arc<Semaphore> {
-        self.0.places.clone()
+    pub fn descriptors(&self) -> Arc<Semaphore> {
+        self.0.descriptors.clone()
     }
 }
 
@@ -125,7 +125,7 @@
         self.0
             .pools
             .borrow_mut()
-            .sweep(Instant::now(), self.0.idle_most, over);
+            .sweep(Instant::now(), self.0.max_idle_time, over);
         self.0.close_behaviours.borrow_mut().evict(Instant::now());
     }
 
@@ -152,10 +152,10 @@
                 biased;
                 answer = &mut exchange => break answer,
                 () = sleep_until(call.expires) => {
-                    break unanswered(&wire, call.items.len(), Outcome::TimedOut, EndCause::TimedOut);
+                    break without_response(&wire, call.items.len(), Outcome::TimedOut, EndCause::TimedOut);
                 }
                 Some(item) = cancels.recv() => {
-                    if delivered(&wire, call.items.len()) {
+                    if is_delivered(&wire, call.items.len()) {
                         break Answer::all(Outcome::Success, EndCause::Response(200));
                     }
                     wanted.get_mut(item).map(std::mem::take);
@@ -184,28 +184,33 @@
     }
 }
 
-type WireNow = RefCell<Option<Rc<Wire>>>;
+type CurrentWire = RefCell<Option<Rc<Wire>>>;
 
 /// True if the call's only message is delivered, whatever becomes of the rest of its answer.
-fn delivered(wire: &WireNow, messages: usize) -> bool {
+fn is_delivered(wire: &CurrentWire, messages: usize) -> bool {
     messages == 1 && wire.borrow().as_ref().is_some_and(|wire| wire.says_200())
 }
 
 /// What became of a call with no answer that can be read.
-fn unanswered(wire: &WireNow, messages: usize, outcome: Outcome, cause: EndCause) -> Answer {
-    match delivered(wire, messages) {
+fn without_response(
+    wire: &CurrentWire,
+    messages: usize,
+    outcome: Outcome,
+    cause: EndCause,
+) -> Answer {
+    match is_delivered(wire, messages) {
         true => Answer::all(Outcome::Success, EndCause::Response(200)),
         false => Answer::all(outcome, cause),
     }
 }
 
 /// Makes the call on one connection and reads its answer. Dropping this closes the connection.
-async fn exchange(shared: &Rc<Shared>, call: &Call, wire: &WireNow) -> Answer {
+async fn exchange(shared: &Rc<Shared>, call: &Call, wire: &CurrentWire) -> Answer {
     loop {
         let (mut connection, reused) = match take_idle(shared, call).await {
             Some(connection) => (connection, true),
             None => {
-                let Some(place) = place(shared).await else {
+                let Some(descriptor) = acquire_descriptor(shared).await else {
                     shared
                         .faults
                         .log(format_args!("calls: no descriptor left for a connection"));
@@ -213,8 +218,13 @@
                 };
                 let number = shared.opened.get() + 1;
                 shared.opened.set(number);
-                let opening =
-                    Connection::open(number, call.endpoint, call.address, place, &shared.inputs);
+                let opening = Connection::open(
+                    number,
+                    call.endpoint,
+                    call.address,
+                    descriptor,
+                    &shared.inputs,
+                );
                 match timeout(shared.dial_timeout, opening).await {
                     Ok(Ok(connection)) => (connection, false),
                     Ok(Err(_)) | Err(_) => {
@@ -225,7 +235,7 @@
         };
         let begun_by = match reused {
             true => call.expires,
-            false => match leave(shared, call.number).await {
+            false => match ask_to_start(shared, call.number).await {
                 Some(by) => by.min(call.expires),
                 None => {
                     give_back(shared, call.endpoint, call.address, connection);
@@ -242,9 +252,12 @@
                 EndCause::RequestIncomplete,
             );
         };
-        connection
-            .wire
-            .begin(reused, least, call.items.len() as u64, &shared.tries);
+        connection.wire.begin(
+            reused,
+            least,
+            call.items.len() as u64,
+            &shared.attempts_written,
+        );
         if persistence == Persistence::Close {
             connection.wire.set_closing();
         }
@@ -257,10 +270,10 @@
                 biased;
                 response = &mut response => Some(response),
                 () = connection.wire.first_line() => {
-                    let time = if delivered(wire, call.items.len()) { HEAD_OF_200 } else { READ_TIMEOUT };
+                    let time = if is_delivered(wire, call.items.len()) { HEAD_TIMEOUT_BEHIND_200 } else { READ_TIMEOUT };
                     timeout(time, response).await.ok()
                 }
-                () = unwritten(&connection.wire, before + least, begun_by) => {
+                () = write_timeout(&connection.wire, before + least, begun_by) => {
                     return Answer::all(Outcome::NoConnection, EndCause::RequestIncomplete);
                 }
             }
@@ -286,10 +299,10 @@
                     true => (Outcome::NoConnection, EndCause::RequestIncomplete),
                     false => (Outcome::Reset, EndCause::NoResponseHead),
                 };
-                unanswered(wire, call.items.len(), outcome, cause)
+                without_response(wire, call.items.len(), outcome, cause)
             }
             // a head without end
-            None => unanswered(
+            None => without_response(
                 wire,
                 call.items.len(),
                 Outcome::Reset,
@@ -300,7 +313,7 @@
 }
 
 /// By when the last byte of a call must be written whose connection has come up; none if it may not begin any more.
-async fn leave(shared: &Shared, call: u64) -> Option<Instant> {
+async fn ask_to_start(shared: &Shared, call: u64) -> Option<Instant> {
     let (reply, answer) = oneshot::channel();
     // nobody listens any more only when the process ends
     let _ = shared.inputs.send(Input::RequestStart(call, reply));
@@ -308,7 +321,7 @@
 }
 
 /// Ends at a time unless the call is whole by then.
-async fn unwritten(wire: &Wire, whole: u64, by: Instant) {
+async fn write_timeout(wire: &Wire, whole: u64, by: Instant) {
     sleep_until(by).await;
     if wire.written.get() >= whole {
         std::future::pending::<()>().await;
@@ -327,14 +340,17 @@
 }
 
 /// A descriptor for a new connection; the oldest idle one gives way if there is no other.
-async fn place(shared: &Shared) -> Option<OwnedSemaphorePermit> {
-    if shared.places.available_permits() == 0 {
+async fn acquire_descriptor(shared: &Shared) -> Option<OwnedSemaphorePermit> {
+    if shared.descriptors.available_permits() == 0 {
         shared.pools.borrow_mut().give_way();
     }
-    timeout(PLACE, shared.places.clone().acquire_owned())
-        .await
-        .ok()?
-        .ok()
+    timeout(
+        DESCRIPTOR_TIMEOUT,
+        shared.descriptors.clone().acquire_owned(),
+    )
+    .await
+    .ok()?
+    .ok()
 }
 
 /// An idle connection whose next response can be tied to the call. One that can't serve it makes room for the connection
@@ -348,7 +364,7 @@
     };
     let take = |usable: &dyn Fn(&Connection) -> bool| {
         let mut pools = shared.pools.borrow_mut();
-        pools.take(endpoint, address, Instant::now(), REST, usable)
+        pools.take(endpoint, address, Instant::now(), MIN_IDLE_TIME, usable)
     };
     loop {
         let Some((since, mut connection)) = take(&is_usable) else {
@@ -357,7 +373,7 @@
             }
             return None;
         };
-        if since.elapsed() < shared.idle_most && connection.is_ready().await {
+        if since.elapsed() < shared.max_idle_time && connection.is_ready().await {
             return Some(connection);
         }
     }
--- a/src/assemble/listener.rs
+++ b/src/assemble/listener.rs
@@ -26,7 +26,7 @@
     pub(super) fn new(budget: &Budget, calls: &Calls) -> Self {
         ConnectionLimits {
             clients: Arc::new(Semaphore::new(budget.clients)),
-            calls: calls.places(),
+            calls: calls.descriptors(),
         }
     }
 }
