Divide the making of a call: obtain a connection, open one, exchange on it

Change: obtain_connection, open_connection and exchange_on, with ReadyConnection between them. No behaviour is changed.

--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -204,112 +204,140 @@
     }
 }
 
+/// A connection that is ready for a call.
+struct ReadyConnection {
+    connection: Connection,
+    /// It was idle before.
+    reused: bool,
+    /// By when the last byte of the request must be written.
+    write_by: Instant,
+}
+
 /// Makes the call on one connection and reads its answer. Dropping this closes the connection.
 async fn exchange(shared: &Rc<Shared>, call: &Call, wire: &CurrentWire) -> Answer {
     loop {
-        let (mut connection, reused) = match take_idle(shared, call).await {
-            Some(connection) => (connection, true),
-            None => {
-                let Some(descriptor) = acquire_descriptor(shared).await else {
-                    shared
-                        .faults
-                        .log(format_args!("calls: no descriptor left for a connection"));
-                    return Answer::all(Outcome::Unsent { no_slot: false }, EndCause::NoConnection);
-                };
-                let number = shared.opened.get() + 1;
-                shared.opened.set(number);
-                let opening = Connection::open(
-                    number,
-                    call.endpoint,
-                    call.address,
-                    descriptor,
-                    &shared.inputs,
-                );
-                match timeout(shared.dial_timeout, opening).await {
-                    Ok(Ok(connection)) => (connection, false),
-                    Ok(Err(_)) | Err(_) => {
-                        return Answer::all(Outcome::NoConnection, EndCause::NoConnection);
-                    }
-                }
-            }
+        let ready = match obtain_connection(shared, call).await {
+            Ok(ready) => ready,
+            Err(answer) => return answer,
         };
-        let begun_by = match reused {
-            true => call.expires,
-            false => match ask_to_start(shared, call.number).await {
-                Some(by) => by.min(call.expires),
-                None => {
-                    give_back(shared, call.endpoint, call.address, connection);
-                    return Answer::all(Outcome::Unsent { no_slot: false }, EndCause::NotStarted);
-                }
-            },
-        };
-        let attribution = connection.record.attribution(&call.items);
-        let persistence = persistence_of(shared, call, attribution);
-        let request = request_of(call.address, &call.items, call.expires, persistence);
-        let Some((request, least)) = request else {
-            return Answer::all(
-                Outcome::Unsent { no_slot: false },
-                EndCause::RequestIncomplete,
-            );
-        };
-        connection.wire.begin(
-            reused,
-            least,
-            call.items.len() as u64,
-            &shared.attempts_written,
-        );
-        if persistence == Persistence::Close {
-            connection.wire.set_closing();
+        if let Some(answer) = exchange_on(shared, call, wire, ready).await {
+            return answer;
         }
-        *wire.borrow_mut() = Some(connection.wire.clone());
-        let before = connection.wire.written.get();
-        let response = {
-            let response = connection.sender.try_send_request(request);
-            tokio::pin!(response);
-            tokio::select! {
-                biased;
-                response = &mut response => Some(response),
-                () = connection.wire.first_line() => {
-                    let time = if is_delivered(wire, call.items.len()) { HEAD_TIMEOUT_BEHIND_200 } else { READ_TIMEOUT };
-                    timeout(time, response).await.ok()
-                }
-                () = write_timeout(&connection.wire, before + least, begun_by) => {
-                    return Answer::all(Outcome::NoConnection, EndCause::RequestIncomplete);
-                }
-            }
-        };
-        return match response {
-            Some(Ok(response)) => {
-                let reader = ResponseReader {
-                    shared,
-                    call,
-                    attribution,
+    }
+}
+
+/// An idle connection, or a new one on which the call may still start; else how the call ends.
+async fn obtain_connection(shared: &Shared, call: &Call) -> Result<ReadyConnection, Answer> {
+    if let Some(connection) = take_idle(shared, call).await {
+        return Ok(ReadyConnection {
+            connection,
+            reused: true,
+            write_by: call.expires,
+        });
+    }
+    let connection = open_connection(shared, call).await?;
+    let Some(write_by) = ask_to_start(shared, call.number).await else {
+        give_back(shared, call.endpoint, call.address, connection);
+        let unsent = Outcome::Unsent { no_slot: false };
+        return Err(Answer::all(unsent, EndCause::NotStarted));
+    };
+    Ok(ReadyConnection {
+        connection,
+        reused: false,
+        write_by: write_by.min(call.expires),
+    })
+}
+
+async fn open_connection(shared: &Shared, call: &Call) -> Result<Connection, Answer> {
+    let Some(descriptor) = acquire_descriptor(shared).await else {
+        shared
+            .faults
+            .log(format_args!("calls: no descriptor left for a connection"));
+        let unsent = Outcome::Unsent { no_slot: false };
+        return Err(Answer::all(unsent, EndCause::NoConnection));
+    };
+    let number = shared.opened.get() + 1;
+    shared.opened.set(number);
+    let (endpoint, address) = (call.endpoint, call.address);
+    let opening = Connection::open(number, endpoint, address, descriptor, &shared.inputs);
+    match timeout(shared.dial_timeout, opening).await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(_)) | Err(_) => Err(Answer::all(Outcome::NoConnection, EndCause::NoConnection)),
+    }
+}
+
+/// Makes the call on this connection; none if that had ended while it was idle, so that it carried no call at all.
+async fn exchange_on(
+    shared: &Rc<Shared>,
+    call: &Call,
+    wire: &CurrentWire,
+    ready: ReadyConnection,
+) -> Option<Answer> {
+    let ReadyConnection {
+        mut connection,
+        reused,
+        write_by,
+    } = ready;
+    let messages = call.items.len();
+    let attribution = connection.record.attribution(&call.items);
+    let persistence = persistence_of(shared, call, attribution);
+    let request = request_of(call.address, &call.items, call.expires, persistence);
+    let Some((request, least)) = request else {
+        let unsent = Outcome::Unsent { no_slot: false };
+        return Some(Answer::all(unsent, EndCause::RequestIncomplete));
+    };
+    let attempts_written = &shared.attempts_written;
+    connection
+        .wire
+        .begin(reused, least, messages as u64, attempts_written);
+    if persistence == Persistence::Close {
+        connection.wire.set_closing();
+    }
+    *wire.borrow_mut() = Some(connection.wire.clone());
+    let before = connection.wire.written.get();
+    let response = {
+        let response = connection.sender.try_send_request(request);
+        tokio::pin!(response);
+        tokio::select! {
+            biased;
+            response = &mut response => Some(response),
+            () = connection.wire.first_line() => {
+                let time = match is_delivered(wire, messages) {
+                    true => HEAD_TIMEOUT_BEHIND_200,
+                    false => READ_TIMEOUT,
                 };
-                reader.read(connection, response).await
+                timeout(time, response).await.ok()
             }
-            Some(Err(_)) => {
-                let written = connection.wire.written.get() - before;
-                // an idle connection that had closed before a byte was written carried no call at all
-                if reused && written == 0 {
-                    connection.ended_idle();
-                    continue;
-                }
-                // `least` is what the call takes up on the wire at the very least
-                let (outcome, cause) = match written < least {
-                    true => (Outcome::NoConnection, EndCause::RequestIncomplete),
-                    false => (Outcome::Reset, EndCause::NoResponseHead),
-                };
-                without_response(wire, call.items.len(), outcome, cause)
+            () = write_timeout(&connection.wire, before + least, write_by) => {
+                return Some(Answer::all(Outcome::NoConnection, EndCause::RequestIncomplete));
             }
-            // a head without end
-            None => without_response(
-                wire,
-                call.items.len(),
-                Outcome::Reset,
-                EndCause::NoResponseHead,
-            ),
-        };
-    }
+        }
+    };
+    let (outcome, cause) = match response {
+        Some(Ok(response)) => {
+            let reader = ResponseReader {
+                shared,
+                call,
+                attribution,
+            };
+            return Some(reader.read(connection, response).await);
+        }
+        Some(Err(_)) => {
+            let written = connection.wire.written.get() - before;
+            if reused && written == 0 {
+                connection.ended_idle();
+                return None;
+            }
+            // `least` is what the call takes up on the wire at the very least
+            match written < least {
+                true => (Outcome::NoConnection, EndCause::RequestIncomplete),
+                false => (Outcome::Reset, EndCause::NoResponseHead),
+            }
+        }
+        // a head without end
+        None => (Outcome::Reset, EndCause::NoResponseHead),
+    };
+    Some(without_response(wire, messages, outcome, cause))
 }
 
 /// By when the last byte of a call must be written whose connection has come up; none if it may not begin any more.
