Read the lines of a bulk response in one place, and share what tests of responses wrote alike

Need: whether a bulk response names its messages was read by a second parser beside that of their ends; seven tests opened a connection for a second call, or checked what was lost, in the same lines. Change: words_by_id serves both readers; call_behind, assert_loses_nothing and assert_runs_once. A line without a word names no message any more, as for the ends. The assertions are as they were.

--- a/crates/platform/src/attribution.rs
+++ b/crates/platform/src/attribution.rs
@@ -9,7 +9,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::call_text::REQUEST_ID;
+use crate::call_text::{REQUEST_ID, words_by_id};
 use hyper::StatusCode;
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::http::response::Parts;
@@ -64,13 +64,10 @@
         ([item], StatusCode::OK) => repeats_id(&head.headers, item),
         ([item], _) => !head.headers.contains_key(REQUEST_ID) || repeats_id(&head.headers, item),
         (_, StatusCode::OK) => {
-            let named: HashSet<&[u8]> = body
-                .split(|&byte| byte == b'\n')
-                .filter_map(|line| line.split(|&byte| byte == b' ').next())
-                .collect();
+            let words = words_by_id(body);
             items
                 .iter()
-                .all(|item| named.contains(item.id.as_str().as_bytes()))
+                .all(|item| words.contains_key(item.id.as_str().as_bytes()))
         }
         _ => true,
     }
--- a/crates/platform/src/call_text.rs
+++ b/crates/platform/src/call_text.rs
@@ -87,20 +87,24 @@
     body.into()
 }
 
+/// What the body of a bulk response says of each message that it names, by id.
+pub(crate) fn words_by_id(text: &[u8]) -> HashMap<&[u8], &[u8]> {
+    text.split(|&byte| byte == b'\n')
+        .filter_map(|line| {
+            let at = line.iter().position(|&byte| byte == b' ')?;
+            Some((&line[..at], line[at + 1..].trim_ascii()))
+        })
+        .collect()
+}
+
 /// Each message's end; one that the answer doesn't name, or names in no known word, may have run.
 pub(crate) fn ends_of(
     text: &[u8],
     items: &[CallItem],
     wait: Option<Micros>,
 ) -> Vec<(Outcome, bool)> {
-    let lines: HashMap<&[u8], &[u8]> = text
-        .split(|&byte| byte == b'\n')
-        .filter_map(|line| {
-            let at = line.iter().position(|&byte| byte == b' ')?;
-            Some((&line[..at], line[at + 1..].trim_ascii()))
-        })
-        .collect();
-    let end = |item: &CallItem| match lines.get(item.id.as_str().as_bytes()).copied() {
+    let words = words_by_id(text);
+    let end = |item: &CallItem| match words.get(item.id.as_str().as_bytes()).copied() {
         Some(b"ok") => (Outcome::Success, true),
         Some(b"later") => (Outcome::Refused { wait }, false),
         Some(b"gone") => (Outcome::Unsent { no_slot: false }, true),
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -25,6 +25,7 @@
 const LINE_MOST: usize = 256;
 /// The beginning of a status line; each `d` is a digit.
 const STATUS_LINE: &[u8] = b"HTTP/1.d ddd";
+
 /// What the raw bytes of a connection tell.
 pub(crate) struct Wire {
     /// The connection's number, unique in this process.
@@ -245,7 +246,7 @@
     }
 
     /// Time since the last byte of the present call's request.
-    pub(crate) fn since_written(&self) -> Duration {
+    fn since_written(&self) -> Duration {
         self.written_at
             .get()
             .map_or(Duration::ZERO, |at| at.elapsed())
--- a/crates/platform/tests/single_calls.rs
+++ b/crates/platform/tests/single_calls.rs
@@ -178,6 +178,18 @@
         }
     }
 
+    /// A call on a connection that has brought this response to the call before, and what calls it off.
+    async fn call_behind(&mut self, first: &str) -> (TcpStream, mpsc::UnboundedSender<usize>) {
+        let (mut stream, _cancel) = self.call().await;
+        stream.write_all(first.as_bytes()).await.expect("open");
+        self.rig.end().await;
+        tokio::time::sleep(REST).await;
+        let address = self.listener.local_addr().expect("bound");
+        let cancel = self.rig.start(address, 1);
+        read_request(&mut stream).await;
+        (stream, cancel)
+    }
+
     /// A call that has come whole, on a connection of its own, and what calls it off.
     async fn call(&mut self) -> (TcpStream, mpsc::UnboundedSender<usize>) {
         let cancel = self
@@ -415,14 +427,8 @@
     // guards against a call that goes on at the endpoint beside the next attempt
     local(async {
         let mut rig = Listening::new().await;
-        let address = rig.listener.local_addr().expect("bound");
-        let (mut stream, _cancel) = rig.call().await;
         let text = response("200 OK", "");
-        stream.write_all(text.as_bytes()).await.expect("open");
-        rig.rig.end().await;
-        tokio::time::sleep(REST).await;
-        let cancel = rig.rig.start(address, 1);
-        read_request(&mut stream).await;
+        let (mut stream, cancel) = rig.call_behind(&text).await;
         cancel.send(0).expect("it listens");
         assert_eq!(rig.rig.end().await.outcome, Outcome::Cancelled);
         let closed = timeout(LONG, stream.read(&mut [0; 8])).await;
@@ -435,14 +441,8 @@
     // guards against an endpoint that keeps the sender reading
     local(async {
         let mut rig = Listening::new().await;
-        let address = rig.listener.local_addr().expect("bound");
-        let (mut stream, _cancel) = rig.call().await;
         let first = response("200 OK", "");
-        stream.write_all(first.as_bytes()).await.expect("open");
-        rig.rig.end().await;
-        tokio::time::sleep(REST).await;
-        let _cancel = rig.rig.start(address, 1);
-        read_request(&mut stream).await;
+        let (mut stream, _cancel) = rig.call_behind(&first).await;
         let both = last_response("200 OK", "") + &first;
         stream.write_all(both.as_bytes()).await.expect("open");
         let filler = vec![b'x'; 1 << 16];
@@ -458,14 +458,8 @@
 fn the_wait_of_a_response_behind_another_one_is_heard() {
     local(async {
         let mut rig = Listening::new().await;
-        let address = rig.listener.local_addr().expect("bound");
-        let (mut stream, _cancel) = rig.call().await;
         let first = response("200 OK", "");
-        stream.write_all(first.as_bytes()).await.expect("open");
-        rig.rig.end().await;
-        tokio::time::sleep(REST).await;
-        let _cancel = rig.rig.start(address, 1);
-        read_request(&mut stream).await;
+        let (mut stream, _cancel) = rig.call_behind(&first).await;
         let both = first + HEAD + "no";
         stream.write_all(both.as_bytes()).await.expect("open");
         stream.shutdown().await.expect("open");
@@ -479,14 +473,8 @@
 fn an_endpoint_that_does_not_close_gets_a_connection_for_each_call() {
     local(async {
         let mut rig = Listening::new().await;
-        let address = rig.listener.local_addr().expect("bound");
-        let (mut stream, _cancel) = rig.call().await;
         let text = response("200 OK", "");
-        stream.write_all(text.as_bytes()).await.expect("open");
-        rig.rig.end().await;
-        tokio::time::sleep(REST).await;
-        let _cancel = rig.rig.start(address, 1);
-        read_request(&mut stream).await;
+        let (mut stream, _cancel) = rig.call_behind(&text).await;
         stream.write_all(text.as_bytes()).await.expect("open");
         assert_eq!(rig.rig.end().await.outcome, Outcome::Reset);
         for _ in 0..2 {
--- a/tests/duplicate_responses.rs
+++ b/tests/duplicate_responses.rs
@@ -177,14 +177,25 @@
     }
 }
 
-/// Copies of 200s that cross the next request, each of which the endpoint rejects.
-fn assert_no_loss(script: Script, delay: Duration) {
-    let fixture = Fixture::new(script, CopyMoment::InNextCall(delay));
+/// Hands in messages that may be repeated, and checks that none is lost though copies are sent.
+fn assert_loses_nothing(fixture: &Fixture) {
     let ids = fixture.hand_in("webhook", MESSAGES);
     fixture.assert_none_lost(&ids);
     assert!(fixture.copies() > 0, "copies were sent");
 }
 
+/// The same with messages that must run once, of which none may run twice.
+fn assert_runs_once(fixture: &Fixture) {
+    let ids = fixture.hand_in("order", MESSAGES);
+    fixture.assert_none_lost(&ids);
+    fixture.assert_none_repeated();
+}
+
+/// Copies of 200s that cross the next request.
+fn assert_no_loss(script: Script, delay: Duration) {
+    assert_loses_nothing(&Fixture::new(script, CopyMoment::InNextCall(delay)));
+}
+
 #[test]
 fn a_copy_of_a_200_in_the_middle_of_the_next_call_delivers_nothing_where_all_are_alike() {
     assert_no_loss(reject_crossed_alike, SERVICE_TIME / 2);
@@ -196,9 +207,7 @@
         reject_crossed_alike,
         CopyMoment::InNextCall(SERVICE_TIME - SERVICE_TIME / 20),
     );
-    let ids = fixture.hand_in("order", MESSAGES);
-    fixture.assert_none_lost(&ids);
-    fixture.assert_none_repeated();
+    assert_runs_once(&fixture);
 }
 
 #[test]
@@ -224,27 +233,21 @@
         period: 1,
     };
     let fixture = Fixture::behind(reject_crossed, SERVICE_TIME, duplication);
-    let ids = fixture.hand_in("webhook", MESSAGES);
-    fixture.assert_none_lost(&ids);
-    assert!(fixture.copies() > 0, "copies were sent");
-    assert_eq!(fixture.endpoint.count(), ids.len(), "and none was repeated");
+    assert_loses_nothing(&fixture);
+    assert_eq!(fixture.endpoint.count(), MESSAGES, "and none was repeated");
 }
 
 #[test]
 fn a_copy_of_a_200_behind_the_last_response_of_a_connection_loses_nothing() {
     let moment = CopyMoment::AfterResponse(Duration::from_millis(10));
     let fixture = Fixture::new(reject_crossed, moment);
-    let ids = fixture.hand_in("webhook", MESSAGES);
-    fixture.assert_none_lost(&ids);
-    assert!(fixture.copies() > 0, "copies were sent");
+    assert_loses_nothing(&fixture);
 }
 
 #[test]
 fn a_copy_of_a_rejection_repeats_no_message_that_runs() {
     let fixture = Fixture::new(deliver_crossed, CopyMoment::InNextCall(Duration::ZERO));
-    let ids = fixture.hand_in("order", MESSAGES);
-    fixture.assert_none_lost(&ids);
-    fixture.assert_none_repeated();
+    assert_runs_once(&fixture);
 }
 
 /// Second 200s with other headers than those before, so long after the next request.
@@ -255,9 +258,7 @@
         CopyMoment::InNextCall(delay),
         CopyContent::OtherHeaders,
     );
-    let ids = fixture.hand_in("webhook", MESSAGES);
-    fixture.assert_none_lost(&ids);
-    assert!(fixture.copies() > 0, "copies were sent");
+    assert_loses_nothing(&fixture);
 }
 
 #[test]
@@ -278,9 +279,7 @@
 #[test]
 fn a_copy_of_a_200_delivers_nothing_where_the_endpoint_closes() {
     let fixture = Fixture::new(close_crossed, CopyMoment::InNextCall(Duration::ZERO));
-    let ids = fixture.hand_in("webhook", MESSAGES);
-    fixture.assert_none_lost(&ids);
-    assert!(fixture.copies() > 0, "copies were sent");
+    assert_loses_nothing(&fixture);
 }
 
 #[test]
@@ -291,9 +290,7 @@
         CopyMoment::InNextCall(Duration::from_millis(1)),
         CopyContent::Same,
     );
-    let ids = fixture.hand_in("webhook", MESSAGES);
-    fixture.assert_none_lost(&ids);
-    assert!(fixture.copies() > 0, "copies were sent");
+    assert_loses_nothing(&fixture);
 }
 
 #[test]
@@ -304,7 +301,5 @@
         CopyMoment::InNextCall(Duration::ZERO),
         CopyContent::OtherHeaders,
     );
-    let ids = fixture.hand_in("order", MESSAGES);
-    fixture.assert_none_lost(&ids);
-    fixture.assert_none_repeated();
+    assert_runs_once(&fixture);
 }
