Find what stands behind a chunked response that tells a length too

Need: the end of a body was counted by Content-Length even where Transfer-Encoding stands beside it, which goes first (RFC 9112); a longer length hid another response behind a last one, whose 200 then counted. Found by reading the change again; not seen played. Change: such a body is searched for another status line, as any chunked one. Test: two rows of the wire's test fail without it.

--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -59,6 +59,8 @@
     ahead: Cell<usize>,
     /// Bytes of the body that are still to come; none where the head does not tell its length.
     body_left: Cell<Option<u64>>,
+    /// The present call's answer has a body that tells its end itself, whatever length its head tells.
+    chunked: Cell<bool>,
     /// Bytes have come behind the end of the present call's answer.
     extra: Cell<bool>,
     /// How much of a second status line has come.
@@ -121,6 +123,7 @@
             told: Box::new(told),
             ahead: Cell::default(),
             body_left: Cell::default(),
+            chunked: Cell::default(),
             extra: Cell::default(),
             second_status_line: Cell::default(),
             closing: Cell::default(),
@@ -147,6 +150,7 @@
         self.look.set(reused);
         self.ahead.set(0);
         self.body_left.set(None);
+        self.chunked.set(false);
         self.extra.set(false);
         self.second_status_line.set(0);
         self.closing.set(false);
@@ -335,8 +339,10 @@
         };
         let wait = value_of(b"retry-after").and_then(wait_in);
         let length = value_of(b"content-length").and_then(length_in);
-        if !self.extra.get() && length.is_some() {
-            self.body_left.set(length);
+        let is_chunked = self.chunked.get() || value_of(b"transfer-encoding").is_some();
+        if !self.extra.get() && (is_chunked || length.is_some()) {
+            self.chunked.set(is_chunked);
+            self.body_left.set(length.filter(|_| !is_chunked));
         }
         line.clear();
         drop(slot);
--- a/crates/platform/src/wire/tests.rs
+++ b/crates/platform/src/wire/tests.rs
@@ -77,6 +77,15 @@
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nHTTP/1.1 503 No",
             true,
         ),
+        // the body ends by its chunks, whatever length is told (RFC 9112)
+        (
+            "HTTP/1.1 200 OK\r\nContent-Length: 99\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nHTTP/1.1 503 No",
+            true,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 99\r\n\r\n0\r\n\r\nHTTP/1.1 503 No",
+            true,
+        ),
         ("HTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", false),
     ] {
         for size in [1, 7, text.len()] {
