--- a/tests/duplicate_responses.rs
+++ b/tests/duplicate_responses.rs
@@ -282,6 +282,12 @@
     assert_loses_nothing(&fixture);
 }
 
+#[test]
+fn a_200_made_for_the_present_call_delivers_nothing_where_the_endpoint_closes_in_place_of_its_own()
+{
+    assert_no_loss_by_other_headers(close_crossed, Duration::ZERO);
+}
+
 #[test]
 fn a_copy_of_a_200_delivers_nothing_where_all_are_alike_and_fast() {
     let fixture = Fixture::with(
