--- /dev/null
+++ b/review/stand-ins/reload.rs
@@ -0,0 +1,109 @@
+//! New configurations in a row while a client's request is coming in, and behind an upgrade.
+
+use crate::parts::*;
+use std::sync::Arc;
+
+/// An endpoint that runs each call and then breaks the connection, so that the sender knows no result.
+fn runs_and_breaks() -> Behaviour {
+    Arc::new(|_| Reply::Break(20))
+}
+
+fn answers_ok() -> Behaviour {
+    Arc::new(|_| Reply::Status(200, Vec::new(), 20))
+}
+
+/// `order` runs at most once in all three configurations.
+fn configurations(base: &Config) -> [Config; 3] {
+    let webhook = class("webhook", "deduplicated", 4.0, 20.0, 12.0);
+    let with = |classes: Vec<String>| Config { classes, ..base.clone() };
+    [
+        with(vec![webhook.clone(), class("order", "at_most_once", 4.0, 20.0, 0.0)]),
+        with(vec![webhook.clone(), class("order", "at_most_once", 5.0, 20.0, 0.0)]),
+        with(vec![
+            webhook,
+            class("order", "at_most_once", 5.0, 20.0, 0.0),
+            class("bulletin", "idempotent", 4.0, 20.0, 0.0),
+        ]),
+    ]
+}
+
+/// A client's request comes in pieces while two new configurations come in a row.
+pub fn pieces(place: &Workplace, trouble: bool) -> Verdict {
+    let record = &place.record;
+    let endpoint = Endpoint::start(record, "s-1", 7, runs_and_breaks()).unwrap();
+    let discovery = Discovery::start(record, vec![endpoint.target("up")]).unwrap();
+    let base = Config::new(&discovery, Vec::new());
+    let [first, second, third] = configurations(&base);
+    place.write_config(&first);
+    let sender = place.start_sender(&[]);
+    if !place.wait_ready(base.listen) {
+        return Verdict::CouldNotRun("the sender is not ready".to_string());
+    }
+    let order = Submission::new("order", "order-1", 7, 5_000);
+    let mut client = Client::connect(record, base.listen).unwrap();
+    record.line("client: sends head and half of the body of order-1");
+    let _ = client.write(order.head().as_bytes());
+    let half = order.body.len() / 2;
+    let _ = client.write(&order.body[..half]);
+    for config in [&second, &third] {
+        sleep_ms(300);
+        if trouble {
+            place.write_config(config);
+            place.signal(sender, "HUP");
+        }
+    }
+    sleep_ms(400);
+    record.line("client: sends the rest of the body of order-1");
+    let _ = client.write(&order.body[half..]);
+    let Some(answer) = client.answer("order order-1", 400) else {
+        return Verdict::CouldNotRun("no answer".to_string());
+    };
+    sleep_ms(6_000);
+    let calls = endpoint.calls_of("order-1").len();
+    record.line(format!("order-1 ran {calls} times; answer {}", answer.status()));
+    match calls {
+        0 if answer.status() == 202 => Verdict::CouldNotRun("taken on and never called".to_string()),
+        0 | 1 => Verdict::Held,
+        _ => Verdict::Broken(format!("order-1 of class order, at_most_once, ran {calls} times")),
+    }
+}
+
+/// An upgrade, then a new configuration in which the effect of a class has changed; the client uses the connection that
+/// it has to the old process.
+pub fn upgrade(place: &Workplace, trouble: bool) -> Verdict {
+    let record = &place.record;
+    let endpoint = Endpoint::start(record, "s-1", 7, answers_ok()).unwrap();
+    let discovery = Discovery::start(record, vec![endpoint.target("up")]).unwrap();
+    let mut config = Config::new(&discovery, vec![class("webhook", "deduplicated", 4.0, 20.0, 12.0)]);
+    place.write_config(&config);
+    let old = place.start_sender(&[("RELAY_MANAGEMENT", free_address().to_string())]);
+    if !place.wait_ready(config.listen) {
+        return Verdict::CouldNotRun("the sender is not ready".to_string());
+    }
+    let mut client = Client::connect(record, config.listen).unwrap();
+    if client.submit(&Submission::new("webhook", "before", 7, 5_000).key("k0")) != Some(202) {
+        return Verdict::CouldNotRun("the first message is not taken on".to_string());
+    }
+    let new = place.start_sender(&[("RELAY_MANAGEMENT", free_address().to_string())]);
+    if !wait_for(3_000, || place.log().contains("takes over")) {
+        return Verdict::CouldNotRun("no takeover".to_string());
+    }
+    sleep_ms(200);
+    if trouble {
+        config.classes = vec![class("webhook", "at_most_once", 4.0, 20.0, 0.0)];
+        place.write_config(&config);
+        place.signal(old, "HUP");
+        place.signal(new, "HUP");
+    }
+    sleep_ms(1_400);
+    endpoint.set_behaviour(runs_and_breaks());
+    let status = client.submit(&Submission::new("webhook", "after", 7, 5_000).key("k1"));
+    sleep_ms(6_000);
+    let calls = endpoint.calls_of("after").len();
+    record.line(format!("after ran {calls} times; answer {status:?}"));
+    match calls {
+        0 | 1 => Verdict::Held,
+        _ if !trouble => Verdict::Held,
+        _ => Verdict::Broken(format!("message 'after' of class webhook, at_most_once since 1.4 s, ran {calls} times")),
+    }
+}
