--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -4,6 +4,7 @@
 mod parts;
 mod redrive;
 mod reload;
+mod second_start;
 
 use parts::{Record, Verdict, Workplace};
 use std::path::Path;
@@ -34,6 +35,7 @@
     let verdict = match name.as_str() {
         "reload" => reload::pieces(&workplace, trouble),
         "redrive" => redrive::effect_changed(&workplace, trouble),
+        "second-start" => second_start::with_store(&workplace, trouble),
         "upgrade" => reload::upgrade(&workplace, trouble),
         _ => Verdict::CouldNotRun("no such case".to_string()),
     };
