--- a/review/stand-ins/parts.rs
+++ b/review/stand-ins/parts.rs
@@ -52,8 +52,21 @@
     }
 }
 
+/// A free loopback address, never the same one twice. The ports lie below those that the kernel gives to outgoing
+/// connections, so none of these takes the port before its listener is there.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static USED: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+    let mut used = USED.lock().unwrap();
+    let mut seed = u64::from(std::process::id()) * 2_654_435_761
+        + SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos() as u64;
+    loop {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let port = 12_000 + (seed >> 33) as u16 % 18_000;
+        if !used.contains(&port) && TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            used.push(port);
+            return SocketAddr::from(([127, 0, 0, 1], port));
+        }
+    }
 }
 
 // ---- HTTP ---------------------------------------------------------------------------------------
