Review: end a case's processes also when a stand-in fails; short folder names

Need: a case must end all processes that it started and tell a failed stand-in from a broken rule.

Change: a panic of a stand-in ends the processes and gives exit code 2; the temporary folder's name is short, since the path of a Unix socket is limited; signals go through the shell's own kill.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -33,14 +33,17 @@
             return ExitCode::from(2);
         }
     };
-    let verdict = match name.as_str() {
+    let run = || match name.as_str() {
+        "second-start" => second_start::with_store(&workplace, trouble),
         "reload" => reload::pieces(&workplace, trouble),
+        "upgrade" => reload::upgrade(&workplace, trouble),
         "redrive" => redrive::effect_changed(&workplace, trouble),
-        "second-start" => second_start::with_store(&workplace, trouble),
         "sidecar-callback" => sidecar_callback::callback_removed(&workplace, trouble),
-        "upgrade" => reload::upgrade(&workplace, trouble),
         _ => Verdict::CouldNotRun("no such case".to_string()),
     };
+    // a stand-in that fails is no finding
+    let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run))
+        .unwrap_or_else(|_| Verdict::CouldNotRun("a stand-in failed".to_string()));
     workplace.close();
     let (code, text) = match verdict {
         Verdict::Held => (0, "the rule held".to_string()),
--- a/review/stand-ins/parts.rs
+++ b/review/stand-ins/parts.rs
@@ -616,8 +616,9 @@
 impl Workplace {
     pub fn new(record: Record) -> io::Result<Self> {
         let root = std::env::current_dir()?;
-        let unique = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos();
-        let folder = std::env::temp_dir().join(format!("review-{}-{unique}", std::process::id()));
+        // a short name: the path of a Unix socket in the state folder is limited to about a hundred bytes
+        let folder = std::env::temp_dir().join(format!("rv{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(folder.join("state"))?;
         Ok(Workplace { folder, root, record, processes: Mutex::default() })
     }
@@ -663,7 +664,7 @@
     /// Sends a signal to a process that this case started.
     pub fn signal(&self, process: u32, name: &str) {
         self.record.line(format!("process {process} gets SIG{name}"));
-        let _ = Command::new("kill").arg("-s").arg(name).arg(process.to_string()).status();
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -s {name} {process}")).status();
     }
 
     /// Whether the process has ended, and how.
@@ -706,6 +707,19 @@
     }
 }
 
+impl Drop for Workplace {
+    /// Ends what a case that panicked has left running.
+    fn drop(&mut self) {
+        if let Ok(mut processes) = self.processes.lock() {
+            for child in processes.values_mut() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// What a case found.
 pub enum Verdict {
     Held,
