Review: a sidecar with a full store tells acknowledged answers again at a restart

Change: case 5 is this one now; the case of the callback that was taken out, a lesser fault, goes out of the five and is named in the report.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -4,8 +4,8 @@
 mod parts;
 mod redrive;
 mod reload;
+mod second_answer;
 mod second_start;
-mod sidecar_callback;
 
 use parts::{Record, Verdict, Workplace};
 use std::path::Path;
@@ -38,7 +38,7 @@
         "reload" => reload::pieces(&workplace, trouble),
         "upgrade" => reload::upgrade(&workplace, trouble),
         "redrive" => redrive::effect_changed(&workplace, trouble),
-        "sidecar-callback" => sidecar_callback::callback_removed(&workplace, trouble),
+        "second-answer" => second_answer::full_store(&workplace, trouble),
         _ => Verdict::CouldNotRun("no such case".to_string()),
     };
     // a stand-in that fails is no finding
