--- a/crates/access-log/src/observer.rs
+++ b/crates/access-log/src/observer.rs
@@ -7,6 +7,8 @@
 
 /// An observer that logs the engine's events as access records, and passes each event on to the next observer.
 pub struct AccessLogObserver {
+    /// The names of the classes by position.
+    class_names: Vec<String>,
     next: Box<dyn Observer>,
 }
 
@@ -14,13 +16,19 @@
     /// Creates an observer that passes each event on to `next`.
     #[must_use]
     pub fn new(next: Box<dyn Observer>) -> Self {
-        Self { next }
+        Self {
+            class_names: Vec::new(),
+            next,
+        }
     }
 }
 
 impl Observer for AccessLogObserver {
     fn observe(&mut self, event: &EngineEvent<'_>) {
-        if let Some(access_event) = access_event(event) {
+        if let EngineEvent::Classes(names) = event {
+            self.class_names = names.to_vec();
+        }
+        if let Some(access_event) = access_event(event, &self.class_names) {
             let since_epoch = SystemTime::now()
                 .duration_since(UNIX_EPOCH)
                 .unwrap_or_default();
@@ -37,12 +45,16 @@
 }
 
 /// Converts an engine event into an access event. `None` for events that are not logged.
-fn access_event(event: &EngineEvent<'_>) -> Option<AccessEvent> {
+fn access_event(event: &EngineEvent<'_>, class_names: &[String]) -> Option<AccessEvent> {
     Some(match *event {
         EngineEvent::Accepted {
-            id, destination, ..
+            id,
+            class,
+            destination,
+            ..
         } => AccessEvent::Accepted {
             id: id.to_string(),
+            class: class_names.get(class).cloned().unwrap_or_default(),
             destination,
         },
         EngineEvent::Rejected {
--- a/crates/access-log/src/record.rs
+++ b/crates/access-log/src/record.rs
@@ -26,6 +26,9 @@
         /// Id of the message; empty in records of older senders.
         #[serde(default, skip_serializing_if = "String::is_empty")]
         id: String,
+        /// Name of the class whose settings apply to the message; empty in records of older senders.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        class: String,
         /// Destination of the message, by number.
         #[serde(rename = "to")]
         destination: u64,
--- a/crates/access-log/tests/golden.rs
+++ b/crates/access-log/tests/golden.rs
@@ -95,6 +95,7 @@
     let arrivals = vec![
         AccessEvent::Accepted {
             id: String::new(),
+            class: String::new(),
             destination: 7,
         },
         AccessEvent::Rejected {
