Give a message the class that its request names when the request is complete

Cause: the server looked the class up when it had read the head, and kept its position in the engine's class table while the body came in. The table keeps a freed position from reuse for one reload only, so the second reload gave it to the new class `bulletin` (idempotent), and the message was taken on, journalled and sent as one of that class.

Change: the class is looked up by name again once the request is complete, with no wait between the lookup and the engine's input; that one input can be overtaken by one reload at most, which the table allows for. If the class is gone or by then needs a key that the request has not, the answer is 503: nothing was accepted, and handing in again is harmless. The list of classes has a module of its own (client_classes), as has the request's head (message_head).

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod attribution;
 mod call_codec;
 mod call_result;
+mod client_classes;
 pub mod config;
 mod connection;
 mod connection_monitor;
@@ -18,12 +19,14 @@
 mod drain_gate;
 mod endpoint_list;
 pub mod http_transport;
+mod message_head;
 pub mod notifications;
 mod pools;
 mod resource_budget;
 pub mod server;
 pub mod watch_stream;
 
+pub use client_classes::{ClassTerms, ClientClasses};
 pub use discovery_backoff::{DiscoveryBackoff, Failure};
 pub use drain_gate::DrainGate;
 pub use resource_budget::ResourceBudget;
--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -1,17 +1,18 @@
 //! The HTTP server for clients: reads submitted messages, and responds as the engine decides.
 
+use crate::client_classes::ClientClasses;
 use crate::drain_gate::DrainGate;
+use crate::message_head::{MessageHead, Rejection, bad_request, single_value};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
-use hyper::header::{ALLOW, CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use milletturn_engine::{Arrival, ArrivalOutcome, Input, MAX_BODY_BYTES, SharedStr};
 use milletturn_logging::RateLimitedLog;
-use milletturn_policy::{Class, Effect, MILLISECOND, Micros};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -49,14 +50,11 @@
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// Maximum size of a request head in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// Longest time to live of a message, in microseconds: 7 days. A longer one is shortened to this.
-const MAX_TIME_TO_LIVE_US: u64 = 7 * 86_400_000_000;
 
 /// The configuration and state that all connections share.
 pub struct Server {
-    /// Message classes that clients may name, with their positions in the settings. The first segment of a request path
-    /// is the name of a class.
-    pub classes: Rc<RefCell<Vec<(usize, Class)>>>,
+    /// Message classes that clients may name. The first segment of a request path is the name of a class.
+    pub classes: ClientClasses,
     /// Inputs of the engine.
     pub inputs: mpsc::UnboundedSender<Input>,
     /// True once endpoints are known.
@@ -75,13 +73,6 @@
     pub body_bytes: Semaphore,
 }
 
-/// Status and text of the response to a request that is rejected.
-type Rejection = (StatusCode, &'static str);
-
-const fn bad_request(message: &'static str) -> Rejection {
-    (StatusCode::BAD_REQUEST, message)
-}
-
 /// State of one client connection, shared between the task that serves it and the tasks that need its slot.
 struct ConnectionState {
     /// Time of the last response, or of the accept.
@@ -556,84 +547,22 @@
             Err((StatusCode::SERVICE_UNAVAILABLE, "not ready"))
         };
     }
-    let path_class = path.trim_start_matches('/').split('/').next().unwrap_or("");
-    let headers = request.headers();
-    let class_header = single_value(headers, "x-priority-class", "X-Priority-Class")?;
-    let known_class = server
-        .classes
-        .borrow()
-        .iter()
-        .find(|(_, class)| class.name == path_class)
-        .cloned();
-    let Some((
-        class,
-        Class {
-            effect, ordered, ..
-        },
-    )) = known_class
-    else {
-        // If the header names the same class as the path, the class is unknown; otherwise the path is.
-        return Err(if class_header.is_some_and(|name| name == path_class) {
-            bad_request("unknown class")
-        } else {
-            (StatusCode::NOT_FOUND, "no such path")
-        });
-    };
-    if request.method() != Method::POST {
-        return Err((StatusCode::METHOD_NOT_ALLOWED, "only POST"));
-    }
-    if class_header.is_none_or(|name| name != path_class) {
-        return Err(bad_request("X-Priority-Class is missing or not the path's"));
-    }
-    // Only ordered classes use the subject. A repeated one is rejected because it is unclear which one is meant.
-    let subject = if ordered {
-        parse_subject(request.uri().query().unwrap_or(""))?
-    } else {
-        None
-    };
-    let tenant = read_id(single_value(headers, "x-tenant-id", "X-Tenant-Id")?)?;
-    let id = read_id(single_value(headers, "x-request-id", "X-Request-ID")?)?
-        .ok_or(bad_request("X-Request-ID is missing"))?;
-    let key = read_id(single_value(headers, "idempotency-key", "Idempotency-Key")?)?;
-    if key.is_none() && matches!(effect, Effect::Keyed { .. }) {
-        return Err(bad_request("Idempotency-Key is missing"));
-    }
-    let time_to_live = single_value(headers, "x-timeout", "X-Timeout")?
-        .ok_or(bad_request("X-Timeout is missing"))?;
-    let time_to_live = time_to_live
-        .to_str()
-        .ok()
-        .and_then(parse_time_to_live)
-        .ok_or(bad_request("X-Timeout can't be read"))?;
-    let envelope =
-        single_value(headers, "envelope", "Envelope")?.ok_or(bad_request("Envelope is missing"))?;
-    let destination = envelope
-        .to_str()
-        .ok()
-        .and_then(parse_destination)
-        .ok_or(bad_request("dest can't be read"))?;
-    let retried = single_value(headers, "x-retried", "X-Retried")?;
-    let (is_resubmitted, is_from_lost_sender) = (
-        retried.is_some(),
-        retried.is_some_and(|value| value == "again"),
-    );
-    if request.body().size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
-    }
-    let max_body_bytes = request
-        .body()
-        .size_hint()
-        .upper()
-        .map_or(MAX_BODY_BYTES, |upper| {
-            upper.min(MAX_BODY_BYTES as u64) as usize
-        });
+    let head = MessageHead::read(&request, &server.classes)?;
     // Messages that the server itself rejects are reported to the engine, so that they are counted.
     let reject = |message| {
-        // sending fails only when the process ends
-        let _ = server.inputs.send(Input::Rejected { class, destination });
+        if let Some(class) = server.classes.find(&head.class_name) {
+            // sending fails only when the process ends
+            let _ = server.inputs.send(Input::Rejected {
+                class: class.position,
+                destination: head.destination,
+            });
+        }
         Err((StatusCode::SERVICE_UNAVAILABLE, message))
     };
-    let Ok(body_permit) = server.body_bytes.try_acquire_many(max_body_bytes as u32) else {
+    let Ok(body_permit) = server
+        .body_bytes
+        .try_acquire_many(head.max_body_bytes as u32)
+    else {
         return reject("too many bodies at once");
     };
     let body = timeout_at(body_deadline, read_body(request.into_body()))
@@ -646,23 +575,33 @@
     if !server.drain_gate.accepts_messages() {
         return reject("draining");
     }
+    // The class is looked up again: a reload while the body came in may have changed it, and given its position in the
+    // engine's class table to another class.
+    let class = server
+        .classes
+        .find(&head.class_name)
+        .filter(|class| head.key.is_some() || !class.requires_key);
+    let Some(class) = class else {
+        return reject("the class has changed");
+    };
+    let subject = head.subject_for(class)?;
     let (reply, outcome) = oneshot::channel();
     state.mark_submitted();
     let mut guard = DisconnectGuard {
-        pending_id: Some(id.clone()),
+        pending_id: Some(head.id.clone()),
         inputs: &server.inputs,
     };
     let arrival = Arrival {
-        id,
-        key,
-        class,
+        id: head.id,
+        key: head.key,
+        class: class.position,
         subject,
-        tenant,
-        destination,
-        time_to_live,
+        tenant: head.tenant,
+        destination: head.destination,
+        time_to_live: head.time_to_live,
         submitted_at: received_at,
-        resubmitted: is_resubmitted,
-        from_lost_sender: is_from_lost_sender,
+        resubmitted: head.is_resubmitted,
+        from_lost_sender: head.is_from_lost_sender,
         body,
         reply,
     };
@@ -722,70 +661,3 @@
         }
     }
 }
-
-/// The only value of a header. A repeated header is rejected because it is unclear which value is meant.
-fn single_value<'a>(
-    headers: &'a HeaderMap,
-    name: &str,
-    display_name: &'static str,
-) -> Result<Option<&'a HeaderValue>, Rejection> {
-    let mut values = headers.get_all(name).iter();
-    let value = values.next();
-    if values.next().is_some() {
-        Err(bad_request(display_name))
-    } else {
-        Ok(value)
-    }
-}
-
-/// Copies an id or key into a buffer of its own. A slice would keep the connection's whole read buffer in memory.
-fn read_id(value: Option<&HeaderValue>) -> Result<Option<SharedStr>, Rejection> {
-    let read = |value: &HeaderValue| {
-        SharedStr::new(value.as_bytes()).map_err(|_| bad_request("an id or key can't be read"))
-    };
-    value.map(read).transpose()
-}
-
-/// Parses the parameter `subject` of the query. Messages with the same subject are delivered in order; those without
-/// one are not ordered.
-fn parse_subject(query: &str) -> Result<Option<SharedStr>, Rejection> {
-    let mut values = query
-        .split('&')
-        .filter_map(|part| part.strip_prefix("subject="));
-    let (value, second) = (values.next(), values.next());
-    let subject = value
-        .map(|value| SharedStr::new(value.as_bytes()))
-        .transpose();
-    subject
-        .ok()
-        .filter(|_| second.is_none())
-        .ok_or(bad_request("subject can't be read"))
-}
-
-/// Parses a number with a unit, `m` for milliseconds or `u` for microseconds. Long times are cut to
-/// [`MAX_TIME_TO_LIVE_US`].
-fn parse_time_to_live(text: &str) -> Option<Micros> {
-    let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
-    let unit = match unit {
-        "m" => MILLISECOND as u64,
-        "u" => 1,
-        _ => return None,
-    };
-    if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
-        return None;
-    }
-    let value: u64 = digits.parse().ok()?;
-    Micros::try_from(value.saturating_mul(unit).min(MAX_TIME_TO_LIVE_US)).ok()
-}
-
-/// Parses the destination number from an `Envelope` header, which contains `dest=` once.
-fn parse_destination(text: &str) -> Option<u64> {
-    let mut values = text
-        .split([';', ','])
-        .filter_map(|part| part.trim().strip_prefix("dest="));
-    let value = values.next()?;
-    if values.next().is_some() || !value.bytes().all(|byte| byte.is_ascii_digit()) {
-        return None;
-    }
-    value.parse().ok()
-}
--- a/crates/platform/tests/server.rs
+++ b/crates/platform/tests/server.rs
@@ -3,8 +3,8 @@
 //! which the server would close it. Clients are plain sockets, written and read in the same thread.
 
 use milletturn_engine::{ArrivalOutcome, Input};
-use milletturn_platform::DrainGate;
 use milletturn_platform::server::{Server, serve};
+use milletturn_platform::{ClientClasses, DrainGate};
 use milletturn_policy::{Class, Effect};
 use milletturn_test_support::message_request;
 use std::cell::{Cell, RefCell};
@@ -31,6 +31,8 @@
     gate: Rc<DrainGate>,
     /// Ids of the submitted messages. All are accepted.
     accepted_ids: Rc<RefCell<Vec<String>>>,
+    /// Position of the class of the message that was submitted last.
+    last_class: Rc<Cell<usize>>,
     /// While true, no message gets a response.
     is_paused: Rc<Cell<bool>>,
     /// The sending half of the channel [`Server::ready`], held so that the channel stays open.
@@ -46,7 +48,7 @@
         let gate = Rc::new(DrainGate::new());
         let class = Class::new("order", Effect::Unsafe, 4_000_000, 20_000_000);
         let server = Rc::new(Server {
-            classes: Rc::new(RefCell::new(vec![(0, class)])),
+            classes: ClientClasses::new([(0, class)].into_iter()),
             inputs,
             ready: ready_receiver,
             drain_gate: gate.clone(),
@@ -58,10 +60,13 @@
         });
         let accepted_ids: Rc<RefCell<Vec<String>>> = Rc::default();
         let is_paused: Rc<Cell<bool>> = Rc::default();
+        let last_class: Rc<Cell<usize>> = Rc::default();
+        let engine_last_class = last_class.clone();
         let (engine_accepted_ids, engine_is_paused) = (accepted_ids.clone(), is_paused.clone());
         spawn_local(async move {
             while let Some(input) = received.recv().await {
                 if let Input::Arrived(arrival) = input {
+                    engine_last_class.set(arrival.class);
                     engine_accepted_ids
                         .borrow_mut()
                         .push(arrival.id.to_string());
@@ -80,6 +85,7 @@
             server,
             gate,
             accepted_ids,
+            last_class,
             is_paused,
             _ready: ready,
         }
@@ -450,3 +456,57 @@
         assert!(shutdown_at.elapsed() < Duration::from_millis(3300));
     });
 }
+
+/// Guards against a message whose class is looked up when its request begins, although a reload replaces the class before
+/// the request is complete.
+#[test]
+fn a_request_gets_the_class_that_the_settings_have_when_it_is_complete() {
+    with_paused_clock(async {
+        let fixture = ServerFixture::open(4, 1).await;
+        let order = |effect| Class::new("order", effect, 4_000_000, 20_000_000);
+        let (mut client, last) = fixture.incomplete_request("m1").await;
+        let classes = [
+            (4, order(Effect::Repeatable)),
+            (0, Class::new("licence", Effect::Repeatable, 1, 2)),
+        ];
+        fixture.server.classes.replace(classes.into_iter());
+        client.write(&last);
+        assert_eq!(client.status().await, "202");
+        assert_eq!(fixture.last_class.get(), 4);
+        // a class that is gone: the message is not accepted, and may be submitted again
+        let (mut client, last) = fixture.incomplete_request("m2").await;
+        fixture.server.classes.replace(std::iter::empty());
+        client.write(&last);
+        assert_eq!(client.status().await, "503");
+        assert_eq!(*fixture.accepted_ids.borrow(), ["m1"]);
+    });
+}
+
+/// Guards against a message without an idempotency key that is sent again, because its class began to require keys while
+/// its request came in.
+#[test]
+fn a_request_without_the_key_that_its_class_requires_by_now_is_not_accepted() {
+    with_paused_clock(async {
+        let fixture = ServerFixture::open(4, 1).await;
+        let mut client = fixture.accepted_client().await;
+        let request = message_request("order", "m1", 7, 20_000, b"12345");
+        let text = String::from_utf8(request).expect("text");
+        let text = text.replace("Idempotency-Key: key-m1\r\n", "");
+        let (beginning, last) = text.split_at(text.len() - 2);
+        let before = fixture.server.body_bytes.available_permits();
+        client.write(beginning.as_bytes());
+        wait_until("the head is read", || {
+            fixture.server.body_bytes.available_permits() < before
+        })
+        .await;
+        let effect = Effect::Keyed {
+            window: 12_000_000,
+            zone_only: false,
+        };
+        let keyed = Class::new("order", effect, 4_000_000, 20_000_000);
+        fixture.server.classes.replace([(0, keyed)].into_iter());
+        client.write(last.as_bytes());
+        assert_eq!(client.status().await, "503");
+        assert!(fixture.accepted_ids.borrow().is_empty());
+    });
+}
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -15,7 +15,6 @@
 use engine::{EngineParts, start_engine};
 use listener::{ConnectionLimits, http_server, into_listener};
 use milletturn_dead_letter::config::Config as StoreConfig;
-use milletturn_engine::ingress::is_internal_class;
 use milletturn_engine::{Clock, EndpointListUpdate, Journal};
 use milletturn_hot_restart::new_process::FolderOwnership;
 use milletturn_hot_restart::old_process;
@@ -24,7 +23,7 @@
 use milletturn_platform::ResourceBudget;
 use milletturn_platform::http_transport::HttpTransport;
 use milletturn_platform::server::serve;
-use milletturn_policy::{Class, Settings};
+use milletturn_policy::Settings;
 use running::SharedHandles;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -92,13 +91,6 @@
     Locked(FolderOwnership),
 }
 
-/// The classes that clients may name in requests: all but the internal ones.
-pub(crate) fn client_classes(classes: impl Iterator<Item = (usize, Class)>) -> Vec<(usize, Class)> {
-    classes
-        .filter(|(_, class)| !is_internal_class(&class.name))
-        .collect()
-}
-
 /// Reads the journal, opens the dead-letter store, starts the engine and listens for clients.
 ///
 /// # Errors
--- a/src/assemble/engine.rs
+++ b/src/assemble/engine.rs
@@ -1,9 +1,9 @@
 //! Starts a sender's engine, either new or, in a hot restart, restored from the predecessor's snapshot.
 
+use super::SenderOptions;
 use super::listener::ConnectionLimits;
 use super::running::SharedHandles;
 use super::takeover::{Predecessor, bridge_until_exit};
-use super::{SenderOptions, client_classes};
 use milletturn_dead_letter::store_worker::StoreWorker;
 use milletturn_engine::{
     Clock, DeadLetterSink, Engine, Notification, Observer, Ports, RestoredEngine,
@@ -74,7 +74,9 @@
     } = Engine::restore(predecessor.snapshot, ports)?;
     // the configuration file may have changed since the predecessor read it
     let positions = engine.reconfigure(settings.clone())?;
-    *handles.classes.borrow_mut() = client_classes(positions.into_iter().zip(settings.classes));
+    handles
+        .classes
+        .replace(positions.into_iter().zip(settings.classes));
     log(format_args!(
         "{name}: takes over, {} calls out in the process before",
         foreign_calls.len()
--- a/src/assemble/running.rs
+++ b/src/assemble/running.rs
@@ -1,12 +1,11 @@
 //! A running sender, up to the end of its graceful shutdown after SIGTERM.
 
-use super::{Signals, client_classes};
+use super::Signals;
 use milletturn_admin::Metrics;
 use milletturn_engine::{Input, Notification};
 use milletturn_logging::log;
-use milletturn_platform::DrainGate;
-use milletturn_policy::{Class, Settings};
-use std::cell::RefCell;
+use milletturn_platform::{ClientClasses, DrainGate};
+use milletturn_policy::Settings;
 use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,8 +27,8 @@
     pub(super) gate: Rc<DrainGate>,
     /// Counters for the admin listener.
     pub(super) metrics: Rc<Metrics>,
-    /// Classes that clients may name, with their positions in the engine's class table.
-    pub(super) classes: Rc<RefCell<Vec<(usize, Class)>>>,
+    /// Classes that clients may name.
+    pub(super) classes: ClientClasses,
 }
 
 impl SharedHandles {
@@ -38,13 +37,13 @@
         ready: watch::Receiver<bool>,
         settings: &Settings,
     ) -> Self {
-        let classes = client_classes(settings.classes.iter().cloned().enumerate());
+        let classes = ClientClasses::new(settings.classes.iter().cloned().enumerate());
         SharedHandles {
             inputs,
             ready,
             gate: Rc::new(DrainGate::new()),
             metrics: Rc::new(Metrics::default()),
-            classes: Rc::new(RefCell::new(classes)),
+            classes,
         }
     }
 }
@@ -62,8 +61,8 @@
     pub gate: Rc<DrainGate>,
     /// True once the sender knows its endpoints.
     pub ready: watch::Receiver<bool>,
-    /// Classes that clients may name, with their positions in the engine's class table.
-    pub classes: Rc<RefCell<Vec<(usize, Class)>>>,
+    /// Classes that clients may name.
+    pub classes: ClientClasses,
     name: String,
     /// The engine's task; its result is false if the process must exit at once.
     engine: JoinHandle<bool>,
--- a/src/run.rs
+++ b/src/run.rs
@@ -1,7 +1,7 @@
 //! The sender on the platform: reads its configuration, connects to discovery, and reloads on SIGHUP.
 
 use crate::assemble::{
-    FolderAccess, Running, SenderOptions, Signals, StoreOptions, assemble, block_on, client_classes,
+    FolderAccess, Running, SenderOptions, Signals, StoreOptions, assemble, block_on,
 };
 use crate::operators;
 use milletturn_admin::Metrics;
@@ -10,12 +10,10 @@
 use milletturn_engine::Input;
 use milletturn_hot_restart::new_process::{FolderOwnership, acquire_folder};
 use milletturn_logging::log;
-use milletturn_platform::DiscoveryBackoff;
 use milletturn_platform::config::{Config, ConfigKeys, ReloadedConfig, reload};
 use milletturn_platform::discovery::{self, Tcp};
 use milletturn_platform::notifications::post_notifications;
-use milletturn_policy::Class;
-use std::cell::RefCell;
+use milletturn_platform::{ClientClasses, DiscoveryBackoff};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -228,8 +226,8 @@
     discovery: watch::Sender<SocketAddr>,
     metrics: Rc<Metrics>,
     inputs: mpsc::UnboundedSender<Input>,
-    /// Classes that clients may name, with their positions in the engine's class table.
-    classes: Rc<RefCell<Vec<(usize, Class)>>>,
+    /// Classes that clients may name.
+    classes: ClientClasses,
     /// Serializes reloads, in the order of their signals.
     reload_lock: Mutex<()>,
 }
@@ -241,13 +239,7 @@
         match self.apply().await {
             Ok((previous, current)) => {
                 self.metrics.config_applied.update(|count| count + 1);
-                let classes: Vec<String> = self
-                    .classes
-                    .borrow()
-                    .iter()
-                    .map(|(_, class)| class.name.clone())
-                    .collect();
-                let classes = classes.join(", ");
+                let classes = self.classes.names().join(", ");
                 log(format_args!(
                     "{name}: SIGHUP, discovery at {current}, before at {previous}; classes {classes}"
                 ));
@@ -271,7 +263,7 @@
         self.inputs
             .send(Input::Reconfigure(Box::new(settings), reply))?;
         let positions = positions.await??;
-        *self.classes.borrow_mut() = client_classes(positions.into_iter().zip(classes));
+        self.classes.replace(positions.into_iter().zip(classes));
         Ok((self.discovery.send_replace(discovery), discovery))
     }
 }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -291,3 +291,42 @@
     assert_eq!(endpoint.attempt_count("m1"), 1);
     assert_eq!(node.submit("order", "m3", 7, 20_000, b"x"), 202);
 }
+
+/// Guards against a message that is sent by the rules of a class that its client did not name, because two reloads were
+/// applied while its request came in.
+#[test]
+fn a_request_that_spans_two_reloads_gets_the_class_that_it_names() {
+    let endpoint = FakeEndpoint::new(|_, _| Reply::Respond("500 Oops", String::new()));
+    let discovery = discovery_with(&endpoint);
+    let node = Node::new(&discovery).ready();
+    let request = message_request("order", "m1", 7, 3_000, b"in pieces");
+    let (beginning, rest) = request.split_at(request.len() - 4);
+    let mut client = Client::new(node.address);
+    client.write(beginning);
+    // the first reload replaces the class order by one of the same name, the second one adds an idempotent class
+    node.reload(|text| {
+        text.replace("\"mostTries\":12", "\"mostTries\":11")
+            .replace(
+                r#""aim":4.0,"deadline":20.0,"effect":"at_most_once""#,
+                r#""aim":3.0,"deadline":20.0,"effect":"at_most_once""#,
+            )
+    });
+    wait_until("the first reload is applied", || {
+        node.metric("config_applied") == 1
+    });
+    node.reload(|text| text.replace(r#"{"name":"order""#, LICENCE_BEFORE_ORDER));
+    wait_until("the second reload is applied", || {
+        node.metric("config_applied") == 2
+    });
+    let (status, _) = client.send(rest).expect("a response");
+    assert_eq!(status, 202);
+    wait_until("the message has ended", || {
+        !discovery.notifications().is_empty()
+    });
+    assert_eq!(
+        endpoint.attempt_count("m1"),
+        1,
+        "an at-most-once message that may have run is not sent again"
+    );
+    assert_eq!(node.metric("responses.order.errors"), 1);
+}
