--- a/crates/hot-restart/src/new_process.rs
+++ b/crates/hot-restart/src/new_process.rs
@@ -63,18 +63,11 @@
 /// # Errors
 /// When the folder can't be created, or its lock file can't be opened or locked.
 pub async fn acquire_folder(folder: &Path) -> std::io::Result<FolderOwnership> {
-    std::fs::create_dir_all(folder)?;
-    let lock = OpenOptions::new()
-        .write(true)
-        .create(true)
-        .truncate(false)
-        .open(folder.join(LOCK_NAME))?;
+    let lock = open_lock(folder)?;
     let (mut listener, mut last_logged) = (None, String::new());
     loop {
-        match lock.try_lock() {
-            Ok(()) => return Ok(FolderOwnership::Exclusive { lock, listener }),
-            Err(TryLockError::WouldBlock) => {}
-            Err(TryLockError::Error(error)) => return Err(error),
+        if try_lock(&lock)? {
+            return Ok(FolderOwnership::Exclusive { lock, listener });
         }
         match try_take_over(folder, &mut listener).await {
             Ok(takeover) => return Ok(FolderOwnership::Takeover(Box::new(takeover))),
@@ -93,6 +86,46 @@
     }
 }
 
+/// Waits until no other process owns the state folder, and returns its lock. Does not take over from a running process:
+/// this is for a process whose state can't be passed on in a hot restart.
+///
+/// # Errors
+/// When the folder can't be created, or its lock file can't be opened or locked.
+pub async fn acquire_folder_exclusively(folder: &Path) -> std::io::Result<File> {
+    let lock = open_lock(folder)?;
+    let mut is_logged = false;
+    while !try_lock(&lock)? {
+        if !is_logged {
+            log(format_args!(
+                "another process owns {}: waiting for its end",
+                folder.display()
+            ));
+            is_logged = true;
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+    Ok(lock)
+}
+
+/// Opens the lock file of a folder. Creates the folder and the file if they don't exist.
+fn open_lock(folder: &Path) -> std::io::Result<File> {
+    std::fs::create_dir_all(folder)?;
+    OpenOptions::new()
+        .write(true)
+        .create(true)
+        .truncate(false)
+        .open(folder.join(LOCK_NAME))
+}
+
+/// Locks the file; false if another process holds the lock.
+fn try_lock(lock: &File) -> std::io::Result<bool> {
+    match lock.try_lock() {
+        Ok(()) => Ok(true),
+        Err(TryLockError::WouldBlock) => Ok(false),
+        Err(TryLockError::Error(error)) => Err(error),
+    }
+}
+
 /// Requests a takeover from the old process once. If the old process is told to exit, its listening socket is stored in
 /// `listener`.
 async fn try_take_over(
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -70,8 +70,6 @@
     /// Lower bound for the numbers of new messages: greater than any message number recorded outside the journal and
     /// the dead-letter store, such as in the sidecar's outcome log.
     pub first_message_number: u64,
-    /// How the process got access to its state folder.
-    pub folder_access: FolderAccess,
 }
 
 /// The options of a sender's dead-letter store.
@@ -84,7 +82,8 @@
 
 /// How a process got access to its state folder and its listening socket.
 pub(crate) enum FolderAccess {
-    /// The folder and the address are used as configured, without hot restart and its lock.
+    /// The folder and the address are used as configured, without hot restart. The process has locked the folder by other
+    /// means, and no other process uses it.
     Configured,
     /// The process holds the folder's lock. It may have taken over from another process, and another one may take over
     /// from it in a hot restart.
@@ -95,7 +94,17 @@
 ///
 /// # Errors
 /// If the journal, the store, the state inherited from the predecessor or the address can't be used.
-pub(crate) async fn assemble(mut options: SenderOptions) -> Result<Running, Box<dyn Error>> {
+pub(crate) async fn assemble(
+    mut options: SenderOptions,
+    folder_access: FolderAccess,
+) -> Result<Running, Box<dyn Error>> {
+    let inherited = InheritedParts::from_access(folder_access);
+    // the address first: a start that is refused because another process has it changes nothing in the state folder
+    let listener = into_listener(
+        inherited.listener,
+        options.listen_address,
+        inherited.is_shared,
+    )?;
     let (journal, recovery) = open_journal(&options)?;
     let (inputs, received) = mpsc::unbounded_channel();
     let (notifications, final_outcomes) = mpsc::unbounded_channel();
@@ -119,7 +128,6 @@
         ready,
     };
     let ports = parts.into_ports(&mut options);
-    let inherited = InheritedParts::from_access(options.folder_access);
     let engine = start_engine(
         &options.name,
         ports,
@@ -128,11 +136,6 @@
         &handles,
         &limits,
     )?;
-    let listener = into_listener(
-        inherited.listener,
-        options.listen_address,
-        inherited.is_shared,
-    )?;
     let name = options.name;
     let address = listener.local_addr()?;
     log(format_args!("{name}: listening on {address}"));
--- a/src/run.rs
+++ b/src/run.rs
@@ -8,7 +8,9 @@
 use milletturn_admin::server::MAX_DESCRIPTORS;
 use milletturn_dead_letter::config::{Config as StoreConfig, RESERVED_STORE_SIZES};
 use milletturn_engine::Input;
-use milletturn_hot_restart::new_process::{FolderOwnership, acquire_folder};
+use milletturn_hot_restart::new_process::{
+    FolderOwnership, acquire_folder, acquire_folder_exclusively,
+};
 use milletturn_logging::log;
 use milletturn_platform::config::{Config, ConfigKeys, ReloadedConfig, reload};
 use milletturn_platform::discovery::{self, Tcp};
@@ -58,8 +60,8 @@
         config.keys.clone(),
     );
     let (discovery, management) = (config.discovery_address, config.management_address);
-    let options = sender_options(config, journal_max_bytes, store, folder_access)?;
-    let mut running = assemble(options).await?;
+    let options = sender_options(config, journal_max_bytes, store)?;
+    let mut running = assemble(options, folder_access).await?;
     let discovery = start_discovery(discovery, watch_start, &mut running);
     if let Some(address) = management {
         operators::start_admin_listener(&name, address, &running).await?;
@@ -81,19 +83,15 @@
         .await
 }
 
-/// Waits until this process may use the state folder; `None` if SIGTERM is received first.
+/// Waits until this process may use the state folder; `None` if SIGTERM is received first. Until then it reads and changes
+/// nothing in the folder, because another process may be using it.
 async fn acquire_access(
     config: &Config,
     has_store: bool,
     signals: &mut Signals,
 ) -> std::io::Result<Option<FolderAccess>> {
-    // pending writes of a dead-letter store can't be passed to another process, so there is no hot restart with a
-    // store: the next process starts after this one has ended
-    if has_store {
-        return Ok(Some(FolderAccess::Configured));
-    }
     tokio::select! {
-        ownership = acquire_folder(&config.state_dir) => Ok(Some(FolderAccess::Locked(ownership?))),
+        access = acquire_state_folder(&config.state_dir, has_store) => access.map(Some),
         // This process has not accepted any message yet, so it can exit at once. Otherwise it could wait without limit
         // for the process that holds the folder.
         () = signals.wait_for_sigterm() => {
@@ -103,6 +101,19 @@
     }
 }
 
+/// Waits until this process owns the state folder.
+async fn acquire_state_folder(folder: &Path, has_store: bool) -> std::io::Result<FolderAccess> {
+    if !has_store {
+        return acquire_folder(folder).await.map(FolderAccess::Locked);
+    }
+    // pending writes of a dead-letter store can't be passed to another process, so there is no hot restart with a
+    // store: the next process starts after this one has ended
+    let lock = acquire_folder_exclusively(folder).await?;
+    // the kernel releases the lock when the process has ended, and with it the thread that writes the store
+    std::mem::forget(lock);
+    Ok(FolderAccess::Configured)
+}
+
 /// File descriptors of the admin listener and the dead-letter store, which are not available for delivery.
 fn reserved_descriptors(config: &Config, has_store: bool) -> usize {
     let admin = config.management_address.map_or(0, |_| MAX_DESCRIPTORS);
@@ -144,7 +155,6 @@
     config: Config,
     journal_max_bytes: u64,
     store: Option<StoreOptions>,
-    folder_access: FolderAccess,
 ) -> Result<SenderOptions, Box<dyn Error>> {
     Ok(SenderOptions {
         state_dir: config.state_dir,
@@ -163,7 +173,6 @@
         settings: config.settings,
         cached_endpoints: config.cached_endpoints,
         notify_delivered: false,
-        folder_access,
         first_message_number: 0,
         name: config.name,
     })
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -69,7 +69,7 @@
     let outcomes = OutcomeLog::open(&plan.state_folder, plan.outcome_log_max_bytes)?;
     let seed = random_seed();
     let name = plan.name.clone();
-    let mut running = assemble(SenderOptions {
+    let options = SenderOptions {
         name: plan.name,
         state_dir: plan.state_folder,
         listen_address: plan.ingress_address,
@@ -88,10 +88,9 @@
         connect_timeout: plan.connect_timeout,
         cached_endpoints: Some(endpoints),
         notify_delivered: true,
-        folder_access: FolderAccess::Configured,
         first_message_number: outcomes.first_free_number(),
-    })
-    .await?;
+    };
+    let mut running = assemble(options, FolderAccess::Configured).await?;
     let shared = SharedOutcomeLog::new(outcomes, running.inputs.clone());
     let listener = TcpListener::bind(plan.outcomes_address).await?;
     log(format_args!(
--- a/tests/dead_letter.rs
+++ b/tests/dead_letter.rs
@@ -6,7 +6,9 @@
 use milletturn_journal::FileJournal;
 use node::*;
 use serde_json::Value;
-use std::os::unix::fs::PermissionsExt;
+use std::io::{BufRead, BufReader};
+use std::os::unix::fs::{MetadataExt, PermissionsExt};
+use std::process::Child;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -357,3 +359,111 @@
         );
     }
 }
+
+/// Bodies of delivered messages that make the journal so large that a start compacts it.
+const LARGE_BODIES: usize = 10;
+const LARGE_BODY_BYTES: usize = 40_000;
+
+/// A process that is killed when the value is dropped.
+struct KilledAtEnd(Child);
+
+impl Drop for KilledAtEnd {
+    fn drop(&mut self) {
+        // a process that has ended by itself needs no kill
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// The settings of a dead-letter store that fits into a state folder of 3 MB.
+const SMALL_STORE: &str = "[store]\nmax_mb = 0.4";
+
+/// Whether a process has a dead-letter store.
+#[derive(Clone, Copy, PartialEq)]
+enum StoreSetting {
+    On,
+    Off,
+}
+
+/// Starts another process in the folder of a running sender, and waits until it has written its first line of log. Returns
+/// the process and that line.
+fn start_second_process(node: &Node, store: StoreSetting) -> (KilledAtEnd, String) {
+    let mut second = command(&node.folder);
+    if store == StoreSetting::On {
+        let file = node.folder.join("undelivered.toml");
+        std::fs::write(&file, SMALL_STORE).expect("written");
+        second.env("MILLETTURN_UNDELIVERED", file);
+    }
+    let mut second = second.spawn().expect("the process starts");
+    let mut log = BufReader::new(second.stderr.take().expect("piped"));
+    let mut line = String::new();
+    log.read_line(&mut line).expect("a line");
+    // a process whose log nobody reads must not end for that reason
+    std::thread::spawn(move || log.lines().for_each(drop));
+    (KilledAtEnd(second), line)
+}
+
+/// Writes the address at which a sender listens into its configuration, so that a second process uses the same.
+fn fix_listen_address(node: &Node) {
+    let file = node.folder.join("config.json");
+    let text = std::fs::read_to_string(&file).expect("the configuration");
+    let listen = format!(r#""listen":"{}""#, node.address);
+    let text = text.replace(r#""listen":"127.0.0.1:0""#, &listen);
+    std::fs::write(&file, text).expect("written");
+}
+
+/// Starts a second process beside a running sender, submits a message to the first one, and kills that: the message must be
+/// sent again by the second process, which must not have changed the journal before.
+fn check_second_start(first: StoreSetting, second: StoreSetting) {
+    let is_repaired = Arc::new(AtomicBool::new(false));
+    let responds = is_repaired.clone();
+    let endpoint = FakeEndpoint::new(move |request, _| match request.header("x-request-id") {
+        "held" if !responds.load(Ordering::SeqCst) => Reply::NoResponse,
+        _ => OK,
+    });
+    let discovery = discovery_with(&endpoint);
+    let mut node = match first {
+        StoreSetting::On => Node::with_store(&discovery, SMALL_STORE).ready(),
+        StoreSetting::Off => Node::new(&discovery).ready(),
+    };
+    let body = vec![b'x'; LARGE_BODY_BYTES];
+    for number in 0..LARGE_BODIES {
+        let id = format!("m{number}");
+        assert_eq!(node.submit("webhook", &id, 7, 20_000, &body), 202);
+    }
+    wait_until("all are delivered", || node.metric("active") == 0);
+    fix_listen_address(&node);
+    let inode = |node: &Node| node.journal().metadata().expect("a journal").ino();
+    let before = inode(&node);
+    let (_second, line) = start_second_process(&node, second);
+    assert_eq!(inode(&node), before, "the journal is replaced: {line}");
+    assert!(line.contains("another process owns"), "{line}");
+    assert_eq!(node.submit("webhook", "held", 7, 20_000, b"x"), 202);
+    wait_until("the message is sent", || {
+        endpoint.attempt_count("held") == 1
+    });
+    is_repaired.store(true, Ordering::SeqCst);
+    node.kill();
+    wait_until("the second process sends the message again", || {
+        endpoint.attempt_count("held") == 2
+    });
+}
+
+/// Guards against the loss of accepted messages: a second process with a dead-letter store replaced the journal into which
+/// the running one went on writing.
+#[test]
+fn a_second_start_beside_a_running_sender_changes_nothing_and_takes_over_after_its_end() {
+    check_second_start(StoreSetting::On, StoreSetting::On);
+}
+
+/// Guards against the same loss when the second process turns the dead-letter store on.
+#[test]
+fn a_second_start_that_adds_a_dead_letter_store_waits_for_the_running_sender() {
+    check_second_start(StoreSetting::Off, StoreSetting::On);
+}
+
+/// Guards against the same loss when the second process turns the dead-letter store off.
+#[test]
+fn a_second_start_that_drops_the_dead_letter_store_waits_for_the_running_sender() {
+    check_second_start(StoreSetting::On, StoreSetting::Off);
+}
