Take a forwarded message on under the new process's settings, by the name of its class

Cause: the old process forwards the position that its class table had at the takeover, and the new one used this position in a table of its own. A reload keeps the old class at that position, for the messages that have it, so the message got the settings of before; a second reload could give the position to another class. The old process's own SIGHUP changes nothing, as its log said: "nothing changed: channel closed". A class that a reload had added was refused there for good.

The frames stay as they are, so an upgrade from the released version is mended too. The subject and the need of a key are judged by the new settings as well. What the old process can't judge is answered 503 with Connection: close, in place of a definite 400, and its log says why SIGHUP changes nothing there.

--- a/crates/engine/src/snapshot.rs
+++ b/crates/engine/src/snapshot.rs
@@ -131,6 +131,12 @@
         }
         postcard::from_bytes(payload).map(Snapshot)
     }
+
+    /// The names of the classes by their position in the class table of the engine that the snapshot was taken of.
+    #[must_use]
+    pub fn class_names(&self) -> &[String] {
+        self.0.classes.names()
+    }
 }
 
 impl Engine {
--- a/crates/hot-restart/src/bridge.rs
+++ b/crates/hot-restart/src/bridge.rs
@@ -2,6 +2,7 @@
 //! the ends of its calls become inputs of the engine in the new process; outcomes and cancellations are sent back.
 
 use crate::HotRestartError;
+use crate::forwarded_classes::ForwardedClasses;
 use crate::frames::{
     ForwardedArrival, ForwardedEnd, MAX_FRAME_BYTES, ToNewProcess, ToOldProcess, read_frame,
     write_frame,
@@ -31,7 +32,12 @@
 
     /// Runs until the connection to the old process ends. The calls that the old process has in flight at that time
     /// end with [`Outcome::Reset`]: they may have run.
-    pub async fn run(self, calls: Vec<ForeignCall>, inputs: mpsc::UnboundedSender<Input>) {
+    pub async fn run(
+        self,
+        calls: Vec<ForeignCall>,
+        inputs: mpsc::UnboundedSender<Input>,
+        classes: ForwardedClasses,
+    ) {
         let (reader, writer) = self.stream.into_split();
         let (frames, to_write) = mpsc::unbounded_channel();
         let mut tasks = JoinSet::new();
@@ -49,6 +55,7 @@
         let mut receiver = Receiver {
             in_flight,
             inputs,
+            classes,
             frames,
             tasks,
         };
@@ -79,6 +86,7 @@
 struct Receiver {
     in_flight: CallsInFlight,
     inputs: mpsc::UnboundedSender<Input>,
+    classes: ForwardedClasses,
     /// Frames to be sent to the old process.
     frames: mpsc::UnboundedSender<ToOldProcess>,
     /// The tasks that wait for outcomes and cancellations, and the one that writes frames. All end with the bridge.
@@ -94,7 +102,8 @@
                 Err(error) => return error,
             };
             let input = match self.convert_frame(frame) {
-                Ok(input) => input,
+                Ok(Some(input)) => input,
+                Ok(None) => continue,
                 Err(error) => return error,
             };
             if self.inputs.send(input).is_err() {
@@ -103,11 +112,20 @@
         }
     }
 
-    fn convert_frame(&mut self, frame: ToNewProcess) -> Result<Input, HotRestartError> {
-        Ok(match frame {
-            ToNewProcess::Arrived(forwarded) => Input::Arrived(self.convert_arrival(forwarded)?),
+    /// The input for a frame; `None` for a frame of which the engine does not need to know.
+    fn convert_frame(&mut self, frame: ToNewProcess) -> Result<Option<Input>, HotRestartError> {
+        Ok(Some(match frame {
+            ToNewProcess::Arrived(forwarded) => {
+                return Ok(self.convert_arrival(forwarded)?.map(Input::Arrived));
+            }
             ToNewProcess::ClientDisconnected(id) => Input::ClientDisconnected(shared_str(&id)?),
-            ToNewProcess::Rejected { class, destination } => Input::Rejected { class, destination },
+            ToNewProcess::Rejected { class, destination } => {
+                let class = self.classes.find(class);
+                return Ok(class.map(|class| Input::Rejected {
+                    class: class.position,
+                    destination,
+                }));
+            }
             ToNewProcess::RetryAfter { endpoint, wait } => Input::RetryAfter {
                 endpoint: EndpointId(endpoint),
                 retry_after: wait,
@@ -116,16 +134,29 @@
                 self.in_flight.remove(end.call, end.position);
                 Input::AttemptEnded(attempt_end(end))
             }
-        })
+        }))
     }
 
-    /// Converts a forwarded message, and spawns the task that sends the outcome of the message to the old process.
-    fn convert_arrival(&mut self, forwarded: ForwardedArrival) -> Result<Arrival, HotRestartError> {
+    /// Converts a forwarded message, and spawns the task that sends the outcome of the message to the old process. A
+    /// message that the current settings of its class don't allow is not accepted, and the result is `None`.
+    fn convert_arrival(
+        &mut self,
+        forwarded: ForwardedArrival,
+    ) -> Result<Option<Arrival>, HotRestartError> {
         let optional = |text: Option<String>| text.map(|text| shared_str(&text)).transpose();
         let id = shared_str(&forwarded.id)?;
         let key = optional(forwarded.key)?;
         let subject = optional(forwarded.subject)?;
         let tenant = optional(forwarded.tenant)?;
+        let class = self.classes.find(forwarded.class);
+        let Some(class) = class.filter(|class| key.is_some() || !class.requires_key) else {
+            // the send fails only if the tasks of this bridge have ended, and the bridge with them
+            let _ = self.frames.send(ToOldProcess::Outcome {
+                slot: forwarded.slot,
+                outcome: ArrivalOutcome::NoCapacity,
+            });
+            return Ok(None);
+        };
         let now = Instant::now();
         let age = Duration::from_micros(forwarded.age_us);
         let (reply, outcome) = oneshot::channel();
@@ -136,11 +167,11 @@
             outcome,
             self.frames.clone(),
         ));
-        Ok(Arrival {
+        Ok(Some(Arrival {
             id,
             key,
-            class: forwarded.class,
-            subject,
+            class: class.position,
+            subject: subject.filter(|_| class.is_ordered),
             tenant,
             destination: forwarded.destination,
             time_to_live: forwarded.time_to_live,
@@ -149,7 +180,7 @@
             from_lost_sender: forwarded.from_lost_sender,
             body: forwarded.body.into(),
             reply,
-        })
+        }))
     }
 
     /// Ends the calls that the old process had in flight when the connection was lost.
--- a/crates/hot-restart/src/frames.rs
+++ b/crates/hot-restart/src/frames.rs
@@ -53,7 +53,7 @@
     pub slot: u64,
     pub id: String,
     pub key: Option<String>,
-    /// Position of the message's class in the engine's class table.
+    /// Position of the message's class in the class table of the engine that was offered.
     pub class: usize,
     pub subject: Option<String>,
     pub tenant: Option<String>,
--- a/crates/hot-restart/src/lib.rs
+++ b/crates/hot-restart/src/lib.rs
@@ -26,6 +26,7 @@
 
 pub mod bridge;
 mod descriptors;
+pub mod forwarded_classes;
 pub mod forwarding;
 mod frames;
 pub mod new_process;
--- a/crates/hot-restart/tests/golden/new_process.rs
+++ b/crates/hot-restart/tests/golden/new_process.rs
@@ -7,8 +7,10 @@
 use crate::socket::{assert_same_address, read_exact, send, write};
 use milletturn_engine::{EndCause, ForeignCall, Input};
 use milletturn_hot_restart::bridge::Bridge;
+use milletturn_hot_restart::forwarded_classes::ForwardedClasses;
 use milletturn_hot_restart::new_process::{FolderOwnership, acquire_folder};
-use milletturn_policy::Outcome;
+use milletturn_platform::ClientClasses;
+use milletturn_policy::{Class, Effect, Outcome, SECOND};
 use std::fs::{self, File, TryLockError};
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -144,6 +146,20 @@
         .await;
 }
 
+/// Six classes that have the same positions in both processes. Only the first one is ordered.
+fn classes() -> ForwardedClasses {
+    let names: Vec<String> = (0..6).map(|number| format!("class-{number}")).collect();
+    let current = names.iter().enumerate().map(|(position, name)| {
+        let class = Class {
+            ordered: position == 0,
+            ..Class::new(name, Effect::Unsafe, SECOND, SECOND)
+        };
+        (position, class)
+    });
+    let current = ClientClasses::new(current);
+    ForwardedClasses::new(names, current)
+}
+
 /// Exchanges frames with a bridge as the old process, and then closes the connection, as at the exit of that process.
 async fn check_bridge(bridge: Bridge, mut peer: UnixStream) {
     let (inputs, mut received) = mpsc::unbounded_channel();
@@ -173,7 +189,7 @@
         }
         assert_eq!(cut_off, [(20, 0), (20, 1), (20, 2), (300, 10), (300, 11)]);
     };
-    tokio::join!(bridge.run(calls, inputs), old_side);
+    tokio::join!(bridge.run(calls, inputs, classes()), old_side);
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/platform/src/drain_gate.rs
+++ b/crates/platform/src/drain_gate.rs
@@ -159,6 +159,11 @@
         self.phase.send_replace(next);
     }
 
+    /// Whether another process has taken over in a hot restart. The settings of this process are out of date then.
+    pub fn is_replaced(&self) -> bool {
+        self.is_replaced.get()
+    }
+
     /// Waits until another process has taken over in a hot restart.
     pub async fn wait_for_takeover(&self) {
         // waiting cannot fail: the sender of the channel lives as long as `self`
--- a/crates/platform/src/message_head.rs
+++ b/crates/platform/src/message_head.rs
@@ -17,6 +17,21 @@
     (StatusCode::BAD_REQUEST, message)
 }
 
+/// Why the head of a request is rejected.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum HeadError {
+    /// The head is invalid whatever the settings are.
+    Malformed(Rejection),
+    /// The head names a class that the settings don't have, or lacks what the settings require of its class.
+    ClassSettings(Rejection),
+}
+
+impl From<Rejection> for HeadError {
+    fn from(rejection: Rejection) -> Self {
+        HeadError::Malformed(rejection)
+    }
+}
+
 /// The fields of a request that submits a message, without its body.
 pub(crate) struct MessageHead {
     /// Name of the class. Its settings may change until the request is complete.
@@ -39,21 +54,22 @@
     pub(crate) fn read(
         request: &Request<Incoming>,
         classes: &ClientClasses,
-    ) -> Result<Self, Rejection> {
+    ) -> Result<Self, HeadError> {
         let headers = request.headers();
         let path = request.uri().path();
         let class_name = path.trim_start_matches('/').split('/').next().unwrap_or("");
         let class = read_class(request, class_name, classes)?;
         let subject = parse_subject(request.uri().query().unwrap_or(""));
         if class.is_ordered {
-            subject.clone()?;
+            subject.clone().map_err(HeadError::ClassSettings)?;
         }
         let tenant = read_id(single_value(headers, "x-tenant-id", "X-Tenant-Id")?)?;
         let id = read_id(single_value(headers, "x-request-id", "X-Request-ID")?)?
             .ok_or(bad_request("X-Request-ID is missing"))?;
         let key = read_id(single_value(headers, "idempotency-key", "Idempotency-Key")?)?;
         if key.is_none() && class.requires_key {
-            return Err(bad_request("Idempotency-Key is missing"));
+            let rejection = bad_request("Idempotency-Key is missing");
+            return Err(HeadError::ClassSettings(rejection));
         }
         let time_to_live = read_time_to_live(headers)?;
         let destination = read_destination(headers)?;
@@ -72,6 +88,11 @@
         })
     }
 
+    /// The subject that the request names.
+    pub(crate) fn subject(&self) -> Result<Option<SharedStr>, Rejection> {
+        self.subject.clone()
+    }
+
     /// The subject of the message if it belongs to a class with these terms. Only ordered classes use the subject. A
     /// repeated one is rejected because it is unclear which one is meant.
     pub(crate) fn subject_for(&self, class: ClassTerms) -> Result<Option<SharedStr>, Rejection> {
@@ -88,21 +109,21 @@
     request: &Request<Incoming>,
     path_class: &str,
     classes: &ClientClasses,
-) -> Result<ClassTerms, Rejection> {
+) -> Result<ClassTerms, HeadError> {
     let class_header = single_value(request.headers(), "x-priority-class", "X-Priority-Class")?;
     let Some(class) = classes.find(path_class) else {
         // If the header names the same class as the path, the class is unknown; otherwise the path is.
         return Err(if class_header.is_some_and(|name| name == path_class) {
-            bad_request("unknown class")
+            HeadError::ClassSettings(bad_request("unknown class"))
         } else {
-            (StatusCode::NOT_FOUND, "no such path")
+            HeadError::Malformed((StatusCode::NOT_FOUND, "no such path"))
         });
     };
     if request.method() != Method::POST {
-        return Err((StatusCode::METHOD_NOT_ALLOWED, "only POST"));
+        return Err((StatusCode::METHOD_NOT_ALLOWED, "only POST").into());
     }
     if class_header.is_none_or(|name| name != path_class) {
-        return Err(bad_request("X-Priority-Class is missing or not the path's"));
+        return Err(bad_request("X-Priority-Class is missing or not the path's").into());
     }
     Ok(class)
 }
--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::client_classes::ClientClasses;
 use crate::drain_gate::DrainGate;
-use crate::message_head::{MessageHead, Rejection, bad_request, single_value};
+use crate::message_head::{HeadError, MessageHead, Rejection, bad_request, single_value};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -73,6 +73,23 @@
     pub body_bytes: Semaphore,
 }
 
+/// The text of the rejection of a request whose class has other settings now, so that it must be submitted again.
+const CLASS_CHANGED: &str = "the class has changed";
+
+impl Server {
+    /// The response to a request whose head is rejected. A process that has been replaced in a hot restart does not know
+    /// the current settings, so it rejects nothing because of its own: the client is to submit the message again, on a
+    /// connection to the other process.
+    fn rejection(&self, error: HeadError) -> Rejection {
+        match error {
+            HeadError::ClassSettings(_) if self.drain_gate.is_replaced() => {
+                (StatusCode::SERVICE_UNAVAILABLE, CLASS_CHANGED)
+            }
+            HeadError::ClassSettings(rejection) | HeadError::Malformed(rejection) => rejection,
+        }
+    }
+}
+
 /// State of one client connection, shared between the task that serves it and the tasks that need its slot.
 struct ConnectionState {
     /// Time of the last response, or of the accept.
@@ -547,7 +564,8 @@
             Err((StatusCode::SERVICE_UNAVAILABLE, "not ready"))
         };
     }
-    let head = MessageHead::read(&request, &server.classes)?;
+    let head =
+        MessageHead::read(&request, &server.classes).map_err(|error| server.rejection(error))?;
     // Messages that the server itself rejects are reported to the engine, so that they are counted.
     let reject = |message| {
         if let Some(class) = server.classes.find(&head.class_name) {
@@ -582,9 +600,15 @@
         .find(&head.class_name)
         .filter(|class| head.key.is_some() || !class.requires_key);
     let Some(class) = class else {
-        return reject("the class has changed");
+        return reject(CLASS_CHANGED);
+    };
+    // the settings of a process that has taken over may require the subject where those of this process don't
+    let subject = if server.drain_gate.is_replaced() {
+        head.subject()
+    } else {
+        head.subject_for(class)
     };
-    let subject = head.subject_for(class)?;
+    let subject = subject.map_err(|error| server.rejection(HeadError::ClassSettings(error)))?;
     let (reply, outcome) = oneshot::channel();
     state.mark_submitted();
     let mut guard = DisconnectGuard {
--- a/src/assemble/engine.rs
+++ b/src/assemble/engine.rs
@@ -3,11 +3,12 @@
 use super::SenderOptions;
 use super::listener::ConnectionLimits;
 use super::running::SharedHandles;
-use super::takeover::{Predecessor, bridge_until_exit};
+use super::takeover::{Predecessor, with_reserved_permits};
 use milletturn_dead_letter::store_worker::StoreWorker;
 use milletturn_engine::{
     Clock, DeadLetterSink, Engine, Notification, Observer, Ports, RestoredEngine,
 };
+use milletturn_hot_restart::forwarded_classes::ForwardedClasses;
 use milletturn_journal::FileJournal;
 use milletturn_logging::log;
 use milletturn_platform::http_transport::HttpTransport;
@@ -68,6 +69,10 @@
     if predecessor.is_drained {
         handles.gate.drain();
     }
+    let forwarded_classes = ForwardedClasses::new(
+        predecessor.snapshot.class_names().to_vec(),
+        handles.classes.clone(),
+    );
     let RestoredEngine {
         mut engine,
         foreign_calls,
@@ -81,10 +86,12 @@
         "{name}: takes over, {} calls out in the process before",
         foreign_calls.len()
     ));
-    tokio::task::spawn_local(bridge_until_exit(
-        predecessor.bridge,
-        foreign_calls,
-        handles.inputs.clone(),
+    let receiving =
+        predecessor
+            .bridge
+            .run(foreign_calls, handles.inputs.clone(), forwarded_classes);
+    tokio::task::spawn_local(with_reserved_permits(
+        receiving,
         limits.clone(),
         predecessor.in_use,
     ));
--- a/src/assemble/takeover.rs
+++ b/src/assemble/takeover.rs
@@ -2,7 +2,7 @@
 
 use super::FolderAccess;
 use super::listener::ConnectionLimits;
-use milletturn_engine::{Engine, ForeignCall, Input, Snapshot};
+use milletturn_engine::{Engine, Input, Snapshot};
 use milletturn_hot_restart::bridge::Bridge;
 use milletturn_hot_restart::forwarding::ForwardingState;
 use milletturn_hot_restart::new_process::{FolderOwnership, Takeover};
@@ -161,12 +161,10 @@
     }
 }
 
-/// Receives inputs from the predecessor until it has ended. Meanwhile its open connections count towards the limits of
-/// this process.
-pub(super) async fn bridge_until_exit(
-    bridge: Bridge,
-    foreign_calls: Vec<ForeignCall>,
-    inputs: mpsc::UnboundedSender<Input>,
+/// Runs `receiving`, which receives inputs from the predecessor until it has ended. Meanwhile its open connections count
+/// towards the limits of this process.
+pub(super) async fn with_reserved_permits(
+    receiving: impl Future<Output = ()>,
     limits: ConnectionLimits,
     in_use: ConnectionsInUse,
 ) {
@@ -180,6 +178,6 @@
         let reserved = u32::try_from(in_use.min(limit.available_permits() / 2)).unwrap_or(0);
         reserved_permits.extend(limit.try_acquire_many_owned(reserved));
     }
-    bridge.run(foreign_calls, inputs).await;
+    receiving.await;
     drop(reserved_permits);
 }
--- a/src/run.rs
+++ b/src/run.rs
@@ -271,7 +271,10 @@
         let (reply, positions) = oneshot::channel();
         self.inputs
             .send(Input::Reconfigure(Box::new(settings), reply))?;
-        let positions = positions.await??;
+        // after a hot restart, this process has no engine that could use the settings
+        let positions = positions
+            .await
+            .map_err(|_| "another process has taken over, and applies its own reloads")??;
         self.classes.replace(positions.into_iter().zip(classes));
         Ok((self.discovery.send_replace(discovery), discovery))
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -273,3 +273,101 @@
     assert_eq!(new.readiness_status(), 200);
     let _ = new.ready();
 }
+
+/// A client connection to a sender that has carried one message, with this id, so that it stays open in a hot restart.
+fn used_connection(node: &Node, id: &str) -> Client {
+    let mut client = Client::new(node.address);
+    let request = message_request("order", id, 8, 20_000, b"x");
+    let (status, _) = client.send(&request).expect("a response");
+    assert_eq!(status, 202);
+    client
+}
+
+/// An endpoint of destination 7 that answers 500, which leaves open whether a message ran, and one of destination 8 that
+/// answers 200.
+fn failing_and_healthy_endpoint() -> (FakeEndpoint, FakeEndpoint, FakeDiscovery) {
+    let failing = FakeEndpoint::new(|_, _| Reply::Respond("500 Oops", String::new()));
+    let healthy = FakeEndpoint::new(|_, _| OK);
+    let discovery = FakeDiscovery::new(vec![list_json(&[
+        ("s-1", failing.address, "one", 7, "up"),
+        ("s-2", healthy.address, "one", 8, "up"),
+    ])]);
+    (failing, healthy, discovery)
+}
+
+/// Guards against an at-most-once message that runs twice, because the process that was taken over passed it on under the
+/// settings of before a reload.
+#[test]
+fn a_reload_after_a_hot_restart_applies_to_messages_on_connections_to_the_old_process() {
+    let (failing, _healthy, discovery) = failing_and_healthy_endpoint();
+    let old = Node::new(&discovery).ready();
+    let mut client = used_connection(&old, "before-1");
+    let new = old.hot_restart().ready();
+    // the second reload adds a class, which could get the position that the first one has freed
+    let keyed = r#""webhook","aim":4.0,"deadline":20.0,"effect":"deduplicated""#;
+    let at_most_once = r#""webhook","aim":4.0,"deadline":20.0,"effect":"at_most_once""#;
+    new.reload(|text| text.replace(keyed, at_most_once));
+    wait_until("the first reload is applied", || {
+        new.metric("config_applied") == 1
+    });
+    let added =
+        r#"{"name":"licence","aim":4.0,"deadline":20.0,"effect":"idempotent"},{"name":"order""#;
+    new.reload(|text| text.replace(r#"{"name":"order""#, added));
+    wait_until("the second reload is applied", || {
+        new.metric("config_applied") == 2
+    });
+    let request = message_request("webhook", "after", 7, 3_000, b"x");
+    let (status, _) = client.send(&request).expect("a response");
+    assert_eq!(status, 202);
+    wait_until("the message has ended", || {
+        discovery
+            .notifications()
+            .iter()
+            .any(|notification| notification.contains("after"))
+    });
+    assert_eq!(failing.attempt_count("after"), 1);
+}
+
+/// Guards against a definite rejection by the process that was taken over, which does not know the classes of a later
+/// reload.
+#[test]
+fn an_old_process_asks_clients_to_submit_again_what_it_can_not_judge() {
+    let (_failing, healthy, discovery) = failing_and_healthy_endpoint();
+    let old = Node::new(&discovery).ready();
+    let mut client = used_connection(&old, "before-1");
+    let mut second_client = used_connection(&old, "before-2");
+    let mut third_client = used_connection(&old, "before-3");
+    let new = old.hot_restart().ready();
+    let keyed = r#""deduplicated","group":"all","window":12.0"#;
+    new.reload(|text| {
+        text.replace(r#""webhook""#, r#""licence""#)
+            .replace(r#""at_most_once""#, keyed)
+    });
+    wait_until("the reload is applied", || {
+        new.metric("config_applied") == 1
+    });
+    // a class that the reload has added
+    let request = message_request("licence", "added", 8, 20_000, b"x");
+    let (status, head) = client.send(&request).expect("a response");
+    assert_eq!((status, head.header("connection")), (503, "close"));
+    // a class that the reload has removed
+    let removed = message_request("webhook", "removed", 8, 20_000, b"x");
+    let (status, head) = second_client.send(&removed).expect("a response");
+    assert_eq!((status, head.header("connection")), (503, "close"));
+    // a message without the key that its class requires since the reload
+    let text =
+        String::from_utf8(message_request("order", "no-key", 8, 20_000, b"x")).expect("text");
+    let without_key = text.replace("Idempotency-Key: key-no-key\r\n", "");
+    let (status, head) = third_client
+        .send(without_key.as_bytes())
+        .expect("a response");
+    assert_eq!((status, head.header("connection")), (503, "close"));
+    // the new process decides
+    assert_eq!(new.raw(without_key.as_bytes()).0, 400);
+    assert_eq!(new.raw(&request).0, 202);
+    assert_eq!(new.raw(&removed).0, 400);
+    wait_until("the message is delivered", || {
+        healthy.attempt_count("added") == 1
+    });
+    assert_eq!(healthy.attempt_count("removed"), 0);
+}
