Judge a dead letter by the strictest effect that its class has had since it was accepted

Cause: the store's thread had the effects of the classes by name from the start of the process, and no reload reached it. build_order left out the attempt that may have run, so the engine had nothing to object to. Related, by the same lookup by name: a message accepted as at_most_once was sent again after a restart with a configuration that makes its class idempotent; and no rule ever sent messages of a class that a reload had added.

Change: the engine tells the store the classes of each reload before it accepts a message of them, by a cell that can't be full. The store keeps which effects a class has had and until when (EffectHistory, rows of the table meta, which earlier versions pass over), and decides by the strictest since the message was accepted. An order names that effect and always the attempt that may have run; the engine takes the stricter of it and its own class's, so a reload between the two decisions can't be missed. The golden columns have the new rows beside the old ones; the old file is read as before.

--- a/crates/dead-letter/src/engine_ports.rs
+++ b/crates/dead-letter/src/engine_ports.rs
@@ -5,8 +5,10 @@
 use crate::job::Job;
 use milletturn_engine::dead_letter_sink::EndedMessage;
 use milletturn_engine::{DeadLetterSink, Ending, EngineEvent, Observer};
-use milletturn_policy::Outcome;
+use milletturn_policy::{Class, Effect, Outcome};
+use std::collections::BTreeMap;
 use std::sync::mpsc::{SyncSender, TrySendError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 /// Sends messages that ended undelivered to the store's thread.
 #[derive(Debug)]
@@ -14,6 +16,23 @@
     pub(crate) messages: SyncSender<Box<EndedMessage>>,
     pub(crate) jobs: SyncSender<Job>,
     pub(crate) store_returned: bool,
+    pub(crate) effects: PendingEffects,
+}
+
+/// The effects of the classes that the engine has told and the store's thread has not applied yet. No queue could be used:
+/// one that is full would lose them.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PendingEffects(Arc<Mutex<Option<BTreeMap<String, Effect>>>>);
+
+impl PendingEffects {
+    fn set(&self, effects: BTreeMap<String, Effect>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(effects);
+    }
+
+    /// Removes and returns the effects, if there are any.
+    pub(crate) fn take(&self) -> Option<BTreeMap<String, Effect>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
 }
 
 impl DeadLetterSink for StoreWorkerSink {
@@ -25,6 +44,15 @@
         }
     }
 
+    fn set_classes(&mut self, classes: &[Class]) {
+        let effects = classes
+            .iter()
+            .map(|class| (class.name.clone(), class.effect));
+        self.effects.set(effects.collect());
+        // a full queue needs no wake-up: the thread applies the effects before each job
+        let _ = self.jobs.try_send(Job::Wake);
+    }
+
     fn store(&mut self, message: Box<EndedMessage>) -> Result<(), Box<EndedMessage>> {
         self.messages
             .try_send(message)
--- a/crates/dead-letter/src/lib.rs
+++ b/crates/dead-letter/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod config;
 pub mod control;
+mod effect_history;
 pub mod engine_ports;
 pub mod error;
 pub mod job;
--- a/crates/dead-letter/src/redrive_decision.rs
+++ b/crates/dead-letter/src/redrive_decision.rs
@@ -23,7 +23,8 @@
 )]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DecisionInput {
-    /// Whether messages of this class may be processed more than once; `None` if the settings no longer name the class.
+    /// The strictest effect that the class has had since the message was accepted; `None` if the settings no longer name
+    /// the class.
     pub effect: Option<Effect>,
     /// True if the message has an idempotency key.
     pub has_key: bool,
--- a/crates/dead-letter/src/redrive_order.rs
+++ b/crates/dead-letter/src/redrive_order.rs
@@ -7,15 +7,12 @@
 
 /// Builds the order to redrive a message; `None` if the row has no body, or an id or key that is not a valid
 /// [`SharedStr`].
-pub(crate) fn build_order(row: &Row, effect: Option<Effect>) -> Option<RedriveOrder> {
+pub(crate) fn build_order(row: &Row, effect: Effect) -> Option<RedriveOrder> {
     let shared = |text: &str| SharedStr::new(text.as_bytes()).ok();
     let key = match &row.key {
         Some(key) => Some(shared(key)?),
         None => None,
     };
-    let uncertain = row
-        .first_uncertain_at
-        .filter(|_| effect != Some(Effect::Repeatable));
     Some(RedriveOrder {
         number: row.number,
         id: shared(&row.id)?,
@@ -23,7 +20,10 @@
         class: row.class.clone(),
         destination: row.destination,
         body: Bytes::from(row.body.clone()?),
-        uncertain_attempt: uncertain.map(|sent_at| find_uncertain_attempt(row, sent_at)),
+        effect,
+        uncertain_attempt: row
+            .first_uncertain_at
+            .map(|sent_at| find_uncertain_attempt(row, sent_at)),
     })
 }
 
--- a/crates/dead-letter/src/redrive_service.rs
+++ b/crates/dead-letter/src/redrive_service.rs
@@ -5,6 +5,7 @@
 //! microseconds.
 
 use crate::config::Config;
+use crate::effect_history::EffectHistory;
 use crate::error::{RedriveError, Rejection, StoreError};
 use crate::record::{BodyMode, Filter, Record, State, Stats, Summary, parse_ending, parse_reason};
 use crate::redrive_candidates::RedriveCandidates;
@@ -15,6 +16,7 @@
 use crate::store::{DeadLetterStore, Page, SaveOutcome, StoreLimits};
 use milletturn_engine::dead_letter_sink::EndedMessage;
 use milletturn_engine::{EndReason, Ending, RedriveOrder, RedriveOutcome};
+use milletturn_logging::RateLimitedLog;
 use milletturn_policy::{Effect, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -41,30 +43,38 @@
     pub unsaved: usize,
 }
 
-/// The store, the redrive rules, and for each class whether its messages may be processed more than once.
+/// The store, the redrive rules, and for each class whether its messages may be processed more than once, now and in the
+/// past.
 #[derive(Debug)]
 pub struct RedriveService {
     store: DeadLetterStore,
-    effects: BTreeMap<String, Effect>,
+    effects: EffectHistory,
+    /// Whether the file holds `effects` as they are.
+    effects_saved: bool,
     schedule: RedriveSchedule,
     candidates: RedriveCandidates,
     clients_retry: bool,
     /// True if the last save left out messages because the store is full.
     full: bool,
+    fault_log: RateLimitedLog,
 }
 
 impl RedriveService {
     /// Creates a service on an open store; `effects` says by class name whether a message may be processed more than
-    /// once.
+    /// once. Effects of earlier processes are unknown until [`RedriveService::load_effects`].
     #[must_use]
     pub fn new(store: DeadLetterStore, config: &Config, effects: BTreeMap<String, Effect>) -> Self {
+        let mut history = EffectHistory::default();
+        history.replace(effects, 0);
         RedriveService {
             store,
-            effects,
+            effects: history,
+            effects_saved: false,
             schedule: RedriveSchedule::new(config.rules.clone()),
             candidates: RedriveCandidates::default(),
             clients_retry: config.clients_retry,
             full: false,
+            fault_log: RateLimitedLog::default(),
         }
     }
 
@@ -94,6 +104,61 @@
     ) -> Result<(), StoreError> {
         self.store.verify()?;
         self.store.reconcile(redriving, journal_intact, now)?;
+        self.load_effects(now)?;
+        self.find_candidates(now)
+    }
+
+    /// Reads from the file which effects the classes had in earlier processes, and writes those that they have now.
+    ///
+    /// # Errors
+    /// When the file can't be read.
+    pub fn load_effects(&mut self, now: Micros) -> Result<(), StoreError> {
+        let current = self.effects.current().clone();
+        self.effects = self.store.effects()?;
+        let changed = self.effects.replace(current, now);
+        self.effects_saved = !changed;
+        self.save_effects(now);
+        Ok(())
+    }
+
+    /// Applies the effects of new settings: for each class, whether its messages may be processed more than once. A
+    /// message stays bound by the effects that its class has had since the message was accepted.
+    ///
+    /// # Errors
+    /// When the file can't be read. The effects apply nevertheless.
+    pub fn set_effects(
+        &mut self,
+        effects: BTreeMap<String, Effect>,
+        now: Micros,
+    ) -> Result<(), StoreError> {
+        if !self.effects.replace(effects, now) {
+            return Ok(());
+        }
+        self.effects_saved = false;
+        self.save_effects(now);
+        self.find_candidates(now)
+    }
+
+    /// Writes the effects of the classes if the file does not hold them yet. A failure is logged, and the next tick
+    /// tries again.
+    fn save_effects(&mut self, now: Micros) {
+        if self.effects_saved {
+            return;
+        }
+        let saved = self.store.oldest_accepted_at().and_then(|oldest| {
+            self.effects.forget_unused(oldest, now);
+            self.store.save_effects(&self.effects)
+        });
+        match saved {
+            Ok(()) => self.effects_saved = true,
+            Err(error) => self.fault_log.log(format_args!(
+                "undelivered: the effects of the classes can't be saved: {error}"
+            )),
+        }
+    }
+
+    /// Finds the messages that rules may redrive.
+    fn find_candidates(&mut self, now: Micros) -> Result<(), StoreError> {
         if self.schedule.is_empty() {
             return Ok(());
         }
@@ -162,7 +227,9 @@
 
     fn decision_input(&self, summary: &Summary) -> DecisionInput {
         DecisionInput {
-            effect: self.effects.get(&summary.class).copied(),
+            effect: self
+                .effects
+                .effect_since(&summary.class, summary.accepted_at),
             has_key: summary.key.is_some(),
             ending: parse_ending(&summary.ending).unwrap_or(Ending::Failed),
             first_uncertain_at: summary.first_uncertain_at,
@@ -202,7 +269,8 @@
     ) -> Result<RedriveOrder, RedriveError> {
         let row = self.store.row(number)?.ok_or(Rejection::NotFound)?;
         self.decide(&row.summary(), now)?;
-        let effect = self.effects.get(&row.class).copied();
+        let effect = self.effects.effect_since(&row.class, row.accepted_at);
+        let effect = effect.ok_or(Rejection::Denied(Denial::UnknownClass))?;
         let order = build_order(&row, effect).ok_or(Rejection::Denied(Denial::NoBody))?;
         let changed = self.store.change(number, |row| {
             row.state = State::RedriveRequested;
@@ -255,6 +323,7 @@
     /// # Errors
     /// When the file can't be read or written.
     pub fn tick(&mut self, now: Micros) -> Result<Vec<RedriveOrder>, StoreError> {
+        self.save_effects(now);
         let mut orders = Vec::new();
         for destination in self.candidates.destinations_in_order() {
             while orders.len() < MAX_REDRIVES_PER_TICK
--- a/crates/dead-letter/src/store.rs
+++ b/crates/dead-letter/src/store.rs
@@ -7,12 +7,14 @@
 //!
 //! - this module: opening the file, and reading and changing single rows;
 //! - `schema`: creation, versions and settings of the database, and the renaming of a damaged file;
+//! - `effects`: the effects that the classes have and have had;
 //! - `integrity`: verification of the whole file;
 //! - `query`: lists of messages, and statistics;
 //! - `save`: new messages and the ends of their redrives;
 //! - `prune`: freeing space;
 //! - `reconcile`: agreement with the journal after a restart.
 
+mod effects;
 mod integrity;
 mod prune;
 mod query;
--- a/crates/dead-letter/src/store_worker.rs
+++ b/crates/dead-letter/src/store_worker.rs
@@ -1,7 +1,7 @@
 //! Runs the redrive service on a thread of its own, so that a slow disk does not delay the engine.
 
 use crate::config::Config;
-use crate::engine_ports::{AttemptObserver, StoreWorkerSink};
+use crate::engine_ports::{AttemptObserver, PendingEffects, StoreWorkerSink};
 use crate::error::{RedriveError, Rejection, StoreError};
 use crate::job::{Job, RedriveJob, Redriven};
 use crate::record::BodyMode;
@@ -44,7 +44,7 @@
     pub state_dir: PathBuf,
     /// The store's settings.
     pub config: Config,
-    /// Whether a message may be processed more than once, by the name of its class.
+    /// Whether a message may be processed more than once, by the name of its class, at the start.
     pub effects: BTreeMap<String, Effect>,
     /// Numbers of the messages that the journal holds as unfinished redrives.
     pub redriving: BTreeSet<u64>,
@@ -68,6 +68,7 @@
     /// The lowest number for a new message: one more than the greatest number in the store.
     pub first_number: u64,
     store_returned: bool,
+    effects: PendingEffects,
 }
 
 impl StoreWorker {
@@ -85,8 +86,18 @@
         let (messages, received_messages) = sync_channel(MAX_QUEUED_MESSAGES);
         let store_returned = options.config.store_returned;
         let thread = std::thread::Builder::new().name("undelivered".to_string());
-        let spawned =
-            thread.spawn(move || run(options, &path, store, &received_jobs, &received_messages));
+        let effects = PendingEffects::default();
+        let told_effects = effects.clone();
+        let spawned = thread.spawn(move || {
+            run(
+                options,
+                &path,
+                store,
+                &received_jobs,
+                &received_messages,
+                told_effects,
+            );
+        });
         if let Err(error) = spawned {
             log(format_args!(
                 "undelivered: can't start the store's thread: {error}"
@@ -97,6 +108,7 @@
             messages,
             first_number: last_number + 1,
             store_returned,
+            effects,
         })
     }
 
@@ -107,6 +119,7 @@
             messages: self.messages.clone(),
             jobs: self.jobs.clone(),
             store_returned: self.store_returned,
+            effects: self.effects.clone(),
         }
     }
 
@@ -178,7 +191,10 @@
         Ok(()) => Ok(service),
         Err(error @ (StoreError::Damaged { .. } | StoreError::InvalidRow { .. })) => {
             drop(service);
-            replace(path, &options.config, options.max_total_bytes, &error).map(new_service)
+            let store = replace(path, &options.config, options.max_total_bytes, &error)?;
+            let mut service = new_service(store);
+            service.load_effects(now)?;
+            Ok(service)
         }
         Err(error) => Err(error),
     }
@@ -191,6 +207,7 @@
     store: DeadLetterStore,
     jobs: &Receiver<Job>,
     messages: &Receiver<Box<EndedMessage>>,
+    effects: PendingEffects,
 ) {
     // the engine's clock follows the time of the tokio runtime, and this thread runs outside the runtime; so the thread
     // reads the clock once and adds the time elapsed since then
@@ -211,6 +228,7 @@
     let mut worker = Worker {
         service,
         engine: options.engine,
+        effects,
         batch: Vec::new(),
         backoff_until: None,
     };
@@ -226,6 +244,7 @@
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
         }
+        worker.apply_effects(now());
         worker.fill_batch(messages);
         worker.save(now());
         if last_tick.elapsed() >= RULE_INTERVAL {
@@ -245,6 +264,7 @@
 struct Worker {
     service: RedriveService,
     engine: mpsc::UnboundedSender<Input>,
+    effects: PendingEffects,
     /// The messages to save next, at most [`SAVE_BATCH`].
     batch: Vec<EndedMessage>,
     /// No messages are saved before this time; `None` if there is no backoff.
@@ -252,7 +272,17 @@
 }
 
 impl Worker {
+    /// Applies the effects of the classes that a reload has changed.
+    fn apply_effects(&mut self, now: Micros) {
+        if let Some(effects) = self.effects.take()
+            && let Err(error) = self.service.set_effects(effects, now)
+        {
+            log(format_args!("undelivered: {error}"));
+        }
+    }
+
     fn handle_job(&mut self, job: Job, now: Micros) {
+        self.apply_effects(now);
         let service = &mut self.service;
         match job {
             Job::Wake => {}
--- a/crates/dead-letter/tests/golden/store_file.rs
+++ b/crates/dead-letter/tests/golden/store_file.rs
@@ -32,12 +32,31 @@
         .collect()
 }
 
+/// The rows that hold the effects of the classes, which are all in force.
+const EFFECT_ROWS: &str = "
+meta
+  name = text effect/licence/deduplicated all 3600000000
+  value = Integer(9223372036854775807)
+
+meta
+  name = text effect/order/at_most_once
+  value = Integer(9223372036854775807)
+
+meta
+  name = text effect/webhook/idempotent
+  value = Integer(9223372036854775807)
+";
+
 #[test]
 fn the_same_steps_write_the_same_columns() {
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("u.db");
     write_store(&path);
-    assert_matches_golden("columns.txt", &describe_columns(&path));
+    let columns = golden_text("columns.txt");
+    let (schema, messages) = columns.split_once("\nmessage\n").expect("messages");
+    let with_effects = format!("{schema}{EFFECT_ROWS}\nmessage\n{messages}");
+    assert_eq!(describe_columns(&path), with_effects);
+    // the file of an earlier build, which has no rows of effects
     assert_matches_golden(
         "columns.txt",
         &describe_columns(&copy_golden_store(folder.path())),
--- a/crates/dead-letter/tests/simulation/ports.rs
+++ b/crates/dead-letter/tests/simulation/ports.rs
@@ -94,6 +94,8 @@
         ending != Ending::Delivered
     }
 
+    fn set_classes(&mut self, _: &[milletturn_policy::Class]) {}
+
     fn store(&mut self, message: Box<EndedMessage>) -> Result<(), Box<EndedMessage>> {
         // the queue is short, so that it is often full
         if self.0.borrow().len() >= 3 {
--- a/crates/engine/src/dead_letter_sink.rs
+++ b/crates/engine/src/dead_letter_sink.rs
@@ -8,7 +8,7 @@
 
 use crate::{Ending, SharedStr};
 use bytes::Bytes;
-use milletturn_policy::{Micros, Outcome};
+use milletturn_policy::{Class, Effect, Micros, Outcome};
 use tokio::sync::oneshot;
 
 /// Why a message ended.
@@ -82,6 +82,8 @@
 pub trait DeadLetterSink {
     /// Whether messages with this ending are stored. Not called for redriven messages, which are always stored.
     fn should_store(&self, ending: Ending) -> bool;
+    /// Tells the classes of new settings. Called at each reload, before a message of these classes is accepted.
+    fn set_classes(&mut self, classes: &[Class]);
     /// Takes a message to store. [`Input::Stored`](crate::Input::Stored) follows once the message is stored
     /// durably. The same number may be passed again after a restart, and must be stored only once.
     ///
@@ -115,8 +117,11 @@
     pub destination: u64,
     /// The message's body.
     pub body: Bytes,
-    /// The attempt that the redrive could duplicate; `None` if no attempt can have run, duplicates are harmless, or
-    /// an operator accepted the risk of a duplicate.
+    /// The strictest effect that the message's class has had since the message was accepted. If the class has a stricter
+    /// one by now, that one applies.
+    pub effect: Effect,
+    /// The attempt that the redrive could duplicate; `None` if no attempt can have run, or an operator accepted the risk
+    /// of a duplicate.
     pub uncertain_attempt: Option<UncertainAttempt>,
 }
 
--- a/crates/engine/src/reconfiguration.rs
+++ b/crates/engine/src/reconfiguration.rs
@@ -32,6 +32,7 @@
             .iter()
             .map(|class| classes.position(&class.name))
             .collect();
+        let settings_classes = settings.classes.clone();
         let (max_open_messages, max_attempts) = (settings.max_pending, settings.max_attempts);
         let module_settings = Settings {
             classes: classes.all().to_vec(),
@@ -42,6 +43,9 @@
         self.max_open_messages = max_open_messages;
         self.max_attempts = max_attempts;
         self.classes = classes;
+        if let Some(dead_letters) = &mut self.dead_letters {
+            dead_letters.set_classes(&settings_classes);
+        }
         self.observer
             .observe(&EngineEvent::Classes(self.classes.names()));
         Ok(positions)
--- a/crates/engine/src/recovery.rs
+++ b/crates/engine/src/recovery.rs
@@ -3,10 +3,11 @@
 use crate::engine::Engine;
 use crate::journal::{Accepted, AttemptStarted, Unfinished};
 use crate::message::{Attempt, Message};
+use crate::observer::EngineEvent;
 use crate::shared_str::SharedStr;
 use crate::transport::CallItem;
 use milletturn_policy::{
-    Class, EndpointId, Event, MessageId, Micros, NewMessage, PastAttempt, SECOND,
+    Class, Effect, EndpointId, Event, MessageId, Micros, NewMessage, PastAttempt, SECOND,
 };
 
 /// Latency objective and deadline, in microseconds, of a class that the settings no longer have. Each message of the
@@ -89,23 +90,30 @@
     /// The position of a recovered message's class. If the current settings lack the class, or give it another
     /// effect, the message keeps the effect under which it was accepted.
     fn recovered_class(&mut self, accepted: &Accepted) -> usize {
-        let position = self.classes.position(&accepted.class);
+        match accepted.effect {
+            Some(effect) => {
+                self.class_with_effect(&accepted.class, effect, accepted.subject.is_some())
+            }
+            None => self.classes.position(&accepted.class),
+        }
+    }
+
+    /// The position of the class with this name, and with this effect whatever effect the current settings give it. If
+    /// the settings lack the class, its messages are ordered if `ordered_if_removed`.
+    pub(crate) fn class_with_effect(
+        &mut self,
+        name: &str,
+        effect: Effect,
+        ordered_if_removed: bool,
+    ) -> usize {
+        let position = self.classes.position(name);
         let present = self.classes.all().get(position).cloned();
-        let Some(effect) = accepted
-            .effect
-            .filter(|effect| present.as_ref().map(|class| class.effect) != Some(*effect))
-        else {
+        if present.as_ref().map(|class| class.effect) == Some(effect) {
             return position;
-        };
-        let ordered = accepted.subject.is_some();
+        }
         let removed_class = || Class {
-            ordered,
-            ..Class::new(
-                &accepted.class,
-                effect,
-                REMOVED_CLASS_TIME,
-                REMOVED_CLASS_TIME,
-            )
+            ordered: ordered_if_removed,
+            ..Class::new(name, effect, REMOVED_CLASS_TIME, REMOVED_CLASS_TIME)
         };
         let class = Class {
             effect,
@@ -114,6 +122,8 @@
         let (position, is_new) = self.classes.add_recovered(&class);
         if is_new {
             self.decision_module.add_class(class);
+            self.observer
+                .observe(&EngineEvent::Classes(self.classes.names()));
         }
         position
     }
--- a/crates/engine/src/redrive.rs
+++ b/crates/engine/src/redrive.rs
@@ -6,7 +6,7 @@
 use crate::message::{Attempt, Message};
 use crate::transport::CallItem;
 use milletturn_policy::{
-    EndpointId, Event, MILLISECOND, MessageId, Micros, NewMessage, PastAttempt,
+    Effect, EndpointId, Event, MILLISECOND, MessageId, Micros, NewMessage, PastAttempt,
 };
 
 /// The maximum number of open redrives is the limit on open messages divided by this number, but at least one.
@@ -39,17 +39,25 @@
         {
             return RedriveOutcome::Busy;
         }
-        let class = self.classes.position(&order.class);
+        // the effect may have changed since the store decided on the redrive
+        let current = self.classes.position(&order.class);
+        let Some(current_effect) = self.classes.effect(current) else {
+            return RedriveOutcome::TooLate;
+        };
+        let effect = current_effect.stricter(order.effect);
+        let class = self.class_with_effect(&order.class, effect, false);
+        let uncertain_attempt = order
+            .uncertain_attempt
+            .filter(|_| effect != Effect::Repeatable);
         let now = self.clock.now();
-        let Some(deadline) = self.redrive_deadline(class, order.uncertain_attempt.as_ref(), now)
-        else {
+        let Some(deadline) = self.redrive_deadline(class, uncertain_attempt.as_ref(), now) else {
             return RedriveOutcome::TooLate;
         };
         let accepted = Accepted {
             id: order.id.to_string(),
             key: order.key.as_ref().map(ToString::to_string),
             class: order.class,
-            effect: self.classes.effect(class),
+            effect: Some(effect),
             // no subject: messages that followed this one may have been delivered already, so its place in the order is
             // lost, and it must not delay other messages
             subject: None,
@@ -59,7 +67,7 @@
             deadline,
             body: order.body.to_vec(),
         };
-        let uncertain = order.uncertain_attempt.map(|attempt| AttemptStarted {
+        let uncertain = uncertain_attempt.map(|attempt| AttemptStarted {
             uid: attempt.uid,
             sent_at: attempt.sent_at,
             never_ran: false,
--- a/crates/engine/tests/redrives.rs
+++ b/crates/engine/tests/redrives.rs
@@ -30,6 +30,8 @@
         ending != Ending::Delivered
     }
 
+    fn set_classes(&mut self, _: &[milletturn_policy::Class]) {}
+
     fn store(&mut self, ended: Box<EndedMessage>) -> Result<(), Box<EndedMessage>> {
         if self.full.get() {
             return Err(ended);
@@ -110,12 +112,24 @@
         reply
     }
 
+    /// Redrives a message that is bound by no effect but that of its class.
     fn redrive(
         &self,
         number: u64,
         id: &str,
         class: &str,
         uncertain_sent_at: Option<Micros>,
+    ) -> oneshot::Receiver<RedriveOutcome> {
+        self.redrive_with_effect(number, id, class, Effect::Repeatable, uncertain_sent_at)
+    }
+
+    fn redrive_with_effect(
+        &self,
+        number: u64,
+        id: &str,
+        class: &str,
+        effect: Effect,
+        uncertain_sent_at: Option<Micros>,
     ) -> oneshot::Receiver<RedriveOutcome> {
         let (reply_sender, reply) = oneshot::channel();
         let message_id = SharedStr::new(id.as_bytes()).expect("a valid id");
@@ -131,6 +145,7 @@
             class,
             destination: 1,
             body,
+            effect,
             uncertain_attempt,
         };
         self.inputs
@@ -359,3 +374,27 @@
         );
     });
 }
+
+/// Guards against a redrive that runs a message twice, because its class became stricter or less strict between the store's
+/// decision and the engine's.
+#[test]
+fn the_stricter_of_the_effects_of_the_order_and_of_the_class_decides() {
+    run_in_virtual_time(async {
+        let engine = TestEngine::start(4, 50);
+        wait_ms(10).await;
+        let sent_at = Some(START_TIME_US);
+        let window = |window| Effect::Keyed {
+            window,
+            zone_only: false,
+        };
+        for (class, effect, expected) in [
+            ("unsafe", Effect::Repeatable, RedriveOutcome::TooLate),
+            ("keyed", Effect::Unsafe, RedriveOutcome::TooLate),
+            ("keyed", window(1), RedriveOutcome::TooLate),
+            ("keyed", Effect::Repeatable, RedriveOutcome::Accepted),
+        ] {
+            let outcome = engine.redrive_with_effect(100, "again", class, effect, sent_at);
+            assert_eq!(outcome.await, Ok(expected), "{class} {effect:?}");
+        }
+    });
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -41,6 +41,27 @@
     Unsafe,
 }
 
+impl Effect {
+    /// The effect that allows only what both effects allow.
+    #[must_use]
+    pub fn stricter(self, other: Effect) -> Effect {
+        match (self, other) {
+            (Effect::Unsafe, _) | (_, Effect::Unsafe) => Effect::Unsafe,
+            (Effect::Repeatable, effect) | (effect, Effect::Repeatable) => effect,
+            (
+                Effect::Keyed { window, zone_only },
+                Effect::Keyed {
+                    window: other_window,
+                    zone_only: other_zone_only,
+                },
+            ) => Effect::Keyed {
+                window: window.min(other_window),
+                zone_only: zone_only || other_zone_only,
+            },
+        }
+    }
+}
+
 /// A class of messages that have the same delivery rules and value.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Class {
--- a/tests/dead_letter.rs
+++ b/tests/dead_letter.rs
@@ -6,11 +6,12 @@
 use milletturn_journal::FileJournal;
 use node::*;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
 use std::os::unix::fs::{MetadataExt, PermissionsExt};
 use std::process::Child;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 
 fn discovery_with(endpoint: &FakeEndpoint) -> FakeDiscovery {
     FakeDiscovery::new(vec![list_json(&[(
@@ -467,3 +468,131 @@
 fn a_second_start_that_drops_the_dead_letter_store_waits_for_the_running_sender() {
     check_second_start(StoreSetting::On, StoreSetting::Off);
 }
+
+/// A rule that redrives, without delay, whatever may be sent again.
+const EAGER_RULE: &str = "[store]\nmax_mb = 2\nkeep_returned = true\n[[rule]]\nname = 'all'\nwell_for_s = 0.2\nper_second = 50.0";
+
+/// An endpoint that leaves calls without a response: the first call of each message and, while it is silent, all calls of
+/// messages whose id begins with `control`.
+struct SilentEndpoint {
+    endpoint: FakeEndpoint,
+    is_silent: Arc<AtomicBool>,
+}
+
+impl SilentEndpoint {
+    fn new() -> Self {
+        let is_silent = Arc::new(AtomicBool::new(true));
+        let silent = is_silent.clone();
+        let called: Mutex<BTreeSet<String>> = Mutex::default();
+        let endpoint = FakeEndpoint::new(move |request, _| {
+            let id = request.header("x-request-id");
+            let is_first = called.lock().expect("not poisoned").insert(id.to_string());
+            let is_control = id.starts_with("control");
+            match is_control && silent.load(Ordering::SeqCst) || !is_control && is_first {
+                true => Reply::NoResponse,
+                false => OK,
+            }
+        });
+        SilentEndpoint {
+            endpoint,
+            is_silent,
+        }
+    }
+
+    /// Submits a control message of an idempotent class, which fails like the message under test, and waits until a rule
+    /// has redriven it: by then the rules have passed over the message under test, which has a lower number.
+    fn wait_until_rules_have_passed(&self, node: &Node, class: &str, id: &str) {
+        self.is_silent.store(true, Ordering::SeqCst);
+        let stored_count = |node: &Node| node.undelivered(&["list"]).1.len();
+        let before = stored_count(node);
+        assert_eq!(node.submit(class, id, 7, 1_000, b"x"), 202);
+        wait_until("the control message is stored", || {
+            stored_count(node) > before
+        });
+        let calls = self.endpoint.attempt_count(id);
+        self.is_silent.store(false, Ordering::SeqCst);
+        wait_until("a rule redrives the control message", || {
+            self.endpoint.attempt_count(id) > calls
+        });
+    }
+}
+
+/// Adds an idempotent class to a configuration.
+fn with_licence(text: &str) -> String {
+    text.replace(
+        r#"{"name":"order""#,
+        r#"{"name":"licence","aim":4.0,"deadline":20.0,"effect":"idempotent"},{"name":"order""#,
+    )
+}
+
+fn reload_and_wait(node: &Node, count: u64, change: impl FnOnce(String) -> String) {
+    node.reload(change);
+    wait_until("the reload is applied", || {
+        node.metric("config_applied") == count
+    });
+}
+
+/// Guards against a message that runs twice, because the store judged it by the effect that its class had at the start of
+/// the process, not by the one of a reload.
+#[test]
+fn a_rule_redrives_nothing_that_a_reload_has_made_at_most_once() {
+    let silent = SilentEndpoint::new();
+    let endpoint = &silent.endpoint;
+    let discovery = discovery_with(endpoint);
+    let node = Node::with_store(&discovery, EAGER_RULE);
+    node.reload(|text| with_licence(&text).replace("at_most_once", "idempotent"));
+    let node = node.restart_keeping_config().ready();
+    reload_and_wait(&node, 1, |text| {
+        text.replace(
+            r#""order","aim":4.0,"deadline":20.0,"effect":"idempotent""#,
+            r#""order","aim":4.0,"deadline":20.0,"effect":"at_most_once""#,
+        )
+    });
+    assert_eq!(node.submit("order", "m1", 7, 1_000, b"x"), 202);
+    wait_for_stored(&node);
+    silent.wait_until_rules_have_passed(&node, "licence", "control");
+    assert_eq!(endpoint.attempt_count("m1"), 1);
+}
+
+/// Guards against a message that runs twice, because its class became idempotent after it was accepted as at most once and
+/// the sender was started again.
+#[test]
+fn a_dead_letter_stays_at_most_once_when_its_class_becomes_idempotent() {
+    let silent = SilentEndpoint::new();
+    let endpoint = &silent.endpoint;
+    let discovery = discovery_with(endpoint);
+    let node = Node::with_store(&discovery, EAGER_RULE).ready();
+    assert_eq!(node.submit("order", "m1", 7, 1_000, b"x"), 202);
+    let stored = wait_for_stored(&node);
+    reload_and_wait(&node, 1, |text| {
+        with_licence(&text).replace("at_most_once", "idempotent")
+    });
+    let node = node.restart_keeping_config().ready();
+    silent.wait_until_rules_have_passed(&node, "licence", "control-1");
+    assert_eq!(endpoint.attempt_count("m1"), 1);
+    // an operator's command is bound by the same decision
+    let number = stored["number"].to_string();
+    assert_eq!(exit_code(&node, &["resend", "--dry-run", &number]), 4);
+    // a message of after the change is idempotent
+    silent.wait_until_rules_have_passed(&node, "order", "control-2");
+}
+
+/// Guards against a message that runs twice, because a store without messages forgot which effect the class had while the
+/// message was accepted.
+#[test]
+fn a_message_that_is_open_at_a_reload_keeps_its_effect_in_the_store() {
+    let silent = SilentEndpoint::new();
+    let endpoint = &silent.endpoint;
+    let discovery = discovery_with(endpoint);
+    let node = Node::with_store(&discovery, EAGER_RULE).ready();
+    assert_eq!(node.submit("order", "open", 7, 1_500, b"x"), 202);
+    wait_until("the message is sent", || {
+        endpoint.attempt_count("open") == 1
+    });
+    reload_and_wait(&node, 1, |text| {
+        with_licence(&text).replace("at_most_once", "idempotent")
+    });
+    wait_for_stored(&node);
+    silent.wait_until_rules_have_passed(&node, "licence", "control");
+    assert_eq!(endpoint.attempt_count("open"), 1);
+}
