--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -13,7 +13,7 @@
 
 use crate::persistent_clock::start_time_us;
 use engine::{EngineParts, start_engine};
-use listener::{ConnectionLimits, http_server, into_listener};
+use listener::{ConnectionLimits, http_server, into_shared_listener, listen};
 use milletturn_dead_letter::config::Config as StoreConfig;
 use milletturn_engine::{Clock, EndpointListUpdate, Journal};
 use milletturn_hot_restart::new_process::FolderOwnership;
@@ -99,12 +99,12 @@
     folder_access: FolderAccess,
 ) -> Result<Running, Box<dyn Error>> {
     let inherited = InheritedParts::from_access(folder_access);
-    // the address first: a start that is refused because another process has it changes nothing in the state folder
-    let listener = into_listener(
-        inherited.listener,
-        options.listen_address,
-        inherited.is_shared,
-    )?;
+    // an address that no other process may share is bound first: a start that is refused because another process has it
+    // changes nothing in the state folder
+    let exclusive_listener = match inherited.is_shared {
+        true => None,
+        false => Some(listen(options.listen_address, false)?),
+    };
     let (journal, recovery) = open_journal(&options)?;
     let (inputs, received) = mpsc::unbounded_channel();
     let (notifications, final_outcomes) = mpsc::unbounded_channel();
@@ -136,6 +136,10 @@
         &handles,
         &limits,
     )?;
+    let listener = match exclusive_listener {
+        Some(listener) => listener,
+        None => into_shared_listener(inherited.listener, options.listen_address)?,
+    };
     let name = options.name;
     let address = listener.local_addr()?;
     log(format_args!("{name}: listening on {address}"));
--- a/src/assemble/listener.rs
+++ b/src/assemble/listener.rs
@@ -50,23 +50,22 @@
     }
 }
 
-/// Returns the inherited listening socket, or binds a new one to the address.
-pub(super) fn into_listener(
+/// Returns the inherited listening socket, or binds a new one to the address, which other processes may share.
+pub(super) fn into_shared_listener(
     inherited: Option<std::net::TcpListener>,
     address: SocketAddr,
-    is_shared: bool,
 ) -> std::io::Result<TcpListener> {
     match inherited {
         Some(listener) => {
             listener.set_nonblocking(true)?;
             TcpListener::from_std(listener)
         }
-        None => listen(address, is_shared),
+        None => listen(address, true),
     }
 }
 
 /// Listens on the address. With `is_shared`, another process may listen on the same address (`SO_REUSEPORT`).
-fn listen(address: SocketAddr, is_shared: bool) -> std::io::Result<TcpListener> {
+pub(super) fn listen(address: SocketAddr, is_shared: bool) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
