Split the server's handling of a request into its steps

Change: the body's length, readiness, the rejection that is counted, the subject and the response to an outcome are functions of their own; no behaviour changes.

Measured: the tests of the package pass.

--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -1,6 +1,6 @@
 //! The HTTP server for clients: reads submitted messages, and responds as the engine decides.
 
-use crate::client_classes::ClientClasses;
+use crate::client_classes::{ClassTerms, ClientClasses};
 use crate::drain_gate::DrainGate;
 use crate::message_head::{HeadError, MessageHead, Rejection, bad_request, single_value};
 use bytes::Bytes;
@@ -88,6 +88,45 @@
             HeadError::ClassSettings(rejection) | HeadError::Malformed(rejection) => rejection,
         }
     }
+
+    /// Rejects a message before the engine receives it, and tells the engine, which counts it. Submitting the message
+    /// again is harmless.
+    fn reject_message(&self, head: &MessageHead, message: &'static str) -> Rejection {
+        if let Some(class) = self.classes.find(&head.class_name) {
+            // sending fails only when the process ends
+            let _ = self.inputs.send(Input::Rejected {
+                class: class.position,
+                destination: head.destination,
+            });
+        }
+        (StatusCode::SERVICE_UNAVAILABLE, message)
+    }
+
+    /// The subject with which a message is submitted. The settings of a process that has taken over may require the subject
+    /// where those of this process don't.
+    fn subject(
+        &self,
+        head: &MessageHead,
+        class: ClassTerms,
+    ) -> Result<Option<SharedStr>, Rejection> {
+        if self.drain_gate.is_replaced() {
+            head.subject()
+        } else {
+            head.subject_for(class)
+        }
+    }
+
+    /// The response to `GET /ready`.
+    fn readiness(&self, method: &Method) -> Result<Response<Full<Bytes>>, Rejection> {
+        if method != Method::GET {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET));
+        }
+        if *self.ready.borrow() && self.drain_gate.is_ready() {
+            Ok(Response::default())
+        } else {
+            Err((StatusCode::SERVICE_UNAVAILABLE, "not ready"))
+        }
+    }
 }
 
 /// State of one client connection, shared between the task that serves it and the tasks that need its slot.
@@ -542,79 +581,40 @@
     body_deadline: Instant,
 ) -> Result<Response<Full<Bytes>>, Rejection> {
     let received_at = Instant::now();
-    let transfer_encoding =
-        single_value(request.headers(), "transfer-encoding", "Transfer-Encoding")?;
-    if transfer_encoding.is_some_and(|transfer_encoding| {
-        !transfer_encoding
-            .as_bytes()
-            .eq_ignore_ascii_case(b"chunked")
-            || state.may_have_content_length()
-    }) {
-        return Err(bad_request("the length of the body is not clear"));
-    }
-    let path = request.uri().path();
-    if path == "/ready" {
-        if request.method() != Method::GET {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, ONLY_GET));
-        }
-        let ready = *server.ready.borrow() && server.drain_gate.is_ready();
-        return if ready {
-            Ok(Response::default())
-        } else {
-            Err((StatusCode::SERVICE_UNAVAILABLE, "not ready"))
-        };
+    verify_body_length(&request, state)?;
+    if request.uri().path() == "/ready" {
+        return server.readiness(request.method());
     }
     let head =
         MessageHead::read(&request, &server.classes).map_err(|error| server.rejection(error))?;
-    // Messages that the server itself rejects are reported to the engine, so that they are counted.
-    let reject = |message| {
-        if let Some(class) = server.classes.find(&head.class_name) {
-            // sending fails only when the process ends
-            let _ = server.inputs.send(Input::Rejected {
-                class: class.position,
-                destination: head.destination,
-            });
-        }
-        Err((StatusCode::SERVICE_UNAVAILABLE, message))
-    };
     let Ok(body_permit) = server
         .body_bytes
         .try_acquire_many(head.max_body_bytes as u32)
     else {
-        return reject("too many bodies at once");
+        return Err(server.reject_message(&head, "too many bodies at once"));
     };
     let body = timeout_at(body_deadline, read_body(request.into_body()))
         .await
         .map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))??;
     drop(body_permit);
     if !*server.ready.borrow() {
-        return reject("not ready");
+        return Err(server.reject_message(&head, "not ready"));
     }
     if !server.drain_gate.accepts_messages() {
-        return reject("draining");
+        return Err(server.reject_message(&head, "draining"));
     }
     // The class is looked up again: a reload while the body came in may have changed it, and given its position in the
     // engine's class table to another class.
     let class = server
         .classes
         .find(&head.class_name)
-        .filter(|class| head.key.is_some() || !class.requires_key);
-    let Some(class) = class else {
-        return reject(CLASS_CHANGED);
-    };
-    // the settings of a process that has taken over may require the subject where those of this process don't
-    let subject = if server.drain_gate.is_replaced() {
-        head.subject()
-    } else {
-        head.subject_for(class)
-    };
-    let subject = subject.map_err(|error| server.rejection(HeadError::ClassSettings(error)))?;
+        .filter(|class| head.key.is_some() || !class.requires_key)
+        .ok_or_else(|| server.reject_message(&head, CLASS_CHANGED))?;
+    let subject = server
+        .subject(&head, class)
+        .map_err(|error| server.rejection(HeadError::ClassSettings(error)))?;
     let (reply, outcome) = oneshot::channel();
-    state.mark_submitted();
-    let mut guard = DisconnectGuard {
-        pending_id: Some(head.id.clone()),
-        inputs: &server.inputs,
-    };
+    let id = head.id.clone();
     let arrival = Arrival {
         id: head.id,
         key: head.key,
@@ -629,30 +629,59 @@
         body,
         reply,
     };
+    state.mark_submitted();
+    let mut guard = DisconnectGuard {
+        pending_id: Some(id),
+        inputs: &server.inputs,
+    };
     if server.inputs.send(Input::Arrived(arrival)).is_err() {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "ending"));
     }
     let outcome = outcome.await;
     guard.pending_id = None;
+    // an engine that drops the reply is ending
+    Ok(response_to(outcome.unwrap_or(ArrivalOutcome::NoCapacity)))
+}
+
+/// Rejects a request whose body could end at two places.
+fn verify_body_length(
+    request: &Request<Incoming>,
+    state: &ConnectionState,
+) -> Result<(), Rejection> {
+    let transfer_encoding =
+        single_value(request.headers(), "transfer-encoding", "Transfer-Encoding")?;
+    let is_ambiguous = transfer_encoding.is_some_and(|transfer_encoding| {
+        !transfer_encoding
+            .as_bytes()
+            .eq_ignore_ascii_case(b"chunked")
+            || state.may_have_content_length()
+    });
+    if is_ambiguous {
+        return Err(bad_request("the length of the body is not clear"));
+    }
+    Ok(())
+}
+
+/// The response that tells a client the outcome of its message.
+fn response_to(outcome: ArrivalOutcome) -> Response<Full<Bytes>> {
     let mut response = Response::default();
-    match outcome {
-        Ok(ArrivalOutcome::Accepted) => *response.status_mut() = StatusCode::ACCEPTED,
-        Ok(ArrivalOutcome::AlreadyDelivered) => {}
-        Ok(ArrivalOutcome::Rejected { retry_after }) => {
-            *response.status_mut() = StatusCode::TOO_MANY_REQUESTS;
-            if let Some(delay) = retry_after {
-                let text = format!("{:.3}", delay as f64 / 1e6);
-                if let Ok(value) = HeaderValue::from_str(&text) {
-                    response.headers_mut().insert(RETRY_AFTER, value);
-                }
-            }
-        }
-        Ok(ArrivalOutcome::NoCapacity) | Err(_) => {
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    *response.status_mut() = match outcome {
+        ArrivalOutcome::Accepted => StatusCode::ACCEPTED,
+        ArrivalOutcome::AlreadyDelivered => StatusCode::OK,
+        ArrivalOutcome::Rejected { .. } => StatusCode::TOO_MANY_REQUESTS,
+        ArrivalOutcome::NoCapacity => StatusCode::SERVICE_UNAVAILABLE,
+        ArrivalOutcome::Failed => StatusCode::INTERNAL_SERVER_ERROR,
+    };
+    if let ArrivalOutcome::Rejected {
+        retry_after: Some(delay),
+    } = outcome
+    {
+        let text = format!("{:.3}", delay as f64 / 1e6);
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            response.headers_mut().insert(RETRY_AFTER, value);
         }
-        Ok(ArrivalOutcome::Failed) => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
     }
-    Ok(response)
+    response
 }
 
 /// Reads the body into a buffer of its own. A slice would keep the connection's whole read buffer in memory.
