--- a/crates/hot-restart/tests/golden/new_process.rs
+++ b/crates/hot-restart/tests/golden/new_process.rs
@@ -67,17 +67,28 @@
     }
 }
 
+/// Whether the settings of the new process order the class of the message that has a subject.
+#[derive(Clone, Copy, PartialEq)]
+enum FirstClass {
+    Ordered,
+    Unordered,
+}
+
 /// Stands in for the engine of the new process: checks each input, and replies to the arrivals with `ARRIVAL_OUTCOMES`.
-async fn check_inputs(received: &mut mpsc::UnboundedReceiver<Input>) {
+async fn check_inputs(received: &mut mpsc::UnboundedReceiver<Input>, first_class: FirstClass) {
     let mut outcomes = ARRIVAL_OUTCOMES.into_iter();
     let (expected, _outcomes) = inputs();
     for expected in expected {
         match (received.recv().await.expect("an input"), expected) {
             (Input::Arrived(found), Input::Arrived(expected)) => {
                 assert_eq!(found.submitted_at.elapsed(), Duration::from_micros(1234));
+                let subject = match first_class {
+                    FirstClass::Ordered => expected.subject,
+                    FirstClass::Unordered => None,
+                };
                 assert_eq!(
                     (found.id, found.key, found.subject, found.tenant),
-                    (expected.id, expected.key, expected.subject, expected.tenant)
+                    (expected.id, expected.key, subject, expected.tenant)
                 );
                 assert_eq!(
                     (found.class, found.destination, found.time_to_live),
@@ -120,9 +131,19 @@
 
 #[tokio::test(start_paused = true)]
 async fn the_new_process_reads_and_writes_the_recorded_bytes() {
+    check_takeover("golden-new", FirstClass::Ordered).await;
+}
+
+/// Guards against a subject that is kept for a class that the settings of the new process don't order.
+#[tokio::test(start_paused = true)]
+async fn the_new_process_drops_the_subject_of_a_class_that_is_not_ordered() {
+    check_takeover("golden-unordered", FirstClass::Unordered).await;
+}
+
+async fn check_takeover(folder_name: &str, first_class: FirstClass) {
     LocalSet::new()
         .run_until(async {
-            let old = FakeOldProcess::new("golden-new");
+            let old = FakeOldProcess::new(folder_name);
             let old_side = async {
                 let (mut peer, decision) = old.offer(HELLO).await;
                 assert_eq!(decision, COMMIT);
@@ -141,17 +162,17 @@
             assert_same_address(&takeover.listener, &old.clients);
             takeover.lock.try_lock().expect("shared");
             old.assert_locked();
-            check_bridge(takeover.bridge, peer).await;
+            check_bridge(takeover.bridge, peer, first_class).await;
         })
         .await;
 }
 
-/// Six classes that have the same positions in both processes. Only the first one is ordered.
-fn classes() -> ForwardedClasses {
+/// Six classes that have the same positions in both processes. All but the first one are unordered.
+fn classes(first_class: FirstClass) -> ForwardedClasses {
     let names: Vec<String> = (0..6).map(|number| format!("class-{number}")).collect();
     let current = names.iter().enumerate().map(|(position, name)| {
         let class = Class {
-            ordered: position == 0,
+            ordered: position == 0 && first_class == FirstClass::Ordered,
             ..Class::new(name, Effect::Unsafe, SECOND, SECOND)
         };
         (position, class)
@@ -161,12 +182,12 @@
 }
 
 /// Exchanges frames with a bridge as the old process, and then closes the connection, as at the exit of that process.
-async fn check_bridge(bridge: Bridge, mut peer: UnixStream) {
+async fn check_bridge(bridge: Bridge, mut peer: UnixStream, first_class: FirstClass) {
     let (inputs, mut received) = mpsc::unbounded_channel();
     let (calls, cancels) = foreign_calls();
     let old_side = async {
         write(&mut peer, TO_NEW).await;
-        check_inputs(&mut received).await;
+        check_inputs(&mut received, first_class).await;
         let mut written = read_exact(&mut peer, TO_OLD.len() - CANCEL_BYTES).await;
         for (cancels, (_, position)) in cancels.iter().zip(CANCELS) {
             cancels.send(position).expect("the receiver is open");
@@ -189,7 +210,7 @@
         }
         assert_eq!(cut_off, [(20, 0), (20, 1), (20, 2), (300, 10), (300, 11)]);
     };
-    tokio::join!(bridge.run(calls, inputs, classes()), old_side);
+    tokio::join!(bridge.run(calls, inputs, classes(first_class)), old_side);
 }
 
 #[tokio::test(start_paused = true)]
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -371,3 +371,56 @@
     });
     assert_eq!(healthy.attempt_count("removed"), 0);
 }
+
+/// Guards against messages of one subject that are sent side by side, or one behind the other without need, because the
+/// process that was taken over judges by its own settings whether their class is ordered.
+#[test]
+fn the_order_of_a_subject_follows_the_settings_of_the_new_process() {
+    let release = Arc::new(AtomicBool::new(false));
+    let endpoint = blocked_until(&release);
+    let discovery = discovery_with(&endpoint);
+    let old = Node::new(&discovery).ready();
+    let mut clients: Vec<Client> = (0..4)
+        .map(|number| used_connection(&old, &format!("before-{number}")))
+        .collect();
+    let new = old.hot_restart().ready();
+    // webhooks are ordered from now on, and postings are not
+    new.reload(|text| {
+        text.replace(",\n                  \"oneAtATime\":true", "")
+            .replace(
+                r#"{"name":"webhook","#,
+                r#"{"name":"webhook","oneAtATime":true,"#,
+            )
+    });
+    wait_until("the reload is applied", || {
+        new.metric("config_applied") == 1
+    });
+    let mut submit = |class: &str, id: &str| {
+        let request = message_request(class, id, 7, 20_000, b"x");
+        let text = String::from_utf8(request).expect("text");
+        let text = text.replace(
+            &format!("POST /{class}"),
+            &format!("POST /{class}?subject=a"),
+        );
+        let mut client = clients.pop().expect("a connection for each message");
+        client.send(text.as_bytes()).expect("a response").0
+    };
+    assert_eq!(submit("webhook", "blocked-webhook"), 202);
+    wait_until("the first webhook is sent", || {
+        endpoint.attempt_count("blocked-webhook") >= 1
+    });
+    assert_eq!(submit("webhook", "second-webhook"), 202);
+    assert_eq!(submit("posting", "blocked-posting"), 202);
+    wait_until("the first posting is sent", || {
+        endpoint.attempt_count("blocked-posting") >= 1
+    });
+    assert_eq!(submit("posting", "second-posting"), 202);
+    wait_until("the second posting does not wait", || {
+        endpoint.attempt_count("second-posting") == 1
+    });
+    assert_eq!(endpoint.attempt_count("second-webhook"), 0, "it waits");
+    release.store(true, Ordering::SeqCst);
+    wait_until("the second webhook is sent", || {
+        endpoint.attempt_count("second-webhook") == 1
+    });
+}
