Review: a reload is lost while a process waits for the state folder

A SIGHUP to the new process of an upgrade, while it waits for the end of the old one, is dropped without a word. A class that the reload makes at_most_once goes on being retried.

--- /dev/null
+++ b/review/stand-ins-2/case_10.rs
@@ -0,0 +1,90 @@
+//! Case 10: a reload (SIGHUP) reaches the new process of an upgrade while it waits for the old one's end, since the sender has a
+//! store of dead letters. The class becomes one that must never run twice.
+
+mod parts;
+
+use parts::*;
+use std::sync::{Arc, Mutex};
+
+const BEFORE: &str = r#""name":"order","aim":4.0,"deadline":20.0,"effect":"idempotent""#;
+const AFTER: &str = r#""name":"order","aim":4.0,"deadline":20.0,"effect":"at_most_once""#;
+
+fn main() {
+    let case = begin();
+    // each call runs; the first call of a message is answered 500 all the same
+    let effects: Arc<Mutex<Vec<String>>> = Arc::default();
+    let ran = effects.clone();
+    let endpoint = Endpoint::start(move |call| {
+        let id = call.header("x-request-id").to_string();
+        let mut ran = ran.lock().unwrap();
+        let is_first = !ran.contains(&id);
+        let status = if is_first { "500 Internal Server Error" } else { "200 OK" };
+        record(format!("endpoint: {id} runs, answered {status}"));
+        ran.push(id);
+        reply(status, 5)
+    });
+    let targets = [target("s-1", endpoint.address, "one", 7)];
+    let discovery = Discovery::start(&targets);
+    let classes = format!("{{{BEFORE}}}");
+    let sender = Sender::new(
+        &case,
+        &Setup {
+            discovery: discovery.address,
+            known: &targets,
+            classes: &classes,
+            disk_mb: 30.0,
+            max_open: 50,
+            call_slots: 8,
+            store: Some("[store]\nmax_mb = 2\n"),
+        },
+    );
+    let mut old = sender.start(&case);
+    require_ready(sender.address);
+
+    // the upgrade: the new process waits for the folder
+    let new = sender.start(&case);
+    require("the new process waits", || new.logged("waiting for its end"));
+    let reload = || {
+        sender.change_config(BEFORE, AFTER);
+        new.signal("HUP");
+    };
+    if case.trouble {
+        reload();
+        sleep_ms(1_200);
+    }
+    // it has had its time to say yes; the old process ends
+    sleep_ms(4_000);
+    old.signal("TERM");
+    old.wait();
+    require("the new process listens", || new.logged("listening on"));
+    require_ready(sender.address);
+    if !case.trouble {
+        reload();
+    }
+    sleep_ms(3_000);
+
+    let submission = Submission {
+        class: "order",
+        id: "m1",
+        key: None,
+        destination: 7,
+        timeout_ms: 10_000,
+        body: b"order 1",
+        subject: None,
+    };
+    let status = submission.submit(sender.address);
+    record(format!("client: m1 answered {status}"));
+    if status != 202 {
+        cannot_run("m1 was not accepted");
+    }
+    sleep_ms(6_000);
+    let runs = effects.lock().unwrap().len();
+    let told = new.log_count("SIGHUP");
+    record(format!(
+        "endpoint: m1 ran {runs} times; lines of the new process about its SIGHUP: {told}"
+    ));
+    new.signal("TERM");
+    finish((runs > 1).then(|| {
+        format!("m1, handed in long after the reload made its class at_most_once, ran {runs} times")
+    }));
+}
