--- a/review/stand-ins-2/case_10.rs
+++ b/review/stand-ins-2/case_10.rs
@@ -15,17 +15,17 @@
 
 fn main() {
     let case = begin();
-    // each call runs; the first call of a message is answered 500 all the same
+    // each call runs; the answer to the first call of m1 gets lost
     let effects: Arc<Mutex<Vec<String>>> = Arc::default();
     let ran = effects.clone();
     let endpoint = Endpoint::start(move |call| {
         let id = call.header("x-request-id").to_string();
         let mut ran = ran.lock().unwrap();
-        let is_first = !ran.contains(&id);
-        let status = if is_first { "500 Internal Server Error" } else { "200 OK" };
-        record(format!("endpoint: {id} runs, answered {status}"));
+        let is_lost = id == "m1" && !ran.contains(&id);
+        let what = if is_lost { "the answer gets lost" } else { "answered 200" };
+        record(format!("endpoint: {id} runs, {what}"));
         ran.push(id);
-        reply(status, 5)
+        reply(if is_lost { "" } else { "200 OK" }, 5)
     });
     let targets = [target("s-1", endpoint.address, "one", 7)];
     let discovery = Discovery::start(&targets);
@@ -49,12 +49,15 @@
     let new = sender.start(&case);
     let started = Instant::now();
     require("the new process waits", || new.logged("waiting for its end"));
-    let reload = || {
+    let reload = |old: &mut Process| {
         sender.change_config(BEFORE, AFTER);
+        if !old.has_ended() {
+            old.signal("HUP");
+        }
         new.signal("HUP");
     };
     if case.trouble {
-        reload();
+        reload(&mut old);
     }
     // it has had its time to say yes; the old process ends
     std::thread::sleep(TIME_TO_SAY_YES.saturating_sub(started.elapsed()));
@@ -63,26 +66,28 @@
     require("the new process listens", || new.logged("listening on"));
     require_ready(sender.address);
     if !case.trouble {
-        reload();
+        reload(&mut old);
     }
     sleep_ms(3_000);
 
-    let submission = Submission {
-        class: "order",
-        id: "m1",
-        key: None,
-        destination: 7,
-        timeout_ms: 10_000,
-        body: b"order 1",
-        subject: None,
-    };
-    let status = submission.submit(sender.address);
-    record(format!("client: m1 answered {status}"));
-    if status != 202 {
-        cannot_run("m1 was not accepted");
+    for id in ["w1", "w2", "w3", "w4", "m1"] {
+        let submission = Submission {
+            class: "order",
+            id,
+            key: None,
+            destination: 7,
+            timeout_ms: 10_000,
+            body: b"order 1",
+            subject: None,
+        };
+        let status = submission.submit(sender.address);
+        record(format!("client: {id} answered {status}"));
+        if status != 202 {
+            cannot_run("a message was not accepted");
+        }
     }
     sleep_ms(6_000);
-    let runs = effects.lock().unwrap().len();
+    let runs = effects.lock().unwrap().iter().filter(|id| *id == "m1").count();
     let told = new.log_count("SIGHUP");
     record(format!(
         "endpoint: m1 ran {runs} times; lines of the new process about its SIGHUP: {told}"
--- a/review/stand-ins-2/case_6.rs
+++ b/review/stand-ins-2/case_6.rs
@@ -4,6 +4,7 @@
 mod parts;
 
 use parts::*;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 
 const CLASS: &str = r#""name":"order","aim":4.0,"deadline":20.0,"effect":"at_most_once""#;
@@ -13,20 +14,24 @@
 
 fn main() {
     let case = begin();
-    // The endpoint turns everything down until it is repaired: 500, and nothing runs. Then each call runs and is
-    // answered 200 after `RUN_MS`. It knows no keys, since the class has none.
-    let repaired = flag(false);
+    // The first call of m1 is cut off before anything runs, with no answer. All other calls run and are answered 200, those of m1
+    // after `RUN_MS`. The endpoint knows no keys, since the class has none.
+    let cut_off = flag(false);
     let effects: Arc<Mutex<Vec<String>>> = Arc::default();
-    let (is_repaired, ran) = (repaired.clone(), effects.clone());
+    let ran = effects.clone();
     let endpoint = Endpoint::start(move |call| {
         let id = call.header("x-request-id");
-        if is_repaired.load(std::sync::atomic::Ordering::SeqCst) {
-            record(format!("endpoint: {id} runs"));
-            ran.lock().unwrap().push(id.to_string());
-            return reply("200 OK", RUN_MS);
+        if id != "m1" {
+            record(format!("endpoint: {id} runs, answered 200"));
+            return reply("200 OK", 5);
         }
-        record(format!("endpoint: {id} does not run, answered 500"));
-        reply("500 Internal Server Error", 5)
+        if !cut_off.swap(true, Ordering::SeqCst) {
+            record("endpoint: m1 does not run, its connection ends with no answer");
+            return reply("", 5);
+        }
+        record("endpoint: m1 runs");
+        ran.lock().unwrap().push(id.to_string());
+        reply("200 OK", RUN_MS)
     });
     let targets = [target("s-1", endpoint.address, "one", 7)];
     let discovery = Discovery::start(&targets);
@@ -47,19 +52,21 @@
     require_ready(sender.address);
 
     // a message that may have run: it ends as failed and is kept
-    let submission = Submission {
-        class: "order",
-        id: "m1",
-        key: None,
-        destination: 7,
-        timeout_ms: 20_000,
-        body: b"licence 5",
-        subject: None,
-    };
-    let status = submission.submit(sender.address);
-    record(format!("client: m1 answered {status}"));
-    if status != 202 {
-        cannot_run("m1 was not accepted");
+    for id in ["w1", "w2", "w3", "w4", "m1"] {
+        let submission = Submission {
+            class: "order",
+            id,
+            key: None,
+            destination: 7,
+            timeout_ms: 20_000,
+            body: b"licence 5",
+            subject: None,
+        };
+        let status = submission.submit(sender.address);
+        record(format!("client: {id} answered {status}"));
+        if status != 202 {
+            cannot_run("a message was not accepted");
+        }
     }
     require("the notice of m1", || !discovery.notices_of("m1").is_empty());
     let dead_letter = |arguments: &[&str]| {
@@ -84,7 +91,6 @@
     process.signal("HUP");
     require("the reload", || process.logged("SIGHUP, discovery at"));
 
-    repaired.store(true, std::sync::atomic::Ordering::SeqCst);
     if dead_letter(&["redrive", &number]).0 != 0 {
         cannot_run("m1 was not redriven");
     }
--- a/review/stand-ins-2/case_8.rs
+++ b/review/stand-ins-2/case_8.rs
@@ -10,21 +10,24 @@
 
 fn main() {
     let case = begin();
-    // fails with 500, or tells to wait while it is shut
-    let shut = flag(false);
-    let is_shut = shut.clone();
+    // the connection of each call ends with no answer, or, while the endpoint hangs, stays open with none
+    let hangs = flag(false);
+    let is_hung = hangs.clone();
     let endpoint = Endpoint::start(move |call| {
         let id = call.header("x-request-id");
-        if is_shut.load(Ordering::SeqCst) {
-            record(format!("endpoint: {id} answered 429, to wait 6 s"));
-            let mut answer = reply("429 Too Many Requests", 5);
-            answer.headers = "Retry-After: 6\r\n".to_string();
-            return answer;
+        if is_hung.load(Ordering::SeqCst) {
+            record(format!("endpoint: {id} gets no answer, the endpoint hangs"));
+            return reply("200 OK", 15_000);
         }
-        record(format!("endpoint: {id} answered 500"));
-        reply("500 Internal Server Error", 5)
+        record(format!("endpoint: {id} gets no answer, its connection ends"));
+        reply("", 5)
     });
-    let targets = [target("s-1", endpoint.address, "one", 7)];
+    // the destination beside it is well, and gets four of five messages
+    let well = Endpoint::start(|_| reply("200 OK", 5));
+    let targets = [
+        target("s-1", endpoint.address, "one", 7),
+        target("s-2", well.address, "one", 8),
+    ];
     let discovery = Discovery::start(&targets);
     let mut sender = Sender::new(
         &case,
@@ -40,12 +43,12 @@
     );
     let with_store = sender.variables.clone();
     let without_store = with_store[..2].to_vec();
-    let submit = |sender: &Sender, id: &str| {
+    let submit_to = |sender: &Sender, destination: u64, id: &str| {
         let submission = Submission {
             class: "order",
             id,
             key: None,
-            destination: 7,
+            destination,
             timeout_ms: 15_000,
             body: id.as_bytes(),
             subject: None,
@@ -56,6 +59,10 @@
             cannot_run(&format!("{id} was not accepted"));
         }
     };
+    let submit = |sender: &Sender, id: &str| submit_to(sender, 7, id);
+    let submit_well = |sender: &Sender, life: &str| {
+        (0..4 * MESSAGES).for_each(|number| submit_to(sender, 8, &format!("{life}{number}")));
+    };
     let restart = |sender: &Sender, process: &mut Process| {
         process.signal("TERM");
         process.wait();
@@ -76,6 +83,7 @@
     for number in 0..MESSAGES {
         submit(&sender, &format!("a{number}"));
     }
+    submit_well(&sender, "v");
     require("the first messages fail", || {
         (0..MESSAGES).all(|number| has_notice(format!("a{number}")))
     });
@@ -83,24 +91,25 @@
         require("the first messages are kept", || kept(&format!("a{number}")));
     }
 
-    // the second process has no store; its messages have to wait, and stay open
-    shut.store(true, Ordering::SeqCst);
+    // the second process has no store; its messages hang, and stay open
+    hangs.store(true, Ordering::SeqCst);
     if case.trouble {
         record("restart without the store");
         sender.variables = without_store;
     }
     restart(&sender, &mut process);
-    // not judged: as number 0 it would be stored and never listed, which KNOWN-RED.txt has already
-    submit(&sender, "first");
+    // not judged, to the destination that is well: as number 0 it would be stored and never listed, which KNOWN-RED.txt has already
+    submit_to(&sender, 8, "first");
     for number in 0..MESSAGES {
         submit(&sender, &format!("b{number}"));
     }
 
-    // the third process has the store again; there the messages fail, or their time is up
+    submit_well(&sender, "w");
+
+    // the third process has the store again; there the messages fail, since they may have run
     record("restart with the store");
     sender.variables = with_store.clone();
     restart(&sender, &mut process);
-    shut.store(false, Ordering::SeqCst);
     let ended = wait_for(std::time::Duration::from_secs(40), || {
         (0..MESSAGES).all(|number| has_notice(format!("b{number}")))
     });
--- a/review/stand-ins-2/parts.rs
+++ b/review/stand-ins-2/parts.rs
@@ -374,7 +374,7 @@
 
 /// What an endpoint does with a call.
 pub struct Reply {
-    /// The status line's code and text, such as `200 OK`.
+    /// The status line's code and text, such as `200 OK`; empty if the connection ends with no answer.
     pub status: String,
     /// Further header lines, each with its line end.
     pub headers: String,
@@ -422,6 +422,9 @@
     while let Some(request) = read_message(&mut reader) {
         let answer = respond(&request);
         thread::sleep(answer.delay);
+        if answer.status.is_empty() {
+            return;
+        }
         let closes = request.header("connection").eq_ignore_ascii_case("close");
         let close = if closes { "Connection: close\r\n" } else { "" };
         let id = match request.header("x-request-id") {
