Serve a SIGHUP that arrives during the wait for the state folder

Cause: the wait for the state folder took each SIGHUP off and dropped it.

Such a SIGHUP is now logged and kept. Once the engine exists and before the first client is served, the file is read again as at any other SIGHUP; serving is a step of its own, so no message comes in between.

--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -22,14 +22,12 @@
 use milletturn_logging::log;
 use milletturn_platform::ResourceBudget;
 use milletturn_platform::http_transport::HttpTransport;
-use milletturn_platform::server::serve;
 use milletturn_policy::Settings;
-use running::SharedHandles;
+use running::{ClientServer, SharedHandles};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use takeover::{HotRestartParts, InheritedParts, TakeoverRequests};
 use tokio::sync::{mpsc, watch};
@@ -90,7 +88,8 @@
     Locked(FolderOwnership),
 }
 
-/// Reads the journal, opens the dead-letter store, starts the engine and listens for clients.
+/// Reads the journal, opens the dead-letter store, starts the engine and listens for clients, which are served from
+/// [`Running::serve_clients`] on.
 ///
 /// # Errors
 /// If the journal, the store, the state inherited from the predecessor or the address can't be used.
@@ -144,7 +143,6 @@
     let address = listener.local_addr()?;
     log(format_args!("{name}: listening on {address}"));
     let listening_socket = listener.as_fd().try_clone_to_owned()?;
-    tokio::task::spawn_local(serve(listener, Rc::new(server)));
     let hot_restart = HotRestartParts {
         gate: handles.gate.clone(),
         lock: inherited.lock,
@@ -157,7 +155,8 @@
         requests,
         hot_restart,
     ));
-    Ok(Running::new(name, handles, final_outcomes, engine))
+    let server = ClientServer { listener, server };
+    Ok(Running::new(name, handles, final_outcomes, server, engine))
 }
 
 /// Opens the journal and logs what its recovery found.
--- a/src/assemble/running.rs
+++ b/src/assemble/running.rs
@@ -4,11 +4,13 @@
 use milletturn_admin::Metrics;
 use milletturn_engine::{Input, Notification};
 use milletturn_logging::log;
+use milletturn_platform::server::{Server, serve};
 use milletturn_platform::{ClientClasses, DrainGate};
 use milletturn_policy::Settings;
 use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
@@ -64,15 +66,24 @@
     /// Classes that clients may name.
     pub classes: ClientClasses,
     name: String,
+    /// The server for clients; `None` once it serves them.
+    server: Option<ClientServer>,
     /// The engine's task; its result is false if the process must exit at once.
     engine: JoinHandle<bool>,
 }
 
+/// The server for clients and its listening socket, which queues their connections until the server runs.
+pub(super) struct ClientServer {
+    pub(super) listener: TcpListener,
+    pub(super) server: Server,
+}
+
 impl Running {
     pub(super) fn new(
         name: String,
         handles: SharedHandles,
         final_outcomes: mpsc::UnboundedReceiver<Notification>,
+        server: ClientServer,
         engine: JoinHandle<bool>,
     ) -> Self {
         Running {
@@ -83,10 +94,18 @@
             ready: handles.ready,
             classes: handles.classes,
             name,
+            server: Some(server),
             engine,
         }
     }
 
+    /// Starts to serve clients. Until then their connections wait in the socket's queue.
+    pub(crate) fn serve_clients(&mut self) {
+        if let Some(ClientServer { listener, server }) = self.server.take() {
+            tokio::task::spawn_local(serve(listener, Rc::new(server)));
+        }
+    }
+
     /// Runs until SIGTERM, and then until the shutdown is complete or timed out. Calls `on_hangup` on each SIGHUP.
     ///
     /// # Errors
--- a/src/assemble/signals.rs
+++ b/src/assemble/signals.rs
@@ -2,14 +2,17 @@
 
 use milletturn_logging::log;
 use std::error::Error;
+use std::future::ready;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::LocalSet;
+use tokio::task::{LocalSet, yield_now};
 
 /// Handlers of SIGTERM and SIGHUP. They are installed before any file is read, so that a SIGHUP sent after a file has
 /// been read neither kills the process nor is missed.
 pub(crate) struct Signals {
     pub(super) terminate: Signal,
     pub(super) hangup: Signal,
+    /// A SIGHUP was received before the process could reload its configuration.
+    has_pending_hangup: bool,
 }
 
 impl Signals {
@@ -18,6 +21,7 @@
         Ok(Signals {
             terminate: signal(SignalKind::terminate())?,
             hangup: signal(SignalKind::hangup())?,
+            has_pending_hangup: false,
         })
     }
 
@@ -32,6 +36,34 @@
     }
 }
 
+impl Signals {
+    /// Waits for SIGTERM in a process that can't reload its configuration yet. Calls `on_hangup` on each SIGHUP, and
+    /// keeps it for [`take_hangup`](Self::take_hangup).
+    pub(crate) async fn wait_for_sigterm_before_start(&mut self, on_hangup: impl Fn()) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                Some(()) = self.hangup.recv() => {
+                    self.has_pending_hangup = true;
+                    on_hangup();
+                }
+            }
+        }
+    }
+
+    /// Whether a SIGHUP was received that nobody has handled yet. It counts as handled from now on.
+    pub(crate) async fn take_hangup(&mut self) -> bool {
+        // returns after the runtime has polled the kernel, so that a signal that has arrived is seen
+        yield_now().await;
+        let has_arrived = tokio::select! {
+            biased;
+            Some(()) = self.hangup.recv() => true,
+            () = ready(()) => false,
+        };
+        std::mem::take(&mut self.has_pending_hangup) || has_arrived
+    }
+}
+
 /// Runs a future to completion on a single-threaded runtime, with a local task set.
 pub(crate) fn block_on<T>(
     future: impl Future<Output = Result<T, Box<dyn Error>>>,
--- a/src/run.rs
+++ b/src/run.rs
@@ -61,13 +61,11 @@
     );
     let (discovery, management) = (config.discovery_address, config.management_address);
     let options = sender_options(config, journal_max_bytes, store)?;
+    let has_hangup = signals.take_hangup().await;
     let mut running = assemble(options, folder_access).await?;
     let discovery = start_discovery(discovery, watch_start, &mut running);
-    if let Some(address) = management {
-        operators::start_admin_listener(&name, address, &running).await?;
-    }
     let reload = Rc::new(Reload {
-        name,
+        name: name.clone(),
         path,
         keys,
         discovery,
@@ -76,6 +74,14 @@
         classes: running.classes.clone(),
         reload_lock: Mutex::new(()),
     });
+    // the file may have changed since this process read it, and no message is accepted under settings that it replaces
+    if has_hangup || signals.take_hangup().await {
+        reload.clone().run().await;
+    }
+    running.serve_clients();
+    if let Some(address) = management {
+        operators::start_admin_listener(&name, address, &running).await?;
+    }
     running
         .run_until_sigterm(signals, move || {
             tokio::task::spawn_local(reload.clone().run());
@@ -84,18 +90,24 @@
 }
 
 /// Waits until this process may use the state folder; `None` if SIGTERM is received first. Until then it reads and changes
-/// nothing in the folder, because another process may be using it.
+/// nothing in the folder, because another process may be using it. A SIGHUP is kept until the process can reload.
 async fn acquire_access(
     config: &Config,
     has_store: bool,
     signals: &mut Signals,
 ) -> std::io::Result<Option<FolderAccess>> {
+    let name = &config.name;
+    let log_hangup = || {
+        log(format_args!(
+            "{name}: SIGHUP while waiting for the state folder; the configuration is read again before clients are served"
+        ));
+    };
     tokio::select! {
         access = acquire_state_folder(&config.state_dir, has_store) => access.map(Some),
         // This process has not accepted any message yet, so it can exit at once. Otherwise it could wait without limit
         // for the process that holds the folder.
-        () = signals.wait_for_sigterm() => {
-            log(format_args!("{}: SIGTERM while waiting for the state folder, exiting", config.name));
+        () = signals.wait_for_sigterm_before_start(log_hangup) => {
+            log(format_args!("{name}: SIGTERM while waiting for the state folder, exiting"));
             Ok(None)
         }
     }
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -106,6 +106,7 @@
         let inputs = running.inputs.clone();
         tokio::task::spawn_local(endpoints::watch(file, plan.fixed_endpoints, inputs));
     }
+    running.serve_clients();
     Ok((name, running))
 }
 
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -216,43 +216,13 @@
         Node::launch(self.folder.clone(), setup)
     }
 
+    /// Starts another process with the same folder and configuration, without waiting until it listens.
+    pub(crate) fn start_second_process(&self) -> StartingNode {
+        StartingNode::spawn(self.folder.clone(), self.setup.clone())
+    }
+
     fn launch(folder: PathBuf, setup: Setup) -> Self {
-        let mut command =
-            with_descriptor_ulimit(&program_command(&setup.program, &folder), setup.sockets);
-        if let Some(settings) = &setup.store {
-            let file = folder.join("undelivered.toml");
-            std::fs::write(&file, settings).expect("written");
-            command.env("MILLETTURN_UNDELIVERED", file);
-        }
-        if folder.join("trace").exists() {
-            command.env("MILLETTURN_TRACE", "1");
-        }
-        let mut process = command.spawn().expect("the sender starts");
-        let log: Arc<Mutex<Vec<String>>> = Arc::default();
-        let reads_log = Arc::new(AtomicBool::new(true));
-        let errors = process.stderr.take().expect("piped");
-        spawn_log_reader(errors, log.clone(), reads_log.clone());
-        let logged_value = |label: &str| {
-            let log = log.lock().expect("not poisoned");
-            log.iter()
-                .find_map(|record| record.split_once(label)?.1.parse().ok())
-        };
-        let (mut address, mut admin_address) = (None, None);
-        wait_until("the sender listens", || {
-            (address, admin_address) =
-                (logged_value("listening on "), logged_value("operators on "));
-            address.is_some() && admin_address.is_some()
-        });
-        let address = address.expect("found");
-        Node {
-            folder,
-            setup,
-            process,
-            address,
-            admin_address,
-            log,
-            reads_log,
-        }
+        StartingNode::spawn(folder, setup).listening()
     }
 
     /// Waits until the sender answers `GET /ready` with 200.
@@ -330,18 +300,17 @@
     }
 
     fn signal(&self, name: &str) {
-        let id = self.process.id().to_string();
-        assert!(
-            Command::new("kill")
-                .args([name, &id])
-                .status()
-                .expect("kill runs")
-                .success()
-        );
+        send_signal(&self.process, name);
     }
 
     /// Replaces the configuration with what `change` returns for it, and sends SIGHUP.
     pub(crate) fn reload(&self, change: impl FnOnce(String) -> String) {
+        self.replace_config(change);
+        self.signal("-HUP");
+    }
+
+    /// Replaces the configuration with what `change` returns for it.
+    pub(crate) fn replace_config(&self, change: impl FnOnce(String) -> String) {
         let (file, new) = (
             self.folder.join("config.json"),
             self.folder.join("config.new"),
@@ -349,7 +318,6 @@
         let text = std::fs::read_to_string(&file).expect("the configuration");
         std::fs::write(&new, change(text)).expect("written");
         std::fs::rename(&new, &file).expect("replaced");
-        self.signal("-HUP");
     }
 
     /// Kills the process if it runs, and starts a new one with the same folder and a newly written configuration.
@@ -405,6 +373,93 @@
     }
 }
 
+/// A sender process that may not listen yet, for example because it waits for its state folder.
+pub(crate) struct StartingNode {
+    folder: PathBuf,
+    setup: Setup,
+    process: Child,
+    log: Arc<Mutex<Vec<String>>>,
+    reads_log: Arc<AtomicBool>,
+}
+
+impl StartingNode {
+    fn spawn(folder: PathBuf, setup: Setup) -> Self {
+        let mut command =
+            with_descriptor_ulimit(&program_command(&setup.program, &folder), setup.sockets);
+        if let Some(settings) = &setup.store {
+            let file = folder.join("undelivered.toml");
+            std::fs::write(&file, settings).expect("written");
+            command.env("MILLETTURN_UNDELIVERED", file);
+        }
+        if folder.join("trace").exists() {
+            command.env("MILLETTURN_TRACE", "1");
+        }
+        let mut process = command.spawn().expect("the sender starts");
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let reads_log = Arc::new(AtomicBool::new(true));
+        let errors = process.stderr.take().expect("piped");
+        spawn_log_reader(errors, log.clone(), reads_log.clone());
+        StartingNode {
+            folder,
+            setup,
+            process,
+            log,
+            reads_log,
+        }
+    }
+
+    /// Waits until the process listens for clients and for operators.
+    pub(crate) fn listening(self) -> Node {
+        let (mut address, mut admin_address) = (None, None);
+        wait_until("the sender listens", || {
+            (address, admin_address) = (
+                self.logged_value("listening on "),
+                self.logged_value("operators on "),
+            );
+            address.is_some() && admin_address.is_some()
+        });
+        Node {
+            folder: self.folder,
+            setup: self.setup,
+            process: self.process,
+            address: address.expect("found"),
+            admin_address,
+            log: self.log,
+            reads_log: self.reads_log,
+        }
+    }
+
+    /// Sends SIGHUP.
+    pub(crate) fn hang_up(&self) {
+        send_signal(&self.process, "-HUP");
+    }
+
+    /// True if a record of the log contains the text.
+    pub(crate) fn logged(&self, text: &str) -> bool {
+        let log = self.log.lock().expect("not poisoned");
+        log.iter().any(|record| record.contains(text))
+    }
+
+    /// The address behind a label in the log.
+    fn logged_value(&self, label: &str) -> Option<SocketAddr> {
+        let log = self.log.lock().expect("not poisoned");
+        log.iter()
+            .find_map(|record| record.split_once(label)?.1.parse().ok())
+    }
+}
+
+/// Sends a signal, such as `-HUP`, to a running process.
+fn send_signal(process: &Child, name: &str) {
+    let id = process.id().to_string();
+    assert!(
+        Command::new("kill")
+            .args([name, &id])
+            .status()
+            .expect("kill runs")
+            .success()
+    );
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         let _ = self.process.kill();
