Hold a sender's memory limit with held messages and hundreds of slow clients

Operators saw a process killed over its memory limit beside hundreds of clients that wrote slowly, stopped half way or sent many short fields.

Cause: held messages had no share of the memory, each body was in memory twice (a third time in a compaction, as a whole file at a start), and client connections were counted by descriptors alone.

The test of descriptor shares asked 32 MB for 26,000 client connections, which that memory can't hold: it now gives 4 GB for that part, and a new test holds the sum of all shares against the memory limit.

--- a/benches/starts.rs
+++ b/benches/starts.rs
@@ -39,7 +39,7 @@
             destination: number % 100,
             accepted_at: now,
             deadline: now + 600_000_000,
-            body: vec![b'x'; BODY_BYTES],
+            body: vec![b'x'; BODY_BYTES].into(),
         };
         journal
             .record_accepted(number, message)
--- a/crates/engine/src/arrivals.rs
+++ b/crates/engine/src/arrivals.rs
@@ -197,7 +197,7 @@
             destination: arrival.destination,
             accepted_at: pending.submitted_at,
             deadline: pending.submitted_at + arrival.time_to_live,
-            body: arrival.body.to_vec(),
+            body: arrival.body.clone(),
         };
         let written = self.journal.record_accepted(message_id.0, accepted);
         if self.check_journal(written) {
--- a/crates/engine/src/journal.rs
+++ b/crates/engine/src/journal.rs
@@ -2,6 +2,7 @@
 
 use crate::EndReason;
 use crate::shared_str::stable_hash;
+use bytes::Bytes;
 use milletturn_policy::{Effect, Micros};
 use std::collections::BTreeMap;
 use std::io;
@@ -70,8 +71,8 @@
     pub accepted_at: Micros,
     /// When the message expires.
     pub deadline: Micros,
-    /// The message's body.
-    pub body: Vec<u8>,
+    /// The message's body. The engine and the journal share one buffer.
+    pub body: Bytes,
 }
 
 /// The start of one attempt of a message.
--- a/crates/engine/src/recovery.rs
+++ b/crates/engine/src/recovery.rs
@@ -138,7 +138,7 @@
         .map(|key| SharedStr::new(key.as_bytes()))
         .transpose()
         .ok()?;
-    let body = std::mem::take(&mut accepted.body).into();
+    let body = std::mem::take(&mut accepted.body);
     Some(CallItem { id, key, body })
 }
 
--- a/crates/engine/src/redrive.rs
+++ b/crates/engine/src/redrive.rs
@@ -65,7 +65,7 @@
             destination: order.destination,
             accepted_at: now,
             deadline,
-            body: order.body.to_vec(),
+            body: order.body.clone(),
         };
         let uncertain = uncertain_attempt.map(|attempt| AttemptStarted {
             uid: attempt.uid,
--- a/crates/engine/src/snapshot.rs
+++ b/crates/engine/src/snapshot.rs
@@ -19,6 +19,7 @@
 use crate::ports::Ports;
 use crate::shared_str::SharedStr;
 use crate::transport::CallItem;
+use bytes::Bytes;
 use milletturn_policy::{EndpointId, MessageId, Micros, Outcome, Sender, SettingsError};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -362,18 +363,14 @@
 }
 
 /// Converts a message from a snapshot, and adds its body; `None` if the id or key is invalid.
-fn restored_message(stored: StoredMessage, body: Vec<u8>) -> Option<Message> {
+fn restored_message(stored: StoredMessage, body: Bytes) -> Option<Message> {
     let id = SharedStr::new(stored.id.as_bytes()).ok()?;
     let key = stored
         .key
         .map(|key| SharedStr::new(key.as_bytes()))
         .transpose()
         .ok()?;
-    let item = CallItem {
-        id,
-        key,
-        body: body.into(),
-    };
+    let item = CallItem { id, key, body };
     let end = stored.end.map(|(at, returned)| MessageEnd {
         ending: returned.map_or(Ending::Failed, |after_ms| Ending::Returned { after_ms }),
         reason: EndReason::Unknown,
--- a/crates/journal/src/codec.rs
+++ b/crates/journal/src/codec.rs
@@ -9,6 +9,8 @@
 const HEADER_BYTES: usize = 12;
 /// Maximum length of a payload, larger than any record needs: a length above it is treated as damage.
 const MAX_PAYLOAD_BYTES: usize = 1 << 18;
+/// Maximum length of a record with its frame.
+pub(crate) const MAX_RECORD_BYTES: usize = HEADER_BYTES + MAX_PAYLOAD_BYTES;
 
 /// Encodes a record as a framed byte sequence.
 ///
--- a/crates/journal/src/compaction.rs
+++ b/crates/journal/src/compaction.rs
@@ -2,9 +2,10 @@
 //! is kept until the rename, so that a kill at any moment loses nothing.
 
 use crate::file_journal::FileJournal;
+use crate::live_messages::LiveMessages;
 use milletturn_engine::JournalError;
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{BufWriter, Write};
 use std::path::Path;
 
 impl FileJournal {
@@ -14,13 +15,7 @@
     /// [`JournalError::Full`] when the old and the new file together would exceed the size limit;
     /// [`JournalError::Write`] when the new file can't be written or renamed. The old file is kept in both cases.
     pub(crate) fn compact(&mut self) -> Result<(), JournalError> {
-        // this check comes first because encoding costs more, and a full journal tries to compact whenever a message is
-        // finished
-        if self.size + self.live.bytes() > self.max_bytes_of_both() {
-            return Err(JournalError::Full);
-        }
-        let bytes = self.live.encode()?;
-        self.replace(&bytes)
+        self.replace(&[])
     }
 
     /// Compacts the file and clears the list of finished messages whose records could not be written: the compacted
@@ -34,26 +29,27 @@
         Ok(())
     }
 
-    /// Replaces the journal file by a new one with the given content.
+    /// Replaces the journal file by one that holds the unfinished messages, followed by the encoded `last_record`.
     ///
     /// # Errors
     /// As [`FileJournal::compact`].
-    pub(crate) fn replace(&mut self, bytes: &[u8]) -> Result<(), JournalError> {
+    pub(crate) fn replace(&mut self, last_record: &[u8]) -> Result<(), JournalError> {
         let new_path = self.path.with_extension("new");
-        if self.size + bytes.len() as u64 > self.max_bytes_of_both() {
+        let new_size = self.live.bytes() + last_record.len() as u64;
+        if self.size + new_size > self.max_bytes_of_both() {
             return Err(JournalError::Full);
         }
-        match write_and_rename(&new_path, &self.path, bytes) {
+        match write_and_rename(&new_path, &self.path, &self.live, last_record) {
             Ok(file) => {
                 self.file = file;
-                self.size = bytes.len() as u64;
+                self.size = new_size;
                 self.broken = false;
                 Ok(())
             }
             Err(error) => {
                 // an error of this removal is ignored: the write error is reported, and the next start removes the file
                 let _ = fs::remove_file(&new_path);
-                Err(JournalError::Write(error))
+                Err(error)
             }
         }
     }
@@ -65,12 +61,24 @@
     }
 }
 
-fn write_and_rename(new_path: &Path, path: &Path, bytes: &[u8]) -> io::Result<File> {
-    let mut file = OpenOptions::new()
+/// Writes the new file message by message: an encoded copy of all messages would take as much memory again.
+fn write_and_rename(
+    new_path: &Path,
+    path: &Path,
+    live: &LiveMessages,
+    last_record: &[u8],
+) -> Result<File, JournalError> {
+    let file = OpenOptions::new()
         .append(true)
         .create_new(true)
-        .open(new_path)?;
-    file.write_all(bytes)?;
-    fs::rename(new_path, path)?;
+        .open(new_path)
+        .map_err(JournalError::Write)?;
+    let mut writer = BufWriter::new(file);
+    live.write_to(&mut writer)?;
+    writer.write_all(last_record).map_err(JournalError::Write)?;
+    let file = writer
+        .into_inner()
+        .map_err(|error| JournalError::Write(error.into_error()))?;
+    fs::rename(new_path, path).map_err(JournalError::Write)?;
     Ok(file)
 }
--- a/crates/journal/src/file_journal.rs
+++ b/crates/journal/src/file_journal.rs
@@ -38,6 +38,7 @@
     /// ends of messages that are already accepted.
     reserved_bytes: u64,
     pub(crate) live: LiveMessages,
+    held_limits: HeldLimits,
     /// Numbers of the finished messages whose [`Record::Finished`] could not be written yet.
     pub(crate) unrecorded: Vec<u64>,
     /// True after a failed write whose partial record could not be truncated. Appends fail until a compaction has
@@ -45,6 +46,24 @@
     pub(crate) broken: bool,
 }
 
+/// Limits of the unfinished messages, which the journal holds in memory as well as in its file. New messages are
+/// rejected while one of the limits is reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldLimits {
+    /// Maximum total size of the messages in bytes, as their records take up in the file.
+    pub bytes: u64,
+    /// Maximum number of messages.
+    pub messages: usize,
+}
+
+impl HeldLimits {
+    /// No limit other than the size of the file.
+    pub const NONE: HeldLimits = HeldLimits {
+        bytes: u64::MAX,
+        messages: usize::MAX,
+    };
+}
+
 impl FileJournal {
     /// Opens the journal in `folder`, or creates it, and reads the unfinished messages.
     ///
@@ -67,31 +86,32 @@
             }
             _ => {}
         }
-        let found = fs::read(&path);
-        let created = found.is_err();
-        let bytes = match found {
-            Err(error) if error.kind() == io::ErrorKind::NotFound => Vec::new(),
-            other => other.map_err(JournalError::Write)?,
+        let mut live = LiveMessages::default();
+        let (recovery, size) = match File::open(&path) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {
+                let created = Recovery {
+                    created: true,
+                    ..Recovery::default()
+                };
+                (created, 0)
+            }
+            found => replay(found.map_err(JournalError::Write)?, &mut live)?,
         };
         let file = OpenOptions::new()
             .append(true)
             .create(true)
             .open(&path)
             .map_err(JournalError::Write)?;
-        let mut live = LiveMessages::default();
-        let recovery = Recovery {
-            created,
-            ..replay(&bytes, &mut live)
-        };
         let mut journal = FileJournal {
             path,
             file,
-            size: bytes.len() as u64,
+            size,
             max_bytes: max_bytes.saturating_sub(ROUNDING_BYTES),
             reserved_bytes: max_small_records
                 .saturating_mul(MAX_SMALL_RECORD_BYTES)
                 .min(max_bytes / MAX_RESERVE_DIVISOR),
             live,
+            held_limits: HeldLimits::NONE,
             unrecorded: Vec::new(),
             broken: false,
         };
@@ -99,6 +119,20 @@
         Ok((journal, recovery))
     }
 
+    /// Limits the memory of unfinished messages from now on. Messages that exceed the limits already are kept.
+    pub fn limit_held(&mut self, limits: HeldLimits) {
+        self.held_limits = limits;
+    }
+
+    /// Appends the record of a new message, unless the unfinished messages have reached one of their limits.
+    fn append_message(&mut self, record: Record) -> Result<(), JournalError> {
+        let HeldLimits { bytes, messages } = self.held_limits;
+        if self.live.bytes() >= bytes || self.live.count() >= messages {
+            return Err(JournalError::Full);
+        }
+        self.append(record, self.reserved_bytes)
+    }
+
     /// Truncates an incomplete last record, and compacts a file that is damaged or larger than [`SMALL_FILE_BYTES`].
     fn repair(&mut self, recovery: &Recovery) -> Result<(), JournalError> {
         if recovery.torn_bytes > 0 {
@@ -127,9 +161,9 @@
         let marker = encode(&Record::DamageBefore)?;
         self.file.write_all(&marker).map_err(JournalError::Write)?;
         self.size += marker.len() as u64;
-        let bytes = [self.live.encode()?, marker].concat();
+        let replaced = self.replace(&marker);
         self.live.presume_attempts()?;
-        self.replace(&bytes)
+        replaced
     }
 
     /// Appends a record, if `reserved_bytes` are still free after it. If the record does not fit, but would fit into a
@@ -166,7 +200,7 @@
     }
 
     fn record_accepted(&mut self, number: u64, accepted: Accepted) -> Result<(), JournalError> {
-        self.append(Record::accepted(number, accepted), self.reserved_bytes)
+        self.append_message(Record::accepted(number, accepted))
     }
 
     fn record_redrive(
@@ -175,8 +209,7 @@
         accepted: Accepted,
         prior_attempt: Option<AttemptStarted>,
     ) -> Result<(), JournalError> {
-        let record = Record::redriven(number, accepted, prior_attempt);
-        self.append(record, self.reserved_bytes)
+        self.append_message(Record::redriven(number, accepted, prior_attempt))
     }
 
     fn record_attempt(
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -16,5 +16,5 @@
 mod records;
 mod recovery;
 
-pub use file_journal::FileJournal;
+pub use file_journal::{FileJournal, HeldLimits};
 pub use recovery::Recovery;
--- a/crates/journal/src/live_messages.rs
+++ b/crates/journal/src/live_messages.rs
@@ -1,12 +1,14 @@
 //! The messages that are unfinished according to all records applied so far, and the number of bytes that a compacted
 //! file needs for them.
 
+use crate::codec::encode;
 use crate::records::{DetailEffect, Details, PriorAttempt, Record, encode_unfinished};
 use milletturn_engine::{
-    Accepted, AttemptStarted, EndReason, JournalError, MessageEnd, Unfinished,
+    Accepted, AttemptStarted, EndReason, Ending, JournalError, MessageEnd, Unfinished,
 };
 use milletturn_policy::Effect;
 use std::collections::BTreeMap;
+use std::io::Write;
 
 /// The unfinished messages by number.
 #[derive(Debug, Default)]
@@ -29,6 +31,11 @@
         self.bytes
     }
 
+    /// How many messages are unfinished.
+    pub(crate) fn count(&self) -> usize {
+        self.messages.len()
+    }
+
     /// Whether the message is unfinished; false also for a number that is unknown.
     pub(crate) fn contains(&self, number: u64) -> bool {
         self.messages.contains_key(&number)
@@ -42,16 +49,16 @@
             .collect()
     }
 
-    /// Encodes the content of a compacted file.
+    /// Writes the content of a compacted file.
     ///
     /// # Errors
-    /// When a record can't be encoded.
-    pub(crate) fn encode(&self) -> Result<Vec<u8>, JournalError> {
-        let mut bytes = Vec::new();
+    /// When a record can't be encoded or written.
+    pub(crate) fn write_to(&self, writer: &mut impl Write) -> Result<(), JournalError> {
         for (&number, live) in &self.messages {
-            bytes.extend(encode_unfinished(number, &live.message)?);
+            let bytes = encode_unfinished(number, &live.message)?;
+            writer.write_all(&bytes).map_err(JournalError::Write)?;
         }
-        Ok(bytes)
+        Ok(())
     }
 
     /// Applies a record that takes up `bytes` in the file. Records of messages that are finished, or unknown because
@@ -85,15 +92,7 @@
                     attempt.never_ran = never_ran;
                 }
             }),
-            Record::EndedWithoutReason(number, ending) => {
-                self.update(number, bytes, |message| {
-                    message.end = Some(MessageEnd {
-                        ending,
-                        reason: EndReason::Unknown,
-                        at: message.accepted.deadline,
-                    });
-                });
-            }
+            Record::EndedWithoutReason(number, ending) => self.end_without_reason(number, ending),
             Record::Ended(number, end) => {
                 self.update(number, bytes, |message| message.end = Some(end));
             }
@@ -123,6 +122,21 @@
         Ok(())
     }
 
+    /// Applies the record of an older build, which a compacted file replaces by a longer one.
+    fn end_without_reason(&mut self, number: u64, ending: Ending) {
+        let Some(live) = self.messages.get(&number) else {
+            return;
+        };
+        let end = MessageEnd {
+            ending,
+            reason: EndReason::Unknown,
+            at: live.message.accepted.deadline,
+        };
+        // a record of numbers only can always be encoded
+        let bytes = encode(&Record::Ended(number, end)).map_or(0, |bytes| bytes.len() as u64);
+        self.update(number, bytes, |message| message.end = Some(end));
+    }
+
     fn insert(&mut self, number: u64, message: Unfinished, bytes: u64) {
         self.bytes += bytes;
         if let Some(old) = self.messages.insert(number, LiveMessage { message, bytes }) {
--- a/crates/journal/src/records.rs
+++ b/crates/journal/src/records.rs
@@ -3,6 +3,7 @@
 //! Records are encoded by position (postcard): the order of variants and fields is the format, and variants may only be
 //! added at the end. The engine's types are mirrored here, so that a change to an engine type can't change the format.
 
+use bytes::Bytes;
 use milletturn_engine::{
     Accepted, AttemptStarted, EndReason, Ending, JournalError, MessageEnd, Unfinished,
 };
@@ -26,7 +27,7 @@
     destination: u64,
     accepted_at: i64,
     deadline: i64,
-    body: Vec<u8>,
+    body: Bytes,
 }
 
 /// Stored form of a class's rule for duplicate deliveries.
--- a/crates/journal/tests/full.rs
+++ b/crates/journal/tests/full.rs
@@ -41,7 +41,7 @@
         destination: 7,
         accepted_at: 1_700_000_000_000_000,
         deadline: 1_700_000_020_000_000,
-        body: vec![b'x'; 40],
+        body: vec![b'x'; 40].into(),
     }
 }
 
--- a/crates/journal/tests/golden.rs
+++ b/crates/journal/tests/golden.rs
@@ -54,7 +54,7 @@
         destination: 1000 + number,
         accepted_at: START + number as i64,
         deadline: START + 20_000_000 + number as i64,
-        body: vec![b'a' + number as u8; 3 + number as usize],
+        body: vec![b'a' + number as u8; 3 + number as usize].into(),
     }
 }
 
--- a/crates/platform/src/resource_budget.rs
+++ b/crates/platform/src/resource_budget.rs
@@ -6,6 +6,17 @@
 use crate::notifications::MAX_POSTS;
 use milletturn_engine::MAX_BODY_BYTES;
 
+/// Memory of the process without connections and messages: the pages of the program, the runtime and the tables.
+const PROCESS_BYTES: u64 = 8_000_000;
+/// Memory of a client connection with an incomplete request: the read buffer, a copy of the head, and the task.
+const CLIENT_CONNECTION_BYTES: u64 = 40_000;
+/// Memory of a connection to an endpoint: the read and write buffers, and the task.
+const ENDPOINT_CONNECTION_BYTES: u64 = 24_000;
+/// Memory of an unfinished message in addition to its body.
+const MESSAGE_BYTES: u64 = 4_000;
+/// Unfinished messages may take up at least the memory limit divided by this number.
+const MIN_HELD_DIVISOR: u64 = 8;
+
 /// How the file descriptors and memory of a sender are divided among its parts. Every descriptor and every byte of a
 /// request body that is being read counts against the limit of one part, so that no part can starve another. The
 /// descriptors that are reserved for everything else are not listed here.
@@ -23,6 +34,10 @@
     pub idle_connections: usize,
     /// Maximum total size of client request bodies that are being read, in bytes.
     pub body_bytes: usize,
+    /// Maximum total size of the unfinished messages in the journal, in bytes.
+    pub held_bytes: u64,
+    /// Maximum number of unfinished messages in the journal.
+    pub held_messages: usize,
 }
 
 impl ResourceBudget {
@@ -36,7 +51,10 @@
     #[must_use]
     pub fn new(max_descriptors: usize, memory_bytes: u64, call_slots: usize) -> Self {
         let available = max_descriptors.saturating_sub(Self::RESERVED_DESCRIPTORS);
-        let client_connections = (available * 2 / 5).max(1);
+        let connection_memory = memory_bytes.saturating_sub(PROCESS_BYTES) / 4;
+        let client_connections = (available * 2 / 5)
+            .min(to_usize(connection_memory / CLIENT_CONNECTION_BYTES))
+            .max(1);
         // half of a tenth, divided equally between waiting and closing connections
         let extra_connections = (available / 10 / 4).max(1);
         // A tenth stays unassigned, because a closed socket counts until its task has run. With a small limit the
@@ -50,13 +68,31 @@
         let idle_connections = endpoint_connections
             .saturating_sub(call_slots)
             .max(endpoint_connections / 4);
-        let body_bytes = usize::try_from(memory_bytes / 8).unwrap_or(usize::MAX);
+        let max_endpoint_connections = to_usize(connection_memory / ENDPOINT_CONNECTION_BYTES);
+        let idle_connections = idle_connections
+            .min(max_endpoint_connections.saturating_sub(call_slots))
+            .max(1);
+        let body_bytes = to_usize(memory_bytes / 8).clamp(2 * MAX_BODY_BYTES, 64 << 20);
+        let endpoint_connections_in_use = idle_connections + call_slots.min(endpoint_connections);
+        let other_bytes = PROCESS_BYTES
+            + body_bytes as u64
+            + client_connections as u64 * CLIENT_CONNECTION_BYTES
+            + endpoint_connections_in_use as u64 * ENDPOINT_CONNECTION_BYTES;
+        let held_bytes = memory_bytes
+            .saturating_sub(other_bytes)
+            .max(memory_bytes / MIN_HELD_DIVISOR);
         ResourceBudget {
             client_connections,
             extra_connections,
             endpoint_connections,
             idle_connections,
-            body_bytes: body_bytes.clamp(2 * MAX_BODY_BYTES, 64 << 20),
+            body_bytes,
+            held_bytes,
+            held_messages: to_usize(held_bytes / MESSAGE_BYTES),
         }
     }
 }
+
+fn to_usize(value: u64) -> usize {
+    usize::try_from(value).unwrap_or(usize::MAX)
+}
--- a/crates/platform/src/resource_budget/tests.rs
+++ b/crates/platform/src/resource_budget/tests.rs
@@ -1,4 +1,7 @@
-use super::ResourceBudget;
+use super::{
+    CLIENT_CONNECTION_BYTES, ENDPOINT_CONNECTION_BYTES, MESSAGE_BYTES, PROCESS_BYTES,
+    ResourceBudget,
+};
 
 #[test]
 fn shares_never_exceed_the_descriptor_limit() {
@@ -22,9 +25,9 @@
                 "{descriptors}: {budget:?}"
             );
         }
-        // clients with an open request occupy up to a third of the descriptors
+        // clients with an open request occupy up to a third of the descriptors, if there is memory for them
         let client_connections =
-            ResourceBudget::new(descriptors, 32_000_000, 40).client_connections;
+            ResourceBudget::new(descriptors, 4_000_000_000, 40).client_connections;
         assert!(
             descriptors < 256 || client_connections > descriptors / 3,
             "{descriptors}: {client_connections}"
@@ -35,3 +38,27 @@
         4_000_000
     );
 }
+
+#[test]
+fn shares_never_exceed_the_memory_limit() {
+    // Guards against connections and messages that are each within a limit, but need more memory together: 600 clients
+    // that stopped half way through their requests once brought a process with 32 MB to 48 MB.
+    for memory_bytes in [16_000_000, 32_000_000, 64_000_000, 192_000_000] {
+        for descriptors in [64, 256, 512, 1024, 65_536] {
+            let budget = ResourceBudget::new(descriptors, memory_bytes, 40);
+            let call_slots = 40.min(budget.endpoint_connections);
+            let connection_bytes = budget.client_connections as u64 * CLIENT_CONNECTION_BYTES
+                + (budget.idle_connections + call_slots) as u64 * ENDPOINT_CONNECTION_BYTES;
+            let total_bytes =
+                PROCESS_BYTES + budget.body_bytes as u64 + connection_bytes + budget.held_bytes;
+            assert!(
+                total_bytes <= memory_bytes,
+                "{memory_bytes}, {descriptors}: {total_bytes}, {budget:?}"
+            );
+            assert!(
+                budget.held_messages as u64 * MESSAGE_BYTES <= budget.held_bytes,
+                "{memory_bytes}, {descriptors}: {budget:?}"
+            );
+        }
+    }
+}
--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -50,6 +50,8 @@
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// Maximum size of a request head in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The end of a request head: the line end of its last line, and an empty line.
+const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// The configuration and state that all connections share.
 pub struct Server {
@@ -142,8 +144,13 @@
     /// Wakes the task that serves the connection when another client needs the slot.
     close_requested: Notify,
     is_close_requested: Cell<bool>,
-    /// Raw bytes of the request head that is being read; empty between a response and the next request.
+    /// Raw bytes of the request head that is being read. Empty between a response and the next request, and again once
+    /// the head has been verified.
     head: RefCell<Vec<u8>>,
+    /// Whether the head that is being read is complete.
+    is_head_complete: Cell<bool>,
+    /// Whether bytes have been read since the last response.
+    has_partial_request: Cell<bool>,
     bytes_read: Cell<u64>,
 }
 
@@ -158,10 +165,43 @@
             close_requested: Notify::new(),
             is_close_requested: Cell::new(false),
             head: RefCell::default(),
+            is_head_complete: Cell::new(false),
+            has_partial_request: Cell::new(false),
             bytes_read: Cell::new(0),
         }
     }
 
+    /// Records bytes that have been read. Bytes of the body that arrive together with the end of the head are stored
+    /// with it, which does no harm.
+    fn record_read(&self, new: &[u8]) {
+        self.bytes_read.update(|count| count + new.len() as u64);
+        self.has_partial_request
+            .set(self.has_partial_request.get() || !new.is_empty());
+        let mut head = self.head.borrow_mut();
+        if self.is_head_complete.get() || head.len() >= MAX_HEAD_BYTES {
+            return;
+        }
+        // the end of the head may be split between two reads
+        let unchecked = head.len().saturating_sub(HEAD_END.len() - 1);
+        head.extend_from_slice(&new[..new.len().min(MAX_HEAD_BYTES)]);
+        let has_end = head[unchecked..]
+            .windows(HEAD_END.len())
+            .any(|window| window == HEAD_END);
+        self.is_head_complete.set(has_end);
+    }
+
+    /// Frees the raw head, which is not needed while the body is read.
+    fn release_head(&self) {
+        self.head.take();
+    }
+
+    /// Records that bytes of a response have been written: the next bytes belong to another request.
+    fn end_request(&self) {
+        self.head.take();
+        self.is_head_complete.set(false);
+        self.has_partial_request.set(false);
+    }
+
     /// Records that a request head has been read; returns the deadline of the body. The deadline of the connection is
     /// [`SLOT_TIMEOUT`] later, which leaves time for the response to a request whose body is late. Until the body is
     /// complete, the connection may still be asked to close, so that an incomplete request cannot occupy a slot that
@@ -391,7 +431,7 @@
         }
     }
     let stream = connection.into_parts().io.into_inner().stream;
-    if !state.head.borrow().is_empty() {
+    if state.has_partial_request.get() {
         // Best effort: a client whose socket has no room for these few bytes is not reading.
         let _ = stream.try_write(REJECTION_RESPONSE);
     }
@@ -461,9 +501,9 @@
 }
 
 impl ClientStream {
-    fn clear_head_if_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    fn end_request_if_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(result, Poll::Ready(Ok(1..))) {
-            self.state.head.borrow_mut().clear();
+            self.state.end_request();
         }
         result
     }
@@ -477,16 +517,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let read = (buffer.filled().len() - before) as u64;
-        self.state.bytes_read.update(|count| count + read);
-        let mut head = self.state.head.borrow_mut();
-        // Only the head is needed, and its size is limited. Bytes of the body that arrive in the same read are stored
-        // too, which does no harm.
-        let is_head_complete = head.windows(4).any(|four| four == b"\r\n\r\n");
-        if !is_head_complete && head.len() < MAX_HEAD_BYTES {
-            let new = &buffer.filled()[before..];
-            head.extend_from_slice(&new[..new.len().min(MAX_HEAD_BYTES)]);
-        }
+        self.state.record_read(&buffer.filled()[before..]);
         result
     }
 }
@@ -498,7 +529,7 @@
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(context, buffer);
-        self.clear_head_if_written(result)
+        self.end_request_if_written(result)
     }
 
     fn poll_write_vectored(
@@ -507,7 +538,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.clear_head_if_written(result)
+        self.end_request_if_written(result)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -582,6 +613,7 @@
 ) -> Result<Response<Full<Bytes>>, Rejection> {
     let received_at = Instant::now();
     verify_body_length(&request, state)?;
+    state.release_head();
     if request.uri().path() == "/ready" {
         return server.readiness(request.method());
     }
@@ -593,9 +625,12 @@
     else {
         return Err(server.reject_message(&head, "too many bodies at once"));
     };
-    let body = timeout_at(body_deadline, read_body(request.into_body()))
-        .await
-        .map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))??;
+    let body = timeout_at(
+        body_deadline,
+        read_body(request.into_body(), head.max_body_bytes),
+    )
+    .await
+    .map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))??;
     drop(body_permit);
     if !*server.ready.borrow() {
         return Err(server.reject_message(&head, "not ready"));
@@ -684,9 +719,10 @@
     response
 }
 
-/// Reads the body into a buffer of its own. A slice would keep the connection's whole read buffer in memory.
-async fn read_body(mut body: Incoming) -> Result<Bytes, Rejection> {
-    let mut bytes = Vec::new();
+/// Reads the body, of at most `max_bytes`, into a buffer of its own. A slice would keep the connection's whole read
+/// buffer in memory.
+async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Rejection> {
+    let mut bytes = Vec::with_capacity(max_bytes);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| bad_request("the body is malformed"))?;
         let data = frame.into_data().unwrap_or_default();
--- a/crates/scale/src/roles/journal.rs
+++ b/crates/scale/src/roles/journal.rs
@@ -42,7 +42,7 @@
         destination: 1 + number % UNREACHABLE_DESTINATIONS,
         accepted_at: now,
         deadline: now + 7 * 86_400 * SECOND,
-        body: vec![b'x'; body],
+        body: vec![b'x'; body].into(),
     }
 }
 
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -9,19 +9,23 @@
     reason = "test doubles panic to fail the test, and each simulation is one long function"
 )]
 
+mod client_crowd;
 pub mod cold_fleet;
 mod config_variants;
 mod crash_point;
 mod duplicating_proxy;
 mod effect_recorder;
 mod engine_ports;
+mod impatient_client;
 pub mod limited_fleet;
 mod memory_journal;
+mod process_memory;
 mod turns;
 mod unreliable_endpoint;
 mod unused_address;
 mod virtual_transport;
 
+pub use client_crowd::{ClientCrowd, CrowdBehavior};
 pub use config_variants::config_variants;
 pub use crash_point::CrashPoint;
 pub use duplicating_proxy::{
@@ -31,7 +35,9 @@
 pub use engine_ports::{
     RecordingTransport, START_TIME_US, engine_ports, new_arrival, serving_endpoint,
 };
+pub use impatient_client::{RESPONSE_TIMEOUT, ResponseCounts, submit_on_new_connections};
 pub use memory_journal::MemoryJournal;
+pub use process_memory::{peak_resident_bytes, resident_file_bytes};
 pub use unreliable_endpoint::{Executions, spawn_unreliable_endpoint};
 pub use unused_address::UnusedAddress;
 pub use virtual_transport::{CallScript, ScriptedOutcome, SimulatedEnvironment, VirtualTransport};
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -18,7 +18,7 @@
 use milletturn_engine::{Clock, EndpointListUpdate, Journal};
 use milletturn_hot_restart::new_process::FolderOwnership;
 use milletturn_hot_restart::old_process;
-use milletturn_journal::{FileJournal, Recovery};
+use milletturn_journal::{FileJournal, HeldLimits, Recovery};
 use milletturn_logging::log;
 use milletturn_platform::ResourceBudget;
 use milletturn_platform::http_transport::HttpTransport;
@@ -167,9 +167,14 @@
     let entries = settings
         .max_pending
         .saturating_mul(2 * settings.max_attempts + 1) as u64;
-    let opened = FileJournal::open(&options.state_dir, options.journal_max_bytes, entries)?;
-    log_recovery(&options.name, &opened.0, &opened.1);
-    Ok(opened)
+    let (mut journal, recovery) =
+        FileJournal::open(&options.state_dir, options.journal_max_bytes, entries)?;
+    journal.limit_held(HeldLimits {
+        bytes: options.budget.held_bytes,
+        messages: options.budget.held_messages,
+    });
+    log_recovery(&options.name, &journal, &recovery);
+    Ok((journal, recovery))
 }
 
 /// Logs how many records and unfinished messages the journal had, and how many bytes were truncated at its end or
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -43,7 +43,7 @@
         destination: 7,
         accepted_at: now,
         deadline: now + 120_000_000,
-        body: vec![b'x'; body_bytes],
+        body: vec![b'x'; body_bytes].into(),
     }
 }
 
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -147,6 +147,30 @@
         Node::launch(folder, setup)
     }
 
+    /// Starts a sender that may open this number of file descriptors, with a configuration that `change` adapts.
+    pub(crate) fn with_config(
+        discovery: &FakeDiscovery,
+        sockets: usize,
+        change: impl FnOnce(String) -> String,
+    ) -> Self {
+        let setup = Setup {
+            sockets,
+            ..Setup::new(discovery.address)
+        };
+        let folder = new_folder();
+        Node::write_config(
+            &folder,
+            discovery.address,
+            setup.disk_mb,
+            setup.idle_s,
+            sockets,
+        );
+        let file = folder.join("config.json");
+        let text = std::fs::read_to_string(&file).expect("the configuration");
+        std::fs::write(&file, change(text)).expect("written");
+        Node::launch(folder, setup)
+    }
+
     /// Starts a sender that may open no more than this number of file descriptors.
     pub(crate) fn with_descriptor_limit(discovery: &FakeDiscovery, sockets: usize) -> Self {
         Node::with_discovery_and_descriptor_limit(discovery.address, sockets)
