Bound the memory of unread outcomes, and test one client at full speed

Operators saw memory grow, and other clients answered late, while one client sent small or unsound requests on one connection at full speed, also under ever new names.

Cause: pending outcomes are all in memory, at about 400 bytes each, and only the size of their file was bounded.

--- a/crates/sidecar/src/outcome_log.rs
+++ b/crates/sidecar/src/outcome_log.rs
@@ -8,11 +8,12 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use record::MIN_RECORD_BYTES;
 pub use record::Outcome;
 
 use milletturn_engine::Notification;
-use record::Record;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use record::{PendingOutcome, Record};
+use std::collections::{BTreeSet, VecDeque};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -30,6 +31,10 @@
 /// Typical size of an outcome's line, in bytes, used to estimate how much of the file is acknowledged.
 const TYPICAL_RECORD_BYTES: u64 = 128;
 
+/// Memory of one pending outcome with a short id, in bytes: the outcome, its place in a queue that doubles as it grows,
+/// and its number in a set.
+pub(crate) const PENDING_OUTCOME_BYTES: u64 = 150;
+
 /// Why the outcome log can't be used.
 #[derive(Debug, Error)]
 pub enum OutcomeLogError {
@@ -59,8 +64,10 @@
     file: File,
     size_bytes: u64,
     max_bytes: u64,
-    /// Outcomes that aren't acknowledged yet, by cursor.
-    pending: BTreeMap<u64, Outcome>,
+    /// Outcomes that aren't acknowledged yet, in ascending order of their cursors.
+    pending: VecDeque<PendingOutcome>,
+    /// Maximum number of pending outcomes.
+    max_pending: usize,
     /// Message numbers of the pending outcomes.
     pending_numbers: BTreeSet<u64>,
     /// Message numbers of recently acknowledged outcomes, oldest first.
@@ -98,7 +105,8 @@
             file,
             size_bytes: complete_length as u64,
             max_bytes,
-            pending: BTreeMap::new(),
+            pending: VecDeque::new(),
+            max_pending: usize::MAX,
             pending_numbers: BTreeSet::new(),
             acknowledged_numbers: VecDeque::new(),
             acknowledged_cursor: 0,
@@ -114,7 +122,10 @@
         let lines = bytes.split_inclusive(|&byte| byte == b'\n');
         for (index, line) in lines.enumerate() {
             match serde_json::from_slice(line) {
-                Ok(Record::Outcome(outcome)) => self.insert_pending(outcome),
+                Ok(Record::Outcome(outcome)) => match PendingOutcome::from_outcome(&outcome) {
+                    Some(pending) => self.insert_pending(pending),
+                    None => return Err(self.damaged(index)),
+                },
                 Ok(Record::Acknowledgement {
                     cursor,
                     message_numbers,
@@ -122,17 +133,25 @@
                     self.acknowledged_numbers.extend(message_numbers);
                     self.remove_acknowledged(cursor);
                 }
-                Err(_) => {
-                    return Err(OutcomeLogError::Damaged {
-                        path: self.path.clone(),
-                        line_number: index + 1,
-                    });
-                }
+                Err(_) => return Err(self.damaged(index)),
             }
         }
         Ok(())
     }
 
+    /// The error for a line that can't be parsed; `index` counts from 0.
+    fn damaged(&self, index: usize) -> OutcomeLogError {
+        OutcomeLogError::Damaged {
+            path: self.path.clone(),
+            line_number: index + 1,
+        }
+    }
+
+    /// Limits the number of pending outcomes, which are all in memory, from now on.
+    pub fn limit_pending(&mut self, max_pending: usize) {
+        self.max_pending = max_pending;
+    }
+
     /// A number greater than that of any pending or recently acknowledged message; 0 if there are none.
     #[must_use]
     pub fn first_free_number(&self) -> u64 {
@@ -146,10 +165,12 @@
     /// The pending outcomes after a cursor, at most `max_count`.
     #[must_use]
     pub fn after(&self, cursor: u64, max_count: usize) -> Vec<Outcome> {
+        let first = self.pending.partition_point(|one| one.cursor <= cursor);
         self.pending
-            .range(cursor.saturating_add(1)..)
+            .iter()
+            .skip(first)
             .take(max_count)
-            .map(|(_, outcome)| outcome.clone())
+            .map(PendingOutcome::to_outcome)
             .collect()
     }
 
@@ -161,8 +182,9 @@
 
     /// The latest pending outcome of the message with this id.
     #[must_use]
-    pub fn find_by_id(&self, id: &str) -> Option<&Outcome> {
-        self.pending.values().rev().find(|outcome| outcome.id == id)
+    pub fn find_by_id(&self, id: &str) -> Option<Outcome> {
+        let found = self.pending.iter().rev().find(|one| one.id.as_ref() == id);
+        found.map(PendingOutcome::to_outcome)
     }
 
     /// The cursor of the last outcome written; 0 if none has been written.
@@ -171,20 +193,26 @@
         self.next_cursor - 1
     }
 
-    fn insert_pending(&mut self, outcome: Outcome) {
+    fn insert_pending(&mut self, outcome: PendingOutcome) {
         self.next_cursor = self.next_cursor.max(outcome.cursor + 1);
         self.pending_numbers.insert(outcome.number);
-        self.pending.insert(outcome.cursor, outcome);
+        let position = self
+            .pending
+            .partition_point(|one| one.cursor < outcome.cursor);
+        self.pending.insert(position, outcome);
     }
 
     fn remove_acknowledged(&mut self, cursor: u64) {
         self.acknowledged_cursor = self.acknowledged_cursor.max(cursor);
         self.next_cursor = self.next_cursor.max(cursor + 1);
-        let still_pending = self.pending.split_off(&cursor.saturating_add(1));
-        for outcome in std::mem::replace(&mut self.pending, still_pending).into_values() {
+        let acknowledged = self.pending.partition_point(|one| one.cursor <= cursor);
+        for outcome in self.pending.drain(..acknowledged) {
             self.pending_numbers.remove(&outcome.number);
             self.acknowledged_numbers.push_back(outcome.number);
         }
+        if self.pending.is_empty() {
+            self.pending.shrink_to_fit();
+        }
         while self.acknowledged_numbers.len() > MAX_REMEMBERED_NUMBERS {
             self.acknowledged_numbers.pop_front();
         }
@@ -201,13 +229,11 @@
         }
     }
 
-    fn write_records(&mut self, records: &[Record]) -> Result<(), OutcomeLogError> {
-        let mut text = Vec::new();
-        for record in records {
-            serde_json::to_writer(&mut text, record)
-                .map_err(|error| self.io_error(io::Error::other(error)))?;
-            text.push(b'\n');
-        }
+    fn write_records(
+        &mut self,
+        records: impl IntoIterator<Item = Record>,
+    ) -> Result<(), OutcomeLogError> {
+        let text = to_lines(records).map_err(|error| self.io_error(io::Error::other(error)))?;
         if let Err(error) = self.file.write_all(&text) {
             // remove a partly written line, so that the next record starts on a new one
             let _ = self.file.set_len(self.size_bytes);
@@ -218,8 +244,7 @@
     }
 
     /// Appends the outcomes that notifications report, and returns the numbers of all messages whose outcomes are
-    /// stored. Outcomes that are stored already aren't written again; those that would exceed the size limit are left
-    /// out.
+    /// stored. Outcomes that are stored already aren't written again; those that would exceed a limit are left out.
     ///
     /// # Errors
     /// When the file can't be written; none of the outcomes is stored then.
@@ -231,16 +256,16 @@
         for notification in notifications {
             if !self.is_known(notification.number) {
                 size_bytes += MAX_RECORD_BYTES;
-                if size_bytes > self.max_bytes {
+                let pending_count = self.pending.len() + new_outcomes.len();
+                if size_bytes > self.max_bytes || pending_count >= self.max_pending {
                     continue;
                 }
                 let cursor = self.next_cursor + new_outcomes.len() as u64;
-                new_outcomes.push(Outcome::from_notification(cursor, notification));
+                new_outcomes.push(PendingOutcome::from_notification(cursor, notification));
             }
             stored_numbers.push(notification.number);
         }
-        let records: Vec<Record> = new_outcomes.iter().cloned().map(Record::Outcome).collect();
-        self.write_records(&records)?;
+        self.write_records(new_outcomes.iter().map(PendingOutcome::to_record))?;
         for outcome in new_outcomes {
             self.insert_pending(outcome);
         }
@@ -256,7 +281,7 @@
         if cursor <= self.acknowledged_cursor || cursor >= self.next_cursor {
             return Ok(());
         }
-        self.write_records(&[Record::Acknowledgement {
+        self.write_records([Record::Acknowledgement {
             cursor,
             message_numbers: Vec::new(),
         }])?;
@@ -273,17 +298,29 @@
         if self.size_bytes < min_bytes || self.size_bytes < 2 * pending_bytes {
             return Ok(());
         }
-        let mut records = vec![Record::Acknowledgement {
+        let acknowledgement = Record::Acknowledgement {
             cursor: self.acknowledged_cursor,
             message_numbers: self.acknowledged_numbers.iter().copied().collect(),
-        }];
-        records.extend(self.pending.values().cloned().map(Record::Outcome));
+        };
+        let pending = std::mem::take(&mut self.pending);
+        let records =
+            std::iter::once(acknowledgement).chain(pending.iter().map(PendingOutcome::to_record));
+        let rewritten = self.replace_file(records);
+        self.pending = pending;
+        rewritten
+    }
+
+    /// Replaces the file by one with these records. The old file stays in use if the new one can't be written.
+    fn replace_file(
+        &mut self,
+        records: impl IntoIterator<Item = Record>,
+    ) -> Result<(), OutcomeLogError> {
         let new_path = self.path.with_extension("new");
         let new_file = File::create(&new_path).map_err(|error| self.io_error(error))?;
         let old_file = std::mem::replace(&mut self.file, new_file);
         let old_size_bytes = std::mem::take(&mut self.size_bytes);
         let written = self
-            .write_records(&records)
+            .write_records(records)
             .and_then(|()| fs::rename(&new_path, &self.path).map_err(|error| self.io_error(error)));
         if written.is_err() {
             (self.file, self.size_bytes) = (old_file, old_size_bytes);
@@ -291,3 +328,13 @@
         written
     }
 }
+
+/// The records as lines of JSON.
+fn to_lines(records: impl IntoIterator<Item = Record>) -> serde_json::Result<Vec<u8>> {
+    let mut text = Vec::new();
+    for record in records {
+        serde_json::to_writer(&mut text, &record)?;
+        text.push(b'\n');
+    }
+    Ok(text)
+}
--- a/crates/sidecar/src/outcome_log/record.rs
+++ b/crates/sidecar/src/outcome_log/record.rs
@@ -20,23 +20,68 @@
     pub after_ms: Option<u64>,
 }
 
-impl Outcome {
+/// Length of the shortest line of an outcome in bytes, with an id of 8 characters.
+pub(crate) const MIN_RECORD_BYTES: u64 = 60;
+
+/// An outcome that is not acknowledged yet. Many are in memory at once, so the form is compact.
+#[derive(Debug)]
+pub(super) struct PendingOutcome {
+    pub(super) cursor: u64,
+    pub(super) number: u64,
+    pub(super) id: Box<str>,
+    ending: Ending,
+}
+
+impl PendingOutcome {
     /// The outcome that a notification of the engine reports, at a cursor.
     pub(super) fn from_notification(cursor: u64, notification: &Notification) -> Self {
-        let (state, after_ms) = match notification.ending {
+        PendingOutcome {
+            cursor,
+            number: notification.number,
+            id: notification.id.as_str().into(),
+            ending: notification.ending,
+        }
+    }
+
+    /// The compact form of an outcome; `None` if its state is unknown.
+    pub(super) fn from_outcome(outcome: &Outcome) -> Option<Self> {
+        let ending = match outcome.state.as_str() {
+            "delivered" => Ending::Delivered,
+            "failed" => Ending::Failed,
+            "returned" => Ending::Returned {
+                after_ms: outcome.after_ms,
+            },
+            _ => return None,
+        };
+        Some(PendingOutcome {
+            cursor: outcome.cursor,
+            number: outcome.number,
+            id: outcome.id.as_str().into(),
+            ending,
+        })
+    }
+
+    pub(super) fn to_outcome(&self) -> Outcome {
+        let (state, after_ms) = match self.ending {
             Ending::Delivered => ("delivered", None),
             Ending::Failed => ("failed", None),
             Ending::Returned { after_ms } => ("returned", after_ms),
         };
         Outcome {
-            cursor,
-            number: notification.number,
-            id: notification.id.to_string(),
+            cursor: self.cursor,
+            number: self.number,
+            id: self.id.to_string(),
             state: state.to_string(),
             after_ms,
         }
     }
 
+    pub(super) fn to_record(&self) -> Record {
+        Record::Outcome(self.to_outcome())
+    }
+}
+
+impl Outcome {
     /// The outcome as a line of JSON, with its line feed.
     pub(crate) fn to_json_line(&self) -> String {
         serde_json::to_string(self)
--- a/crates/sidecar/tests/golden/outcome_file.rs
+++ b/crates/sidecar/tests/golden/outcome_file.rs
@@ -61,7 +61,7 @@
         ),
         (2, 5, 17)
     );
-    assert_eq!(log.find_by_id("m-15"), pending_outcomes().get(1));
+    assert_eq!(log.find_by_id("m-15").as_ref(), pending_outcomes().get(1));
     // repeated notifications are recognized, including those of acknowledged outcomes
     assert_eq!(
         log.append(&notifications()).expect("the log is written"),
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -16,6 +16,7 @@
 mod duplicating_proxy;
 mod effect_recorder;
 mod engine_ports;
+mod flooding_client;
 mod impatient_client;
 pub mod limited_fleet;
 mod memory_journal;
@@ -35,6 +36,7 @@
 pub use engine_ports::{
     RecordingTransport, START_TIME_US, engine_ports, new_arrival, serving_endpoint,
 };
+pub use flooding_client::FloodingClient;
 pub use impatient_client::{RESPONSE_TIMEOUT, ResponseCounts, submit_on_new_connections};
 pub use memory_journal::MemoryJournal;
 pub use process_memory::{peak_resident_bytes, resident_file_bytes};
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -66,7 +66,8 @@
     let plan = Plan::from_document(document)?;
     let endpoints = initial_endpoints(&plan)?;
     std::fs::create_dir_all(&plan.state_folder)?;
-    let outcomes = OutcomeLog::open(&plan.state_folder, plan.outcome_log_max_bytes)?;
+    let mut outcomes = OutcomeLog::open(&plan.state_folder, plan.outcome_log_max_bytes)?;
+    outcomes.limit_pending(plan.max_pending_outcomes);
     let seed = random_seed();
     let name = plan.name.clone();
     let options = SenderOptions {
