Keep the ids of messages that may have run when their client leaves

Callers saw an at-most-once message run twice when it came again under its id after its client had left.

Cause: a client that left before its response was taken to have withdrawn the message, also while a call was out, and the id was forgotten; ids of delivered messages were in memory only, those of failed ones nowhere.

A message is withdrawn only while no attempt may have run. The ids of at-most-once messages that ended and may have run are remembered: 200 if the delivery is known, else 500.

--- a/crates/engine/src/arrivals.rs
+++ b/crates/engine/src/arrivals.rs
@@ -28,7 +28,7 @@
 impl Engine {
     /// Handles a submission. A new message is admitted and passed to the decision module in the next turn, or rejected
     /// if too many messages are open. A submission that repeats an open message gets its reply in the next turn; one
-    /// that repeats a recently delivered message gets its reply at once.
+    /// that repeats a message which has ended recently, and must not run again, gets its reply at once.
     pub(crate) fn on_arrival(&mut self, arrival: Arrival) {
         // a dropped receiver means that the client disconnected: the server also reports that by
         // `Input::ClientDisconnected`, so failures to send a reply are ignored below
@@ -43,6 +43,8 @@
             });
         } else if self.delivered.contains(&arrival.id) {
             let _ = arrival.reply.send(ArrivalOutcome::AlreadyDelivered);
+        } else if self.may_have_run.contains(&arrival.id) {
+            let _ = arrival.reply.send(ArrivalOutcome::Failed);
         } else if self.messages.open_count() >= self.max_open_messages {
             let outcome = ArrivalOutcome::Rejected { retry_after: None };
             self.observe_rejected(
@@ -95,7 +97,7 @@
     }
 
     /// Handles the disconnection of a client before it received the outcome of its message. The message is dropped when
-    /// no other client waits for it.
+    /// no other client waits for it, unless it may have run: its client may submit it again, and it must be known then.
     pub(crate) fn on_client_disconnected(&mut self, id: &SharedStr) {
         let Some(message_id) = self.messages.find(id) else {
             return;
@@ -104,7 +106,7 @@
             return;
         };
         message.clients = message.clients.saturating_sub(1);
-        if message.clients == 0 {
+        if message.clients == 0 && !message.may_have_run() {
             self.events.push(Event::MessageCancelled(message_id));
             self.end(message_id, EndOrigin::Client);
         }
--- a/crates/engine/src/endings.rs
+++ b/crates/engine/src/endings.rs
@@ -9,7 +9,7 @@
 use crate::observer::EngineEvent;
 use crate::shared_str::SharedStr;
 use crate::transport::AttemptEnd;
-use milletturn_policy::{Event, MessageId, Micros, Outcome};
+use milletturn_policy::{Effect, Event, MessageId, Micros, Outcome};
 
 /// What ended a message, other than the decision module.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -171,6 +171,13 @@
         message.end = Some(end);
         let (id, redriven) = (message.item.id.clone(), message.redriven);
         let (class, ordering_key) = (message.class, message.ordering_key);
+        let must_not_run_again = ending == Ending::Failed
+            && !redriven
+            && message.may_have_run()
+            && self.classes.effect(class) == Some(Effect::Unsafe);
+        if must_not_run_again {
+            self.may_have_run.push(id.clone());
+        }
         let event = EngineEvent::Abandoned {
             id: id.as_str(),
             class,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -6,7 +6,6 @@
 use crate::classes::ClassTable;
 use crate::clock::Clock;
 use crate::dead_letter_sink::DeadLetterSink;
-use crate::delivered::DeliveredIds;
 use crate::endpoints::EndpointTable;
 use crate::ingress::Notification;
 use crate::input::Input;
@@ -14,6 +13,7 @@
 use crate::message_table::MessageTable;
 use crate::observer::{EngineEvent, Observer};
 use crate::ports::Ports;
+use crate::recent_ids::RecentIds;
 use crate::reconfiguration::ListOrigin;
 use crate::retention::PendingRelease;
 use crate::transport::Transport;
@@ -61,7 +61,10 @@
     /// Calls in flight, by number.
     pub(crate) calls: BTreeMap<u64, OutstandingCall>,
     pub(crate) next_call: u64,
-    pub(crate) delivered: DeliveredIds,
+    /// Ids of messages that were delivered.
+    pub(crate) delivered: RecentIds,
+    /// Ids of at-most-once messages that have ended, of which it is not known whether they ran.
+    pub(crate) may_have_run: RecentIds,
     /// Messages that arrived since the last turn and whose clients have no reply yet.
     pub(crate) arrivals: BTreeMap<MessageId, PendingArrival>,
     /// Submissions that arrived since the last turn and repeat a message that is already open. Their clients are told
@@ -89,6 +92,7 @@
         if let Some(update) = cached_endpoints {
             engine.on_endpoints_listed(update, ListOrigin::Cache);
         }
+        engine.remember_recently_ended();
         engine.resume_unfinished();
         Ok(engine)
     }
@@ -128,7 +132,8 @@
             unacknowledged_keys: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call: 0,
-            delivered: DeliveredIds::default(),
+            delivered: RecentIds::default(),
+            may_have_run: RecentIds::default(),
             arrivals: BTreeMap::new(),
             duplicates: Vec::new(),
             start_requests: Vec::new(),
--- a/crates/engine/src/journal.rs
+++ b/crates/engine/src/journal.rs
@@ -103,6 +103,32 @@
     pub prior_attempts: usize,
 }
 
+/// An at-most-once message that has ended and may have run, so that its client must not submit it again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecentlyEnded {
+    /// The id that the client gave the message.
+    pub id: String,
+    /// Whether the message is known to be delivered.
+    pub is_delivered: bool,
+}
+
+impl Unfinished {
+    /// What the client of an ended message is told if it submits the message again; `None` if the message may run then.
+    #[must_use]
+    pub fn recently_ended(&self) -> Option<RecentlyEnded> {
+        let may_have_run = self.attempts.iter().any(|attempt| !attempt.never_ran);
+        let is_returned = self
+            .end
+            .is_some_and(|end| matches!(end.ending, Ending::Returned { .. }));
+        let is_at_most_once = self.accepted.effect == Some(Effect::Unsafe);
+        let must_not_run_again = is_at_most_once && may_have_run && !is_returned && !self.redriven;
+        must_not_run_again.then(|| RecentlyEnded {
+            id: self.accepted.id.clone(),
+            is_delivered: self.end.is_some_and(|end| end.ending == Ending::Delivered),
+        })
+    }
+}
+
 /// Records what the engine must know after a crash.
 ///
 /// An entry counts as written when it survives a SIGKILL at any later instant. Messages are identified by the numbers
@@ -110,6 +136,11 @@
 pub trait Journal {
     /// The messages that earlier processes left unfinished, by number.
     fn unfinished(&self) -> BTreeMap<u64, Unfinished>;
+    /// At-most-once messages that ended lately and may have run, oldest first. A journal that does not keep them returns
+    /// none.
+    fn recently_ended(&self) -> Vec<RecentlyEnded> {
+        Vec::new()
+    }
     /// Records a message; the client may be told that the message is accepted once this has succeeded.
     ///
     /// # Errors
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -39,7 +39,6 @@
 mod classes;
 mod clock;
 pub mod dead_letter_sink;
-mod delivered;
 mod endings;
 pub mod endpoint_list;
 mod endpoints;
@@ -51,6 +50,7 @@
 mod message_table;
 pub mod observer;
 mod ports;
+mod recent_ids;
 mod reconfiguration;
 mod recovery;
 mod redrive;
@@ -69,7 +69,7 @@
 pub use ingress::{Arrival, ArrivalOutcome, MAX_BODY_BYTES, Notification};
 pub use input::{EngineStatus, Input};
 pub use journal::{
-    Accepted, AttemptStarted, Ending, Journal, JournalError, MessageEnd, Unfinished,
+    Accepted, AttemptStarted, Ending, Journal, JournalError, MessageEnd, RecentlyEnded, Unfinished,
 };
 pub use observer::{EngineEvent, Observer};
 pub use ports::Ports;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -102,7 +102,7 @@
     /// The message has no final outcome yet.
     pub open: bool,
     /// Number of clients that submitted the message, less those that disconnected before they received an outcome. A
-    /// disconnection that makes it zero ends the message. A message recovered from the journal starts with one, so
+    /// disconnection that makes it zero ends the message, unless the message may have run. A message recovered from the journal starts with one, so
     /// that a client that resubmits it and disconnects does not end it.
     pub clients: usize,
     /// The message's attempts in order, including those made before this process started.
@@ -146,6 +146,14 @@
         !self.open && self.attempts.iter().all(|attempt| !attempt.in_flight)
     }
 
+    /// Whether the destination may have processed an attempt of the message since it was accepted.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.attempts
+            .iter()
+            .skip(self.prior_attempts)
+            .any(|attempt| attempt.may_have_run)
+    }
+
     /// Whether an attempt of the message succeeded.
     pub(crate) fn is_delivered(&self) -> bool {
         self.attempts
--- a/crates/engine/src/delivered/tests.rs
+++ b/crates/engine/src/recent_ids/tests.rs
@@ -3,7 +3,7 @@
 #[test]
 fn only_the_last_ids_are_remembered() {
     let id = |n: usize| SharedStr::new(format!("m{n}").as_bytes()).expect("an id");
-    let mut delivered = DeliveredIds::default();
+    let mut delivered = RecentIds::default();
     for n in 0..2 * MAX_REMEMBERED {
         delivered.push(id(n));
         delivered.push(id(n));
--- a/crates/engine/src/recovery.rs
+++ b/crates/engine/src/recovery.rs
@@ -1,7 +1,7 @@
 //! Recovery from the journal: a new engine resumes the unfinished messages of an earlier process.
 
 use crate::engine::Engine;
-use crate::journal::{Accepted, AttemptStarted, Unfinished};
+use crate::journal::{Accepted, AttemptStarted, RecentlyEnded, Unfinished};
 use crate::message::{Attempt, Message};
 use crate::observer::EngineEvent;
 use crate::shared_str::SharedStr;
@@ -16,6 +16,24 @@
 const REMOVED_CLASS_TIME: Micros = 20 * SECOND;
 
 impl Engine {
+    /// Remembers the ids of messages that must not run again, which the journal keeps for some time after their end.
+    pub(crate) fn remember_recently_ended(&mut self) {
+        for ended in self.journal.recently_ended() {
+            self.remember_ended(&ended);
+        }
+    }
+
+    /// Remembers the id of a message that must not run again.
+    pub(crate) fn remember_ended(&mut self, ended: &RecentlyEnded) {
+        let Ok(id) = SharedStr::new(ended.id.as_bytes()) else {
+            return;
+        };
+        match ended.is_delivered {
+            true => self.delivered.push(id),
+            false => self.may_have_run.push(id),
+        }
+    }
+
     /// Resumes the messages in the journal. Open messages are passed to the decision module. For ended messages, the
     /// client is notified again, and the message is offered to the dead-letter store again.
     pub(crate) fn resume_unfinished(&mut self) {
@@ -29,9 +47,13 @@
 
     /// Resumes one message; a message with an invalid id or key is skipped.
     fn resume_message(&mut self, message_id: MessageId, mut unfinished: Unfinished, now: Micros) {
+        let ended = unfinished.end.and_then(|_| unfinished.recently_ended());
         let Some(item) = recovered_item(&mut unfinished.accepted) else {
             return;
         };
+        if let Some(ended) = ended {
+            self.remember_ended(&ended);
+        }
         let accepted = unfinished.accepted;
         let class = self.recovered_class(&accepted);
         let past_attempts: Vec<PastAttempt> = unfinished
--- a/crates/engine/src/snapshot.rs
+++ b/crates/engine/src/snapshot.rs
@@ -13,7 +13,7 @@
 use crate::dead_letter_sink::EndReason;
 use crate::endpoints::{EndpointTable, Route};
 use crate::engine::Engine;
-use crate::journal::{Ending, MessageEnd};
+use crate::journal::{Ending, MessageEnd, Unfinished};
 use crate::message::{Attempt, Message};
 use crate::observer::EngineEvent;
 use crate::ports::Ports;
@@ -220,6 +220,7 @@
                 engine.delivered.push(id);
             }
         }
+        engine.remember_recently_ended();
         engine.restore_messages(stored.messages);
         let foreign_calls = engine.restore_calls(stored.calls);
         engine.ready.send_replace(stored.ready);
@@ -250,6 +251,10 @@
         let mut unfinished = self.journal.unfinished();
         for stored in stored {
             let recorded = unfinished.remove(&stored.number);
+            let ended = recorded.as_ref().filter(|recorded| recorded.end.is_some());
+            if let Some(ended) = ended.and_then(Unfinished::recently_ended) {
+                self.remember_ended(&ended);
+            }
             let body = recorded
                 .map(|recorded| recorded.accepted.body)
                 .unwrap_or_default();
@@ -270,6 +275,9 @@
         }
         for (number, recorded) in unfinished {
             let message_id = MessageId(number);
+            if let Some(ended) = recorded.recently_ended() {
+                self.remember_ended(&ended);
+            }
             match (
                 recorded.end,
                 SharedStr::new(recorded.accepted.id.as_bytes()),
--- a/crates/journal/src/compaction.rs
+++ b/crates/journal/src/compaction.rs
@@ -35,14 +35,14 @@
     /// As [`FileJournal::compact`].
     pub(crate) fn replace(&mut self, last_record: &[u8]) -> Result<(), JournalError> {
         let new_path = self.path.with_extension("new");
-        let new_size = self.live.bytes() + last_record.len() as u64;
-        if self.size + new_size > self.max_bytes_of_both() {
+        let max_new_size = self.live.bytes() + last_record.len() as u64;
+        if self.size + max_new_size > self.max_bytes_of_both() {
             return Err(JournalError::Full);
         }
         match write_and_rename(&new_path, &self.path, &self.live, last_record) {
-            Ok(file) => {
+            Ok((file, size)) => {
                 self.file = file;
-                self.size = new_size;
+                self.size = size;
                 self.broken = false;
                 Ok(())
             }
@@ -61,24 +61,25 @@
     }
 }
 
-/// Writes the new file message by message: an encoded copy of all messages would take as much memory again.
+/// Writes the new file, and returns it with its size in bytes. It is written message by message: an encoded copy of all
+/// messages would take as much memory again.
 fn write_and_rename(
     new_path: &Path,
     path: &Path,
     live: &LiveMessages,
     last_record: &[u8],
-) -> Result<File, JournalError> {
+) -> Result<(File, u64), JournalError> {
     let file = OpenOptions::new()
         .append(true)
         .create_new(true)
         .open(new_path)
         .map_err(JournalError::Write)?;
     let mut writer = BufWriter::new(file);
-    live.write_to(&mut writer)?;
+    let size = live.write_to(&mut writer)? + last_record.len() as u64;
     writer.write_all(last_record).map_err(JournalError::Write)?;
     let file = writer
         .into_inner()
         .map_err(|error| JournalError::Write(error.into_error()))?;
     fs::rename(new_path, path).map_err(JournalError::Write)?;
-    Ok(file)
+    Ok((file, size))
 }
--- a/crates/journal/src/file_journal.rs
+++ b/crates/journal/src/file_journal.rs
@@ -7,7 +7,9 @@
 use crate::live_messages::LiveMessages;
 use crate::records::Record;
 use crate::recovery::{Recovery, replay};
-use milletturn_engine::{Accepted, AttemptStarted, Journal, JournalError, MessageEnd, Unfinished};
+use milletturn_engine::{
+    Accepted, AttemptStarted, Journal, JournalError, MessageEnd, RecentlyEnded, Unfinished,
+};
 use milletturn_policy::Micros;
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
@@ -19,6 +21,8 @@
 const MAX_SMALL_RECORD_BYTES: u64 = 64;
 /// At most the size limit divided by this number is reserved for the records of messages that are already accepted.
 const MAX_RESERVE_DIVISOR: u64 = 4;
+/// The ids of recently ended messages take up at most the size limit divided by this number.
+const RECENTLY_ENDED_DIVISOR: u64 = 32;
 /// Bytes of the size limit that are set aside for the folder's own blocks and for rounding two files up to whole
 /// blocks of 512 bytes.
 const ROUNDING_BYTES: u64 = 4 * 1024;
@@ -86,7 +90,7 @@
             }
             _ => {}
         }
-        let mut live = LiveMessages::default();
+        let mut live = LiveMessages::new(max_bytes / RECENTLY_ENDED_DIVISOR);
         let (recovery, size) = match File::open(&path) {
             Err(error) if error.kind() == io::ErrorKind::NotFound => {
                 let created = Recovery {
@@ -199,6 +203,10 @@
         self.live.unfinished()
     }
 
+    fn recently_ended(&self) -> Vec<RecentlyEnded> {
+        self.live.recently_ended()
+    }
+
     fn record_accepted(&mut self, number: u64, accepted: Accepted) -> Result<(), JournalError> {
         self.append_message(Record::accepted(number, accepted))
     }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -6,6 +6,7 @@
 //! | `recovery` | reading the file at the start, even if its last record is incomplete or some bytes are damaged |
 //! | `compaction` | replacing the file by one that holds only the unfinished messages |
 //! | `live_messages` | the unfinished messages, and the bytes that a compacted file needs for them |
+//! | `recently_ended` | at-most-once messages that have ended and may have run |
 //! | `records` | the stored form of each record |
 //! | `codec` | the framing of a record: magic, length, checksum, payload |
 
@@ -13,6 +14,7 @@
 mod compaction;
 mod file_journal;
 mod live_messages;
+mod recently_ended;
 mod records;
 mod recovery;
 
--- a/crates/journal/src/live_messages.rs
+++ b/crates/journal/src/live_messages.rs
@@ -2,9 +2,11 @@
 //! file needs for them.
 
 use crate::codec::encode;
+use crate::recently_ended::RecentlyEndedMessages;
 use crate::records::{DetailEffect, Details, PriorAttempt, Record, encode_unfinished};
 use milletturn_engine::{
-    Accepted, AttemptStarted, EndReason, Ending, JournalError, MessageEnd, Unfinished,
+    Accepted, AttemptStarted, EndReason, Ending, JournalError, MessageEnd, RecentlyEnded,
+    Unfinished,
 };
 use milletturn_policy::Effect;
 use std::collections::BTreeMap;
@@ -14,6 +16,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct LiveMessages {
     messages: BTreeMap<u64, LiveMessage>,
+    recently_ended: RecentlyEndedMessages,
     /// Sum of [`LiveMessage::bytes`] over all messages.
     bytes: u64,
 }
@@ -26,9 +29,25 @@
 }
 
 impl LiveMessages {
-    /// Size of a compacted file in bytes.
+    /// No messages. The ids of recently ended messages may take up `max_recently_ended_bytes` in a compacted file.
+    pub(crate) fn new(max_recently_ended_bytes: u64) -> Self {
+        LiveMessages {
+            recently_ended: RecentlyEndedMessages::new(max_recently_ended_bytes),
+            ..LiveMessages::default()
+        }
+    }
+
+    /// Upper bound for the size of a compacted file in bytes.
     pub(crate) fn bytes(&self) -> u64 {
-        self.bytes
+        self.bytes + self.recently_ended.max_bytes()
+    }
+
+    /// At-most-once messages that ended lately and may have run, oldest first.
+    pub(crate) fn recently_ended(&self) -> Vec<RecentlyEnded> {
+        self.recently_ended
+            .iter()
+            .map(RecentlyEnded::from)
+            .collect()
     }
 
     /// How many messages are unfinished.
@@ -49,16 +68,22 @@
             .collect()
     }
 
-    /// Writes the content of a compacted file.
+    /// Writes the content of a compacted file, and returns its size in bytes.
     ///
     /// # Errors
     /// When a record can't be encoded or written.
-    pub(crate) fn write_to(&self, writer: &mut impl Write) -> Result<(), JournalError> {
+    pub(crate) fn write_to(&self, writer: &mut impl Write) -> Result<u64, JournalError> {
+        let mut written = 0;
+        for bytes in self.recently_ended.encode()? {
+            writer.write_all(&bytes).map_err(JournalError::Write)?;
+            written += bytes.len() as u64;
+        }
         for (&number, live) in &self.messages {
             let bytes = encode_unfinished(number, &live.message)?;
             writer.write_all(&bytes).map_err(JournalError::Write)?;
+            written += bytes.len() as u64;
         }
-        Ok(())
+        Ok(written)
     }
 
     /// Applies a record that takes up `bytes` in the file. Records of messages that are finished, or unknown because
@@ -78,8 +103,10 @@
             Record::Finished(number) => {
                 if let Some(old) = self.messages.remove(&number) {
                     self.bytes -= old.bytes;
+                    self.recently_ended.add(&old.message);
                 }
             }
+            Record::RecentlyEnded(ended) => self.recently_ended.extend(ended),
             Record::AttemptStarted(number, attempt) => {
                 self.update(number, bytes, |message| message.attempts.push(attempt));
             }
--- a/crates/journal/src/records.rs
+++ b/crates/journal/src/records.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use milletturn_engine::{
-    Accepted, AttemptStarted, EndReason, Ending, JournalError, MessageEnd, Unfinished,
+    Accepted, AttemptStarted, EndReason, Ending, JournalError, MessageEnd, RecentlyEnded,
+    Unfinished,
 };
 use milletturn_policy::Effect;
 use serde::{Deserialize, Serialize};
@@ -134,6 +135,24 @@
     AcceptedWithDetails(u64, #[serde(with = "StoredAccepted")] Accepted, Details),
     /// The file was damaged before this record: an attempt of each message that is unfinished here may have been lost.
     DamageBefore,
+    /// At-most-once messages that had ended before the file was compacted, and may have run, oldest first.
+    RecentlyEnded(Vec<StoredRecentlyEnded>),
+}
+
+/// Stored form of [`RecentlyEnded`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct StoredRecentlyEnded {
+    pub(crate) id: String,
+    pub(crate) is_delivered: bool,
+}
+
+impl From<&StoredRecentlyEnded> for RecentlyEnded {
+    fn from(stored: &StoredRecentlyEnded) -> Self {
+        RecentlyEnded {
+            id: stored.id.clone(),
+            is_delivered: stored.is_delivered,
+        }
+    }
 }
 
 impl Record {
