Refuse a message whose client left before its request was read

Cause: the end of a connection stands behind its unread bytes, so the server learned of it only when its first response failed.

Before a message is submitted the server asks the kernel whether the client has closed its side (POLLRDHUP), and if so refuses it with 503: a client that closed only its sending side still gets an answer, and handing the message in again is harmless. The stream of a client moves to a module of its own.

--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -1,5 +1,8 @@
 //! The HTTP server for clients: reads submitted messages, and responds as the engine decides.
 
+mod client_stream;
+
+use self::client_stream::{ClientStream, has_left};
 use crate::client_classes::{ClassTerms, ClientClasses};
 use crate::drain_gate::DrainGate;
 use crate::message_head::{HeadError, MessageHead, Rejection, bad_request, single_value};
@@ -16,13 +19,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::yield_now;
@@ -376,17 +376,16 @@
     );
     let (service_server, service_state, service_connections) =
         (server.clone(), state.clone(), connections.clone());
-    let stream = ClientStream {
-        stream,
-        state: state.clone(),
-        discarded_bytes: 0,
-    };
+    let socket = Rc::new(stream);
+    let stream = ClientStream::new(socket.clone(), state.clone());
+    let service_socket = socket.clone();
     let service = service_fn(move |request| {
         respond(
             request,
             service_server.clone(),
             service_connections.clone(),
             service_state.clone(),
+            service_socket.clone(),
         )
     });
     let mut connection = http1::Builder::new()
@@ -401,8 +400,7 @@
         tokio::select! {
             // a request that has arrived takes precedence over the deadline
             biased;
-            // Errors of the connection are ignored. `DisconnectGuard` withdraws a message whose client has
-            // disconnected.
+            // Errors of the connection are ignored. `DisconnectGuard` reports a client that has disconnected.
             _ = &mut connection => return None,
             _ = closing_idle.wait_for(|closing| *closing), if is_keep_alive => {
                 is_keep_alive = false;
@@ -430,12 +428,13 @@
             connections.request_close_of_longest_idle();
         }
     }
-    let stream = connection.into_parts().io.into_inner().stream;
+    drop(connection);
     if state.has_partial_request.get() {
         // Best effort: a client whose socket has no room for these few bytes is not reading.
-        let _ = stream.try_write(REJECTION_RESPONSE);
+        let _ = socket.try_write(REJECTION_RESPONSE);
     }
-    Some(stream)
+    // the connection held the other references
+    Rc::into_inner(socket)
 }
 
 /// Processes all input that the kernel has received so far. The runtime learns of new bytes only the next time it polls
@@ -493,88 +492,16 @@
     }
 }
 
-/// A client's stream. Records the request head that is being read, and shuts down without a reset.
-struct ClientStream {
-    stream: TcpStream,
-    state: Rc<ConnectionState>,
-    discarded_bytes: usize,
-}
-
-impl ClientStream {
-    fn end_request_if_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(result, Poll::Ready(Ok(1..))) {
-            self.state.end_request();
-        }
-        result
-    }
-}
-
-impl AsyncRead for ClientStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.state.record_read(&buffer.filled()[before..]);
-        result
-    }
-}
-
-impl AsyncWrite for ClientStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
-        self.end_request_if_written(result)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.end_request_if_written(result)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    /// Shuts down the write side, then reads and discards at most [`MAX_LINGER_BYTES`] of input.
-    /// `ConnectionState::deadline` limits the time.
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
-        let mut scratch = [0; 8192];
-        while self.discarded_bytes < MAX_LINGER_BYTES {
-            let mut buffer = ReadBuf::new(&mut scratch);
-            match ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer)) {
-                Ok(()) if !buffer.filled().is_empty() => {
-                    self.discarded_bytes += buffer.filled().len();
-                }
-                _ => break,
-            }
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
 async fn respond(
     request: Request<Incoming>,
     server: Rc<Server>,
     connections: Rc<OpenConnections>,
     state: Rc<ConnectionState>,
+    socket: Rc<TcpStream>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let body_deadline = state.begin_request();
-    let (response, close) = match handle_request(request, &server, &state, body_deadline).await {
+    let handled = handle_request(request, &server, &state, &socket, body_deadline).await;
+    let (response, close) = match handled {
         Ok(response) => (response, false),
         Err((status, message)) => {
             let mut response = Response::new(Full::from(format!("{message}\n")));
@@ -609,6 +536,7 @@
     request: Request<Incoming>,
     server: &Server,
     state: &ConnectionState,
+    socket: &TcpStream,
     body_deadline: Instant,
 ) -> Result<Response<Full<Bytes>>, Rejection> {
     let received_at = Instant::now();
@@ -648,6 +576,10 @@
     let subject = server
         .subject(&head, class)
         .map_err(|error| server.rejection(HeadError::ClassSettings(error)))?;
+    // a client that leaves before its request is read submits the message again, maybe to another sender
+    if has_left(socket) {
+        return Err(server.reject_message(&head, "the client has closed the connection"));
+    }
     let (reply, outcome) = oneshot::channel();
     let id = head.id.clone();
     let arrival = Arrival {
@@ -735,8 +667,8 @@
     Ok(bytes.into())
 }
 
-/// Withdraws a message whose client disconnects before the response: hyper drops the request future then, and the
-/// client submits the message to another sender.
+/// Tells the engine of a client that disconnects before the response to its message: hyper drops the request future
+/// then. The engine withdraws the message unless it may have run.
 struct DisconnectGuard<'a> {
     pending_id: Option<SharedStr>,
     inputs: &'a mpsc::UnboundedSender<Input>,
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -7,6 +7,7 @@
 use sidecar_process::*;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
 use std::thread;
 use std::time::Duration;
 
@@ -20,6 +21,8 @@
 const DELAYS: usize = 40;
 /// Clients that are connected to a process when it is taken over.
 const UPGRADE_CLIENTS: usize = 200;
+/// Requests on a connection that is closed before the sender has read any.
+const UNREAD_REQUESTS: usize = 200;
 
 /// An endpoint that responds after a while, so that a client can leave while a call is in flight.
 fn slow_endpoint() -> FakeEndpoint {
@@ -108,6 +111,31 @@
     status
 }
 
+/// Number of messages that are sent on although their client has closed its connection before the process, which is
+/// stopped meanwhile, could read them.
+fn runs_of_unread_requests(process_id: u32, address: SocketAddr, endpoint: &FakeEndpoint) -> usize {
+    signal(process_id, "-STOP");
+    let mut stream = TcpStream::connect(address).expect("the kernel accepts");
+    for number in 0..UNREAD_REQUESTS {
+        stream
+            .write_all(&order(&format!("unread-{number}")))
+            .expect("written");
+    }
+    drop(stream);
+    signal(process_id, "-CONT");
+    thread::sleep(Duration::from_millis(1_000));
+    (0..UNREAD_REQUESTS)
+        .map(|number| endpoint.attempt_count(&format!("unread-{number}")))
+        .sum()
+}
+
+fn signal(process_id: u32, name: &str) {
+    let status = Command::new("kill")
+        .args([name, &process_id.to_string()])
+        .status();
+    assert!(status.expect("kill runs").success());
+}
+
 fn start_sidecar(endpoint: &FakeEndpoint) -> Sidecar {
     Sidecar::new(&format!(
         "[destination.one]\nid = {DESTINATION}\nendpoints = ['{}']\n",
@@ -190,3 +218,21 @@
     assert_eq!(submit_until_not_rejected(node.address, "m1"), 500);
     assert_eq!(endpoint.attempt_count("m1"), 1);
 }
+
+/// Guards against requests of a client that has left, which it submits again elsewhere.
+#[test]
+fn requests_that_are_unread_when_their_client_leaves_are_not_sent_on_by_the_platform_sender() {
+    let endpoint = slow_endpoint();
+    let node = Node::new(&discovery_with(&endpoint)).ready();
+    let runs = runs_of_unread_requests(node.process.id(), node.address, &endpoint);
+    assert_eq!(runs, 0);
+}
+
+/// Guards against the same in the sidecar.
+#[test]
+fn requests_that_are_unread_when_their_client_leaves_are_not_sent_on_by_the_sidecar() {
+    let endpoint = slow_endpoint();
+    let sidecar = start_sidecar(&endpoint);
+    let runs = runs_of_unread_requests(sidecar.process.id(), sidecar.http, &endpoint);
+    assert_eq!(runs, 0);
+}
