Let a call start only at its endpoint's present address and destination

Operators saw work go to a new process that had come up at the address of one that had gone.

Cause: a call that asks whether it may start was checked for drains, waits, windows and deadlines, but only by its endpoint's name.

A call starts only if its endpoint is listed at the address that it is connected to and serves the message's destination; otherwise it never ran and goes out again. A change of destination closes the idle connections, so that every call has to ask.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -7,6 +7,7 @@
 use crate::transport::Call;
 use milletturn_policy::{Effect, EndpointId, Event, MessageId, Micros, Outcome};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
@@ -19,8 +20,17 @@
     pub attempt: usize,
 }
 
+/// Where a call of this process goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct CallTarget {
+    pub endpoint: EndpointId,
+    pub address: SocketAddr,
+}
+
 /// A call in flight.
 pub(crate) struct OutstandingCall {
+    /// Where the call goes; `None` for a call of another process.
+    pub target: Option<CallTarget>,
     /// Passes the positions of cancelled attempts to the transport.
     pub cancellations: mpsc::UnboundedSender<usize>,
     /// The attempt at each position of the call.
@@ -179,6 +189,10 @@
         }
         let (cancellations, cancelled) = mpsc::unbounded_channel();
         let outstanding = OutstandingCall {
+            target: Some(CallTarget {
+                endpoint: batch.endpoint,
+                address,
+            }),
             cancellations,
             remaining: attempts.len(),
             attempts,
@@ -211,13 +225,24 @@
         }
     }
 
+    /// Whether the endpoint is still listed at this address.
+    fn is_current(&self, target: CallTarget) -> bool {
+        self.endpoints
+            .route(target.endpoint)
+            .is_some_and(|route| route.address == target.address)
+    }
+
     /// Replies to calls that ask whether they may still start. The attempts of a call start together: the call must
-    /// not start if any of its attempts must not, and the reply is the earliest of their write deadlines.
+    /// not start if any of its attempts must not, and the reply is the earliest of their write deadlines. Nor must it
+    /// start at an address that its endpoint no longer has: another process may be there by now.
     pub(crate) fn reply_to_start_requests(&mut self, now: Micros) {
         for request in std::mem::take(&mut self.start_requests) {
             let Some(call) = self.calls.get(&request.call) else {
                 continue;
             };
+            if !call.target.is_some_and(|target| self.is_current(target)) {
+                continue;
+            }
             let write_deadlines = call
                 .attempts
                 .iter()
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -16,6 +16,8 @@
     pub address: SocketAddr,
     /// The maximum number of messages in one call to the endpoint.
     pub max_batch_size: usize,
+    /// The endpoint's destination; `None` until a list names it, if the table comes from an earlier process.
+    pub destination: Option<u64>,
 }
 
 /// The listed endpoints.
@@ -74,6 +76,16 @@
         self.by_uid.get(uid).copied()
     }
 
+    /// Whether the listed endpoint served another destination before.
+    pub(crate) fn has_changed_destination(&self, listed: &ListedEndpoint) -> bool {
+        let route = self
+            .by_uid(&listed.uid)
+            .and_then(|endpoint| self.route(endpoint));
+        route
+            .and_then(|route| route.destination)
+            .is_some_and(|destination| destination != listed.destination)
+    }
+
     /// Adds an endpoint, or updates the one with the same name.
     pub(crate) fn upsert(&mut self, listed: &ListedEndpoint, max_batch_size: usize) -> EndpointId {
         let uid: Arc<str> = listed.uid.as_str().into();
@@ -87,6 +99,7 @@
                 uid,
                 address: listed.address,
                 max_batch_size,
+                destination: Some(listed.destination),
             },
         );
         endpoint
--- a/crates/engine/src/reconfiguration.rs
+++ b/crates/engine/src/reconfiguration.rs
@@ -86,6 +86,7 @@
 
     /// Applies one listed endpoint to the table and the transport; `None` for the removal of an unknown endpoint.
     fn apply_listed(&mut self, listed: &ListedEndpoint, kind: usize) -> Option<EndpointId> {
+        let has_changed_destination = self.endpoints.has_changed_destination(listed);
         let endpoint = match listed.status {
             EndpointStatus::Removed => self.endpoints.remove(&listed.uid)?,
             EndpointStatus::Serving | EndpointStatus::Draining => {
@@ -93,6 +94,10 @@
                 self.endpoints.upsert(listed, max_batch_size)
             }
         };
+        if has_changed_destination {
+            // a call that has not begun must not find an idle connection, but ask whether it may start
+            self.transport.remove_endpoint(endpoint);
+        }
         match listed.status {
             EndpointStatus::Serving => self.transport.add_endpoint(endpoint, listed.address),
             EndpointStatus::Draining | EndpointStatus::Removed => {
--- a/crates/engine/src/snapshot.rs
+++ b/crates/engine/src/snapshot.rs
@@ -236,6 +236,7 @@
                 uid: stored.uid.as_str().into(),
                 address: stored.address,
                 max_batch_size: stored.max_batch_size,
+                destination: None,
             };
             (stored.endpoint, route)
         });
@@ -308,6 +309,7 @@
                 cancels,
             });
             let outstanding = OutstandingCall {
+                target: None,
                 cancellations,
                 attempts,
                 remaining,
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -1096,7 +1096,8 @@
         let target = self
             .endpoints
             .get(&attempt.endpoint)
-            .filter(|endpoint_state| endpoint_state.serving)?;
+            .filter(|endpoint_state| endpoint_state.serving)
+            .filter(|endpoint_state| endpoint_state.destination == message.destination)?;
         let until = self
             .repeatable_until(message, index, Some(target.zone))
             .min(message.deadline - DEADLINE_MARGIN);
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limited_fleet;
 mod memory_journal;
 mod process_memory;
+mod stalled_address;
 mod turns;
 mod unreliable_endpoint;
 mod unused_address;
@@ -40,6 +41,7 @@
 pub use impatient_client::{RESPONSE_TIMEOUT, ResponseCounts, submit_on_new_connections};
 pub use memory_journal::MemoryJournal;
 pub use process_memory::{peak_resident_bytes, resident_file_bytes};
+pub use stalled_address::StalledAddress;
 pub use unreliable_endpoint::{Executions, spawn_unreliable_endpoint};
 pub use unused_address::UnusedAddress;
 pub use virtual_transport::{CallScript, ScriptedOutcome, SimulatedEnvironment, VirtualTransport};
@@ -178,6 +180,14 @@
     /// Starts a server on a free loopback port; the port accepts connections when this returns.
     pub fn new(script: impl Fn(&Request, usize) -> Reply + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        FakeEndpoint::on_listener(listener, script)
+    }
+
+    /// Starts a server on a listener.
+    pub fn on_listener(
+        listener: TcpListener,
+        script: impl Fn(&Request, usize) -> Reply + Send + Sync + 'static,
+    ) -> Self {
         let endpoint = FakeEndpoint {
             address: listener.local_addr().expect("bound"),
             requests: Arc::default(),
