--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -1060,7 +1060,7 @@
     /// The time until which the message may be sent to a zone although its earlier attempts may have been
     /// processed. For a keyed message, this is shortly before the end of the deduplication window. The
     /// attempt at `excluded_index` is ignored. `Micros::MAX` means without limit, `Micros::MIN` never.
-    fn repeatable_until(
+    pub(crate) fn repeatable_until(
         &self,
         message: &PendingMessage,
         excluded_index: usize,
@@ -1082,32 +1082,6 @@
             .unwrap_or(Micros::MAX)
     }
 
-    /// The time by which the last byte of an attempt must be written; `None` if the attempt must not be
-    /// written at all. The host asks for this time before it writes the first byte. The result takes into
-    /// account what has happened since the decision to send, for example while the connection was opened: a
-    /// retry-after delay, a drain, or the end of the deduplication window.
-    #[must_use]
-    pub fn write_deadline(&self, now: Micros, id: MessageId, index: usize) -> Option<Micros> {
-        let message = self.messages.get(&id).filter(|message| message.open)?;
-        let attempt = message
-            .attempts
-            .get(index)
-            .filter(|attempt| attempt.in_flight && !attempt.cancelled)?;
-        let target = self
-            .endpoints
-            .get(&attempt.endpoint)
-            .filter(|endpoint_state| endpoint_state.serving)
-            .filter(|endpoint_state| endpoint_state.destination == message.destination)?;
-        let until = self
-            .repeatable_until(message, index, Some(target.zone))
-            .min(message.deadline - DEADLINE_MARGIN);
-        let retry_after_until = self
-            .scopes
-            .get(&self.scope_of(attempt.endpoint))
-            .map_or(0, |scope| scope.retry_after_until);
-        (now >= retry_after_until && now < until).then_some(until)
-    }
-
     /// Whether a call may start at a health scope: checks the retry-after delay, free slots, a pending
     /// shutdown, and then the window, rate limit and health. `joins_call`: the message would join a call that
     /// this turn has opened.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod rejection_correlation;
 mod scheduler;
 mod state;
+mod write_deadline;
 
 pub use interface::*;
 pub use state::Sender;
