--- a/crates/journal/src/file_journal.rs
+++ b/crates/journal/src/file_journal.rs
@@ -42,7 +42,7 @@
     /// ends of messages that are already accepted.
     reserved_bytes: u64,
     pub(crate) live: LiveMessages,
-    held_limits: HeldLimits,
+    unfinished_limits: UnfinishedLimits,
     /// Numbers of the finished messages whose [`Record::Finished`] could not be written yet.
     pub(crate) unrecorded: Vec<u64>,
     /// True after a failed write whose partial record could not be truncated. Appends fail until a compaction has
@@ -53,16 +53,16 @@
 /// Limits of the unfinished messages, which the journal holds in memory as well as in its file. New messages are
 /// rejected while one of the limits is reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HeldLimits {
+pub struct UnfinishedLimits {
     /// Maximum total size of the messages in bytes, as their records take up in the file.
     pub bytes: u64,
     /// Maximum number of messages.
     pub messages: usize,
 }
 
-impl HeldLimits {
+impl UnfinishedLimits {
     /// No limit other than the size of the file.
-    pub const NONE: HeldLimits = HeldLimits {
+    pub const NONE: UnfinishedLimits = UnfinishedLimits {
         bytes: u64::MAX,
         messages: usize::MAX,
     };
@@ -115,7 +115,7 @@
                 .saturating_mul(MAX_SMALL_RECORD_BYTES)
                 .min(max_bytes / MAX_RESERVE_DIVISOR),
             live,
-            held_limits: HeldLimits::NONE,
+            unfinished_limits: UnfinishedLimits::NONE,
             unrecorded: Vec::new(),
             broken: false,
         };
@@ -124,13 +124,13 @@
     }
 
     /// Limits the memory of unfinished messages from now on. Messages that exceed the limits already are kept.
-    pub fn limit_held(&mut self, limits: HeldLimits) {
-        self.held_limits = limits;
+    pub fn limit_unfinished(&mut self, limits: UnfinishedLimits) {
+        self.unfinished_limits = limits;
     }
 
     /// Appends the record of a new message, unless the unfinished messages have reached one of their limits.
     fn append_message(&mut self, record: Record) -> Result<(), JournalError> {
-        let HeldLimits { bytes, messages } = self.held_limits;
+        let UnfinishedLimits { bytes, messages } = self.unfinished_limits;
         if self.live.bytes() >= bytes || self.live.count() >= messages {
             return Err(JournalError::Full);
         }
--- a/crates/journal/tests/recently_ended.rs
+++ b/crates/journal/tests/recently_ended.rs
@@ -96,3 +96,19 @@
     assert_eq!(journal.recently_ended(), expected);
     assert_eq!(open(folder.path()).recently_ended(), expected);
 }
+
+/// The record as this build stores it, which later builds must read.
+#[test]
+fn the_stored_record_is_read() {
+    let payload = b"\x0a\x02\x02m1\x01\x02m2\x00";
+    let length = (payload.len() as u32).to_le_bytes();
+    let checksum = crc32fast::hash(payload).to_le_bytes();
+    let file = [b"MTJ1", &length[..], &checksum, payload].concat();
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
+    std::fs::write(folder.path().join("journal"), file).expect("written");
+    let expected = [("m1", true), ("m2", false)].map(|(id, is_delivered)| RecentlyEnded {
+        id: id.to_string(),
+        is_delivered,
+    });
+    assert_eq!(open(folder.path()).recently_ended(), expected);
+}
--- a/crates/platform/src/resource_budget.rs
+++ b/crates/platform/src/resource_budget.rs
@@ -15,7 +15,7 @@
 /// Memory of an unfinished message in addition to its body.
 const MESSAGE_BYTES: u64 = 4_000;
 /// Unfinished messages may take up at least the memory limit divided by this number.
-const MIN_HELD_DIVISOR: u64 = 8;
+const MIN_UNFINISHED_DIVISOR: u64 = 8;
 
 /// How the file descriptors and memory of a sender are divided among its parts. Every descriptor and every byte of a
 /// request body that is being read counts against the limit of one part, so that no part can starve another. The
@@ -35,9 +35,9 @@
     /// Maximum total size of client request bodies that are being read, in bytes.
     pub body_bytes: usize,
     /// Maximum total size of the unfinished messages in the journal, in bytes.
-    pub held_bytes: u64,
+    pub max_unfinished_bytes: u64,
     /// Maximum number of unfinished messages in the journal.
-    pub held_messages: usize,
+    pub max_unfinished_messages: usize,
 }
 
 impl ResourceBudget {
@@ -74,21 +74,19 @@
             .max(1);
         let body_bytes = to_usize(memory_bytes / 8).clamp(2 * MAX_BODY_BYTES, 64 << 20);
         let endpoint_connections_in_use = idle_connections + call_slots.min(endpoint_connections);
-        let other_bytes = PROCESS_BYTES
-            + body_bytes as u64
-            + client_connections as u64 * CLIENT_CONNECTION_BYTES
+        let connection_bytes = client_connections as u64 * CLIENT_CONNECTION_BYTES
             + endpoint_connections_in_use as u64 * ENDPOINT_CONNECTION_BYTES;
-        let held_bytes = memory_bytes
-            .saturating_sub(other_bytes)
-            .max(memory_bytes / MIN_HELD_DIVISOR);
+        let max_unfinished_bytes = memory_bytes
+            .saturating_sub(PROCESS_BYTES + body_bytes as u64 + connection_bytes)
+            .max(memory_bytes / MIN_UNFINISHED_DIVISOR);
         ResourceBudget {
             client_connections,
             extra_connections,
             endpoint_connections,
             idle_connections,
             body_bytes,
-            held_bytes,
-            held_messages: to_usize(held_bytes / MESSAGE_BYTES),
+            max_unfinished_bytes,
+            max_unfinished_messages: to_usize(max_unfinished_bytes / MESSAGE_BYTES),
         }
     }
 }
--- a/crates/platform/src/resource_budget/tests.rs
+++ b/crates/platform/src/resource_budget/tests.rs
@@ -49,14 +49,17 @@
             let call_slots = 40.min(budget.endpoint_connections);
             let connection_bytes = budget.client_connections as u64 * CLIENT_CONNECTION_BYTES
                 + (budget.idle_connections + call_slots) as u64 * ENDPOINT_CONNECTION_BYTES;
-            let total_bytes =
-                PROCESS_BYTES + budget.body_bytes as u64 + connection_bytes + budget.held_bytes;
+            let total_bytes = PROCESS_BYTES
+                + budget.body_bytes as u64
+                + connection_bytes
+                + budget.max_unfinished_bytes;
             assert!(
                 total_bytes <= memory_bytes,
                 "{memory_bytes}, {descriptors}: {total_bytes}, {budget:?}"
             );
             assert!(
-                budget.held_messages as u64 * MESSAGE_BYTES <= budget.held_bytes,
+                budget.max_unfinished_messages as u64 * MESSAGE_BYTES
+                    <= budget.max_unfinished_bytes,
                 "{memory_bytes}, {descriptors}: {budget:?}"
             );
         }
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -18,7 +18,7 @@
 use milletturn_engine::{Clock, EndpointListUpdate, Journal};
 use milletturn_hot_restart::new_process::FolderOwnership;
 use milletturn_hot_restart::old_process;
-use milletturn_journal::{FileJournal, HeldLimits, Recovery};
+use milletturn_journal::{FileJournal, Recovery, UnfinishedLimits};
 use milletturn_logging::log;
 use milletturn_platform::ResourceBudget;
 use milletturn_platform::http_transport::HttpTransport;
@@ -169,9 +169,9 @@
         .saturating_mul(2 * settings.max_attempts + 1) as u64;
     let (mut journal, recovery) =
         FileJournal::open(&options.state_dir, options.journal_max_bytes, entries)?;
-    journal.limit_held(HeldLimits {
-        bytes: options.budget.held_bytes,
-        messages: options.budget.held_messages,
+    journal.limit_unfinished(UnfinishedLimits {
+        bytes: options.budget.max_unfinished_bytes,
+        messages: options.budget.max_unfinished_messages,
     });
     log_recovery(&options.name, &journal, &recovery);
     Ok((journal, recovery))
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -30,7 +30,7 @@
 const SILENT: u64 = 7;
 
 /// Submits large messages to the silent endpoint until one is rejected; returns how many were accepted.
-fn fill_with_held_messages(address: SocketAddr, class: &str) -> usize {
+fn fill_with_unfinished_messages(address: SocketAddr, class: &str) -> usize {
     let body = vec![b'x'; 64 * 1024];
     let mut accepted = 0;
     let mut client = Client::new(address);
@@ -52,8 +52,11 @@
 
 /// Lets each kind of crowd occupy the sender, and checks its memory and the responses to other clients.
 fn check_crowds(address: SocketAddr, process_id: u32, class: &'static str) {
-    let held = fill_with_held_messages(address, class);
-    println!("{held} messages held: {}", peak_memory_bytes(process_id));
+    let accepted = fill_with_unfinished_messages(address, class);
+    println!(
+        "{accepted} messages accepted: {}",
+        peak_memory_bytes(process_id)
+    );
     for behavior in ALL_BEHAVIORS {
         let crowd = ClientCrowd::start(address, CROWD, behavior, class);
         let prefix = format!("{behavior:?}");
