--- a/crates/journal/src/recovery.rs
+++ b/crates/journal/src/recovery.rs
@@ -84,6 +84,8 @@
     /// Start of the unread bytes in the buffer.
     position: usize,
     bytes_read: u64,
+    /// Whether the whole file has been read.
+    is_at_end: bool,
 }
 
 impl<R: Read> ReadWindow<R> {
@@ -93,13 +95,14 @@
             buffer: Vec::new(),
             position: 0,
             bytes_read: 0,
+            is_at_end: false,
         }
     }
 
     /// Reads until the unread bytes hold the longest possible record, or up to the end of the file. Returns false if
     /// no byte is left.
     fn fill(&mut self) -> Result<bool, JournalError> {
-        if self.unread().len() < MAX_RECORD_BYTES {
+        if !self.is_at_end && self.unread().len() < MAX_RECORD_BYTES {
             self.buffer.drain(..self.position);
             self.position = 0;
             let missing = (WINDOW_BYTES - self.buffer.len()) as u64;
@@ -108,6 +111,7 @@
                 .read_to_end(&mut self.buffer)
                 .map_err(JournalError::Write)?;
             self.bytes_read += read as u64;
+            self.is_at_end = (read as u64) < missing;
         }
         Ok(!self.unread().is_empty())
     }
--- a/crates/journal/tests/recently_ended.rs
+++ b/crates/journal/tests/recently_ended.rs
@@ -4,10 +4,13 @@
 use milletturn_journal::FileJournal;
 use milletturn_policy::Effect;
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 /// Small enough that the messages of the first test compact the file several times.
 const MAX_BYTES: u64 = 100_000;
 const NOW: i64 = 1_700_000_000_000_000;
+/// Far above the time in which a file of this size is read once.
+const MAX_START_TIME: Duration = Duration::from_millis(500);
 
 fn open(folder: &Path) -> FileJournal {
     FileJournal::open(folder, MAX_BYTES, 4)
@@ -112,3 +115,13 @@
     });
     assert_eq!(open(folder.path()).recently_ended(), expected);
 }
+
+/// Guards against a slow start, in which each unreadable byte moves the rest of the file in memory.
+#[test]
+fn a_damaged_end_of_a_file_is_read_in_time() {
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
+    std::fs::write(folder.path().join("journal"), vec![0; 262_000]).expect("written");
+    let begin = Instant::now();
+    drop(open(folder.path()));
+    assert!(begin.elapsed() < MAX_START_TIME, "{:?}", begin.elapsed());
+}
