--- a/crates/journal/src/file_journal.rs
+++ b/crates/journal/src/file_journal.rs
@@ -42,7 +42,7 @@
     /// ends of messages that are already accepted.
     reserved_bytes: u64,
     pub(crate) live: LiveMessages,
-    unfinished_limits: UnfinishedLimits,
+    unfinished_limit: UnfinishedLimit,
     /// Numbers of the finished messages whose [`Record::Finished`] could not be written yet.
     pub(crate) unrecorded: Vec<u64>,
     /// True after a failed write whose partial record could not be truncated. Appends fail until a compaction has
@@ -50,21 +50,21 @@
     pub(crate) broken: bool,
 }
 
-/// Limits of the unfinished messages, which the journal holds in memory as well as in its file. New messages are
-/// rejected while one of the limits is reached.
+/// Limit of the memory of unfinished messages, which the journal holds in memory as well as in its file. New messages
+/// are rejected while it is reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct UnfinishedLimits {
-    /// Maximum total size of the messages in bytes, as their records take up in the file.
+pub struct UnfinishedLimit {
+    /// Maximum memory of all messages in bytes.
     pub bytes: u64,
-    /// Maximum number of messages.
-    pub messages: usize,
+    /// Memory of one message in bytes, in addition to what its records take up in the file.
+    pub bytes_per_message: u64,
 }
 
-impl UnfinishedLimits {
+impl UnfinishedLimit {
     /// No limit other than the size of the file.
-    pub const NONE: UnfinishedLimits = UnfinishedLimits {
+    pub const NONE: UnfinishedLimit = UnfinishedLimit {
         bytes: u64::MAX,
-        messages: usize::MAX,
+        bytes_per_message: 0,
     };
 }
 
@@ -115,7 +115,7 @@
                 .saturating_mul(MAX_SMALL_RECORD_BYTES)
                 .min(max_bytes / MAX_RESERVE_DIVISOR),
             live,
-            unfinished_limits: UnfinishedLimits::NONE,
+            unfinished_limit: UnfinishedLimit::NONE,
             unrecorded: Vec::new(),
             broken: false,
         };
@@ -123,15 +123,16 @@
         Ok((journal, recovery))
     }
 
-    /// Limits the memory of unfinished messages from now on. Messages that exceed the limits already are kept.
-    pub fn limit_unfinished(&mut self, limits: UnfinishedLimits) {
-        self.unfinished_limits = limits;
+    /// Limits the memory of unfinished messages from now on. Messages that exceed the limit already are kept.
+    pub fn limit_unfinished(&mut self, limit: UnfinishedLimit) {
+        self.unfinished_limit = limit;
     }
 
-    /// Appends the record of a new message, unless the unfinished messages have reached one of their limits.
+    /// Appends the record of a new message, unless the unfinished messages have reached their limit.
     fn append_message(&mut self, record: Record) -> Result<(), JournalError> {
-        let UnfinishedLimits { bytes, messages } = self.unfinished_limits;
-        if self.live.bytes() >= bytes || self.live.count() >= messages {
+        let limit = self.unfinished_limit;
+        let overhead = limit.bytes_per_message * self.live.count() as u64;
+        if self.live.bytes() + overhead >= limit.bytes {
             return Err(JournalError::Full);
         }
         self.append(record, self.reserved_bytes)
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -18,5 +18,5 @@
 mod records;
 mod recovery;
 
-pub use file_journal::{FileJournal, UnfinishedLimits};
+pub use file_journal::{FileJournal, UnfinishedLimit};
 pub use recovery::Recovery;
--- a/crates/journal/tests/full.rs
+++ b/crates/journal/tests/full.rs
@@ -2,7 +2,7 @@
 //! new messages again once old ones are finished.
 
 use milletturn_engine::{Accepted, Journal};
-use milletturn_journal::{FileJournal, Recovery};
+use milletturn_journal::{FileJournal, Recovery, UnfinishedLimit};
 use std::fs;
 use std::path::{Path, PathBuf};
 
@@ -201,3 +201,23 @@
     drop(journal);
     assert_eq!(open(&folder, 512 * 1024).0.unfinished().len(), 1);
 }
+
+/// Guards against messages whose bodies and whose other memory each stay within the limit, but together take twice of it.
+#[test]
+fn the_memory_of_unfinished_messages_is_limited_with_all_that_each_needs() {
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
+    let (mut journal, _) = FileJournal::open(folder.path(), 1 << 20, 1).expect("opened");
+    let limit = UnfinishedLimit {
+        bytes: 50_000,
+        bytes_per_message: 4_000,
+    };
+    journal.limit_unfinished(limit);
+    let accepted_count = (0..100)
+        .take_while(|&number| journal.record_accepted(number, accepted(number)).is_ok())
+        .count();
+    assert!((10..=13).contains(&accepted_count), "{accepted_count}");
+    journal.record_finished(0).expect("written");
+    journal
+        .record_accepted(100, accepted(100))
+        .expect("there is room again");
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -29,4 +29,4 @@
 pub use client_classes::{ClassTerms, ClientClasses};
 pub use discovery_backoff::{DiscoveryBackoff, Failure};
 pub use drain_gate::DrainGate;
-pub use resource_budget::ResourceBudget;
+pub use resource_budget::{MESSAGE_BYTES, ResourceBudget};
--- a/crates/platform/src/resource_budget.rs
+++ b/crates/platform/src/resource_budget.rs
@@ -13,7 +13,7 @@
 /// Memory of a connection to an endpoint: the read and write buffers, and the task.
 const ENDPOINT_CONNECTION_BYTES: u64 = 24_000;
 /// Memory of an unfinished message in addition to its body.
-const MESSAGE_BYTES: u64 = 4_000;
+pub const MESSAGE_BYTES: u64 = 4_000;
 /// Unfinished messages may take up at least the memory limit divided by this number.
 const MIN_UNFINISHED_DIVISOR: u64 = 8;
 
@@ -34,10 +34,8 @@
     pub idle_connections: usize,
     /// Maximum total size of client request bodies that are being read, in bytes.
     pub body_bytes: usize,
-    /// Maximum total size of the unfinished messages in the journal, in bytes.
+    /// Maximum memory of all unfinished messages, each with [`MESSAGE_BYTES`] in addition to its body, in bytes.
     pub max_unfinished_bytes: u64,
-    /// Maximum number of unfinished messages in the journal.
-    pub max_unfinished_messages: usize,
 }
 
 impl ResourceBudget {
@@ -86,7 +84,6 @@
             idle_connections,
             body_bytes,
             max_unfinished_bytes,
-            max_unfinished_messages: to_usize(max_unfinished_bytes / MESSAGE_BYTES),
         }
     }
 }
--- a/crates/platform/src/resource_budget/tests.rs
+++ b/crates/platform/src/resource_budget/tests.rs
@@ -1,7 +1,4 @@
-use super::{
-    CLIENT_CONNECTION_BYTES, ENDPOINT_CONNECTION_BYTES, MESSAGE_BYTES, PROCESS_BYTES,
-    ResourceBudget,
-};
+use super::{CLIENT_CONNECTION_BYTES, ENDPOINT_CONNECTION_BYTES, PROCESS_BYTES, ResourceBudget};
 
 #[test]
 fn shares_never_exceed_the_descriptor_limit() {
@@ -57,11 +54,20 @@
                 total_bytes <= memory_bytes,
                 "{memory_bytes}, {descriptors}: {total_bytes}, {budget:?}"
             );
-            assert!(
-                budget.max_unfinished_messages as u64 * MESSAGE_BYTES
-                    <= budget.max_unfinished_bytes,
-                "{memory_bytes}, {descriptors}: {budget:?}"
-            );
         }
     }
 }
+
+#[test]
+fn the_memory_of_a_large_deployment_does_not_limit_its_connections() {
+    for call_slots in [8, 40, 120] {
+        let limited = ResourceBudget::new(1024, 192_000_000, call_slots);
+        let unlimited = ResourceBudget::new(1024, 64_000_000_000, call_slots);
+        assert_eq!(
+            (limited.client_connections, limited.idle_connections),
+            (unlimited.client_connections, unlimited.idle_connections)
+        );
+        // the journal's file may have 3 MB there
+        assert!(limited.max_unfinished_bytes > 100_000_000, "{limited:?}");
+    }
+}
--- a/crates/sidecar/src/outcome_log.rs
+++ b/crates/sidecar/src/outcome_log.rs
@@ -8,7 +8,6 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use record::MIN_RECORD_BYTES;
 pub use record::Outcome;
 
 use milletturn_engine::Notification;
@@ -31,9 +30,9 @@
 /// Typical size of an outcome's line, in bytes, used to estimate how much of the file is acknowledged.
 const TYPICAL_RECORD_BYTES: u64 = 128;
 
-/// Memory of one pending outcome with a short id, in bytes: the outcome, its place in a queue that doubles as it grows,
-/// and its number in a set.
-pub(crate) const PENDING_OUTCOME_BYTES: u64 = 150;
+/// Memory of one pending outcome without its id, in bytes: the outcome, its place in a queue that doubles as it grows, and
+/// its number in a set.
+const PENDING_OUTCOME_BYTES: u64 = 140;
 
 /// Why the outcome log can't be used.
 #[derive(Debug, Error)]
@@ -66,8 +65,10 @@
     max_bytes: u64,
     /// Outcomes that aren't acknowledged yet, in ascending order of their cursors.
     pending: VecDeque<PendingOutcome>,
-    /// Maximum number of pending outcomes.
-    max_pending: usize,
+    /// Memory of the pending outcomes, in bytes.
+    pending_bytes: u64,
+    /// Maximum memory of the pending outcomes, in bytes.
+    max_pending_bytes: u64,
     /// Message numbers of the pending outcomes.
     pending_numbers: BTreeSet<u64>,
     /// Message numbers of recently acknowledged outcomes, oldest first.
@@ -106,7 +107,8 @@
             size_bytes: complete_length as u64,
             max_bytes,
             pending: VecDeque::new(),
-            max_pending: usize::MAX,
+            pending_bytes: 0,
+            max_pending_bytes: u64::MAX,
             pending_numbers: BTreeSet::new(),
             acknowledged_numbers: VecDeque::new(),
             acknowledged_cursor: 0,
@@ -147,9 +149,9 @@
         }
     }
 
-    /// Limits the number of pending outcomes, which are all in memory, from now on.
-    pub fn limit_pending(&mut self, max_pending: usize) {
-        self.max_pending = max_pending;
+    /// Limits the memory of the pending outcomes from now on. Those that exceed the limit already are kept.
+    pub fn limit_pending(&mut self, max_bytes: u64) {
+        self.max_pending_bytes = max_bytes;
     }
 
     /// A number greater than that of any pending or recently acknowledged message; 0 if there are none.
@@ -196,6 +198,7 @@
     fn insert_pending(&mut self, outcome: PendingOutcome) {
         self.next_cursor = self.next_cursor.max(outcome.cursor + 1);
         self.pending_numbers.insert(outcome.number);
+        self.pending_bytes += memory_of(outcome.id.len());
         let position = self
             .pending
             .partition_point(|one| one.cursor < outcome.cursor);
@@ -208,6 +211,7 @@
         let acknowledged = self.pending.partition_point(|one| one.cursor <= cursor);
         for outcome in self.pending.drain(..acknowledged) {
             self.pending_numbers.remove(&outcome.number);
+            self.pending_bytes -= memory_of(outcome.id.len());
             self.acknowledged_numbers.push_back(outcome.number);
         }
         if self.pending.is_empty() {
@@ -253,11 +257,12 @@
         let mut stored_numbers = Vec::new();
         let mut new_outcomes = Vec::new();
         let mut size_bytes = self.size_bytes;
+        let mut pending_bytes = self.pending_bytes;
         for notification in notifications {
             if !self.is_known(notification.number) {
                 size_bytes += MAX_RECORD_BYTES;
-                let pending_count = self.pending.len() + new_outcomes.len();
-                if size_bytes > self.max_bytes || pending_count >= self.max_pending {
+                pending_bytes += memory_of(notification.id.as_str().len());
+                if size_bytes > self.max_bytes || pending_bytes > self.max_pending_bytes {
                     continue;
                 }
                 let cursor = self.next_cursor + new_outcomes.len() as u64;
@@ -329,6 +334,11 @@
     }
 }
 
+/// Memory of a pending outcome whose id has this length, in bytes.
+fn memory_of(id_length: usize) -> u64 {
+    PENDING_OUTCOME_BYTES + id_length as u64
+}
+
 /// The records as lines of JSON.
 fn to_lines(records: impl IntoIterator<Item = Record>) -> serde_json::Result<Vec<u8>> {
     let mut text = Vec::new();
--- a/crates/sidecar/src/outcome_log/record.rs
+++ b/crates/sidecar/src/outcome_log/record.rs
@@ -20,9 +20,6 @@
     pub after_ms: Option<u64>,
 }
 
-/// Length of the shortest line of an outcome in bytes, with an id of 8 characters.
-pub(crate) const MIN_RECORD_BYTES: u64 = 60;
-
 /// An outcome that is not acknowledged yet. Many are in memory at once, so the form is compact.
 #[derive(Debug)]
 pub(super) struct PendingOutcome {
--- a/crates/sidecar/src/outcome_log/tests.rs
+++ b/crates/sidecar/src/outcome_log/tests.rs
@@ -100,3 +100,24 @@
     );
     assert_eq!(log.after(cursor, 10).len(), 1);
 }
+
+/// Guards against a limit that counts outcomes, whose ids may be long.
+#[test]
+fn the_memory_of_pending_outcomes_is_limited_with_their_ids() {
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
+    let mut log = OutcomeLog::open(folder.path(), 1 << 20).expect("opened");
+    log.limit_pending(10_000);
+    let with_long_id = |number: u64| {
+        let id = format!("{number:0200}");
+        Notification {
+            id: SharedStr::new(id.as_bytes()).expect("valid text"),
+            ..delivered(number)
+        }
+    };
+    let stored: usize = (1..100)
+        .map(|number| log.append(&[with_long_id(number)]).expect("written").len())
+        .sum();
+    assert!((25..=50).contains(&stored), "{stored}");
+    log.acknowledge(log.last_cursor()).expect("written");
+    assert_eq!(log.append(&[with_long_id(100)]).expect("written"), [100]);
+}
--- a/crates/sidecar/src/plan.rs
+++ b/crates/sidecar/src/plan.rs
@@ -6,7 +6,6 @@
 mod destinations;
 
 use crate::callback::Callback;
-use crate::outcome_log::{MIN_RECORD_BYTES, PENDING_OUTCOME_BYTES};
 use destinations::Destinations;
 use milletturn_config::check::ADMIN_DESCRIPTORS;
 use milletturn_config::document::{Document, host_and_port};
@@ -28,6 +27,8 @@
 const OUTCOME_LOG_FILES: u64 = 2;
 /// Pending outcomes may take up the memory limit divided by this number.
 const OUTCOME_MEMORY_DIVISOR: u64 = 4;
+/// Memory of pending outcomes at most, as a multiple of the size of the log's file.
+const OUTCOME_MEMORY_FACTOR: u64 = 4;
 
 /// The values that a sidecar runs with.
 #[derive(Debug, Clone)]
@@ -55,8 +56,8 @@
     pub store_reserved_bytes: u64,
     /// Size limit of the outcome log's file, in bytes.
     pub outcome_log_max_bytes: u64,
-    /// Maximum number of outcomes that are not acknowledged.
-    pub max_pending_outcomes: usize,
+    /// Maximum memory of the outcomes that are not acknowledged, in bytes.
+    pub max_pending_outcome_bytes: u64,
     /// How long endpoints leave an idle connection open.
     pub idle_timeout: Duration,
     /// How long a connection may take to be established.
@@ -132,7 +133,9 @@
             .transpose()?;
         settings.kinds.extend(destinations.kind_settings());
         let outcome_log_max_bytes = document.size(&["outcomes", "size"]);
-        let max_pending_outcomes = max_pending_outcomes(document, outcome_log_max_bytes);
+        let memory_share = document.size(&["limits", "memory"]) / OUTCOME_MEMORY_DIVISOR;
+        let max_pending_outcome_bytes =
+            memory_share.min(outcome_log_max_bytes.saturating_mul(OUTCOME_MEMORY_FACTOR));
         let dead_letter_store = dead_letters::store_from(document);
         let store_reserved_bytes = dead_letter_store
             .as_ref()
@@ -147,14 +150,14 @@
             ingress_address: resolve(&text(&["listen", "http"]))?,
             outcomes_address: resolve(&text(&["listen", "outcomes"]))?,
             admin_address,
-            budget: budget_from(document, admin_address.is_some(), max_pending_outcomes),
+            budget: budget_from(document, admin_address.is_some(), max_pending_outcome_bytes),
             journal_max_bytes: document
                 .size(&["limits", "disk"])
                 .saturating_sub(store_reserved_bytes)
                 .saturating_sub(OUTCOME_LOG_FILES * outcome_log_max_bytes),
             store_reserved_bytes,
             outcome_log_max_bytes,
-            max_pending_outcomes: usize::try_from(max_pending_outcomes).unwrap_or(usize::MAX),
+            max_pending_outcome_bytes,
             idle_timeout: to_duration(settings.idle_connection_timeout),
             connect_timeout: to_duration(document.time(&["connections", "dial"])),
             settings,
@@ -167,19 +170,12 @@
     }
 }
 
-/// How many outcomes may be pending: as many as fit into the log's file, if their share of the memory limit holds them.
-fn max_pending_outcomes(document: &Document, outcome_log_max_bytes: u64) -> u64 {
-    let memory_share = document.size(&["limits", "memory"]) / OUTCOME_MEMORY_DIVISOR;
-    let fitting_into_memory = memory_share / PENDING_OUTCOME_BYTES;
-    fitting_into_memory.min(outcome_log_max_bytes / MIN_RECORD_BYTES)
-}
-
 /// Divides descriptors and memory between connections and messages. The descriptors that the sidecar itself needs, and
 /// the memory of its pending outcomes, are subtracted first.
 fn budget_from(
     document: &Document,
     has_admin_listener: bool,
-    max_pending_outcomes: u64,
+    max_pending_outcome_bytes: u64,
 ) -> ResourceBudget {
     let admin_descriptors = if has_admin_listener {
         ADMIN_DESCRIPTORS as usize
@@ -189,7 +185,7 @@
     let reserved = OTHER_DESCRIPTORS + admin_descriptors;
     ResourceBudget::new(
         count_as_usize(document, &["limits", "sockets"]).saturating_sub(reserved),
-        document.size(&["limits", "memory"]) - max_pending_outcomes * PENDING_OUTCOME_BYTES,
+        document.size(&["limits", "memory"]) - max_pending_outcome_bytes,
         count_as_usize(document, &["limits", "calls"]),
     )
 }
--- a/crates/test-support/src/client_crowd.rs
+++ b/crates/test-support/src/client_crowd.rs
@@ -13,6 +13,8 @@
 const SLOW_WRITE_BYTES: usize = 64;
 /// Size of the body that each client announces, in bytes: the largest that a sender takes.
 const BODY_BYTES: usize = 64 * 1024;
+/// Short fields in a complete head: a little less than the most that a sender takes.
+const MANY_FIELDS: usize = 85;
 /// Size of a head of many short fields, in bytes: a little less than the largest that a sender reads.
 const LARGE_HEAD_BYTES: usize = 15 * 1024;
 
@@ -25,6 +27,8 @@
     StopsHalfWay,
     /// Writes a large head that consists of very short fields and does not end.
     SendsManyFields,
+    /// Writes a complete head with as many short fields as a sender takes, half of a large body, and then nothing.
+    StopsBehindManyFields,
 }
 
 /// Clients that reconnect at once when their connection is closed. They stop when the value is dropped.
@@ -86,6 +90,15 @@
         match behavior {
             CrowdBehavior::WritesSlowly => {}
             CrowdBehavior::StopsHalfWay => request.truncate(request.len() - BODY_BYTES / 2),
+            CrowdBehavior::StopsBehindManyFields => {
+                request.truncate(request.len() - BODY_BYTES / 2);
+                let first_line_end = request.iter().position(|&byte| byte == b'\n');
+                let position = first_line_end.map_or(0, |end| end + 1);
+                let fields: String = (0..MANY_FIELDS)
+                    .map(|name| format!("f{name}:1\r\n"))
+                    .collect();
+                request.splice(position..position, fields.into_bytes());
+            }
             CrowdBehavior::SendsManyFields => {
                 request = format!("POST /{class} HTTP/1.1\r\nHost: a\r\n").into_bytes();
                 while request.len() < LARGE_HEAD_BYTES {
@@ -95,7 +108,9 @@
         }
         let step_bytes = match behavior {
             CrowdBehavior::WritesSlowly => SLOW_WRITE_BYTES,
-            CrowdBehavior::StopsHalfWay | CrowdBehavior::SendsManyFields => request.len(),
+            CrowdBehavior::StopsHalfWay
+            | CrowdBehavior::SendsManyFields
+            | CrowdBehavior::StopsBehindManyFields => request.len(),
         };
         CrowdClient {
             address,
--- a/crates/test-support/src/impatient_client.rs
+++ b/crates/test-support/src/impatient_client.rs
@@ -97,3 +97,27 @@
         }
     }
 }
+
+/// Rejections in a row after which a sender counts as full, and the time between two submissions then. Connections that
+/// are being closed may cause a few.
+const FULL_REJECTIONS: usize = 10;
+const REJECTION_PAUSE: Duration = Duration::from_millis(100);
+
+/// Submits messages with the largest body until the sender is full; returns how many were accepted.
+#[must_use]
+pub fn submit_until_full(address: SocketAddr, class: &str, destination: u64) -> usize {
+    let body = vec![b'x'; 64 * 1024];
+    let (mut accepted, mut rejected_in_a_row) = (0, 0);
+    while rejected_in_a_row < FULL_REJECTIONS {
+        let id = format!("unfinished-{accepted}");
+        let request = crate::message_request(class, &id, destination, 120_000, &body);
+        let response = crate::Client::new(address).send(&request);
+        if response.is_some_and(|(status, _)| status == 202) {
+            (accepted, rejected_in_a_row) = (accepted + 1, 0);
+        } else {
+            rejected_in_a_row += 1;
+            std::thread::sleep(REJECTION_PAUSE);
+        }
+    }
+    accepted
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -38,7 +38,9 @@
     RecordingTransport, START_TIME_US, engine_ports, new_arrival, serving_endpoint,
 };
 pub use flooding_client::FloodingClient;
-pub use impatient_client::{RESPONSE_TIMEOUT, ResponseCounts, submit_on_new_connections};
+pub use impatient_client::{
+    RESPONSE_TIMEOUT, ResponseCounts, submit_on_new_connections, submit_until_full,
+};
 pub use memory_journal::MemoryJournal;
 pub use process_memory::{peak_resident_bytes, resident_file_bytes};
 pub use stalled_address::StalledAddress;
--- a/src/assemble.rs
+++ b/src/assemble.rs
@@ -18,10 +18,10 @@
 use milletturn_engine::{Clock, EndpointListUpdate, Journal};
 use milletturn_hot_restart::new_process::FolderOwnership;
 use milletturn_hot_restart::old_process;
-use milletturn_journal::{FileJournal, Recovery, UnfinishedLimits};
+use milletturn_journal::{FileJournal, Recovery, UnfinishedLimit};
 use milletturn_logging::log;
-use milletturn_platform::ResourceBudget;
 use milletturn_platform::http_transport::HttpTransport;
+use milletturn_platform::{MESSAGE_BYTES, ResourceBudget};
 use milletturn_policy::Settings;
 use running::{ClientServer, SharedHandles};
 use std::error::Error;
@@ -169,9 +169,9 @@
         .saturating_mul(2 * settings.max_attempts + 1) as u64;
     let (mut journal, recovery) =
         FileJournal::open(&options.state_dir, options.journal_max_bytes, entries)?;
-    journal.limit_unfinished(UnfinishedLimits {
+    journal.limit_unfinished(UnfinishedLimit {
         bytes: options.budget.max_unfinished_bytes,
-        messages: options.budget.max_unfinished_messages,
+        bytes_per_message: MESSAGE_BYTES,
     });
     log_recovery(&options.name, &journal, &recovery);
     Ok((journal, recovery))
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -67,7 +67,7 @@
     let endpoints = initial_endpoints(&plan)?;
     std::fs::create_dir_all(&plan.state_folder)?;
     let mut outcomes = OutcomeLog::open(&plan.state_folder, plan.outcome_log_max_bytes)?;
-    outcomes.limit_pending(plan.max_pending_outcomes);
+    outcomes.limit_pending(plan.max_pending_outcome_bytes);
     let seed = random_seed();
     let name = plan.name.clone();
     let options = SenderOptions {
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -16,61 +16,61 @@
 /// Clients that are connected at once.
 const CROWD: usize = 600;
 /// Time for which each crowd is connected.
-const CROWD_TIME: Duration = Duration::from_secs(5);
-const ALL_BEHAVIORS: [CrowdBehavior; 3] = [
+const CROWD_TIME: Duration = Duration::from_millis(3_500);
+const ALL_BEHAVIORS: [CrowdBehavior; 4] = [
     CrowdBehavior::WritesSlowly,
     CrowdBehavior::StopsHalfWay,
     CrowdBehavior::SendsManyFields,
+    CrowdBehavior::StopsBehindManyFields,
 ];
 /// Memory for the pages of the program, which a test build has more of than a release build.
 const PROGRAM_BYTES: u64 = 8_000_000;
+/// Large messages that fill at least an eighth of the memory.
+const MIN_UNFINISHED: usize = 60;
 /// Destination whose endpoint answers.
 const HEALTHY: u64 = 8;
 /// Destination whose endpoint never answers.
 const SILENT: u64 = 7;
 
-/// Submits large messages to the silent endpoint until one is rejected; returns how many were accepted.
-fn fill_with_unfinished_messages(address: SocketAddr, class: &str) -> usize {
-    let body = vec![b'x'; 64 * 1024];
-    let mut accepted = 0;
-    let mut client = Client::new(address);
-    for number in 0..1_000 {
-        let request = message_request(class, &format!("held-{number}"), SILENT, 120_000, &body);
-        match client.send(&request) {
-            Some((202, _)) => accepted += 1,
-            _ => break,
-        }
-    }
-    accepted
-}
-
 /// The largest memory that the process has had, with the pages of the program counted as a release build has them.
 fn peak_memory_bytes(process_id: u32) -> u64 {
     let own_bytes = peak_resident_bytes(process_id).saturating_sub(resident_file_bytes(process_id));
     own_bytes + PROGRAM_BYTES
 }
 
-/// Lets each kind of crowd occupy the sender, and checks its memory and the responses to other clients.
+/// Lets each kind of crowd occupy the sender, first alone and then beside as many unfinished messages as it accepts.
 fn check_crowds(address: SocketAddr, process_id: u32, class: &'static str) {
-    let accepted = fill_with_unfinished_messages(address, class);
-    println!(
-        "{accepted} messages accepted: {}",
-        peak_memory_bytes(process_id)
-    );
     for behavior in ALL_BEHAVIORS {
-        let crowd = ClientCrowd::start(address, CROWD, behavior, class);
-        let prefix = format!("{behavior:?}");
-        let counts = submit_on_new_connections(address, class, HEALTHY, &prefix, CROWD_TIME);
-        drop(crowd);
-        let peak_bytes = peak_memory_bytes(process_id);
-        println!("{behavior:?}: {peak_bytes}, {counts:?}");
-        assert!(
-            peak_bytes <= MEMORY_MB * 1_000_000,
-            "{behavior:?}: {peak_bytes}"
-        );
-        let answered = counts.accepted + counts.rejected;
-        assert_eq!(answered, counts.requests(), "{behavior:?}: {counts:?}");
+        check_crowd(address, process_id, class, behavior, "alone");
     }
+    let accepted = submit_until_full(address, class, SILENT);
+    println!("{accepted} messages: {}", peak_memory_bytes(process_id));
+    assert!(accepted >= MIN_UNFINISHED, "{accepted}");
+    for behavior in ALL_BEHAVIORS {
+        check_crowd(address, process_id, class, behavior, "full");
+    }
+}
+
+/// Lets a crowd occupy the sender, and checks its memory and the responses to other clients.
+fn check_crowd(
+    address: SocketAddr,
+    process_id: u32,
+    class: &'static str,
+    behavior: CrowdBehavior,
+    phase: &str,
+) {
+    let crowd = ClientCrowd::start(address, CROWD, behavior, class);
+    let prefix = format!("{phase}-{behavior:?}");
+    let counts = submit_on_new_connections(address, class, HEALTHY, &prefix, CROWD_TIME);
+    drop(crowd);
+    let peak_bytes = peak_memory_bytes(process_id);
+    println!("{prefix}: {peak_bytes}, {counts:?}");
+    assert!(
+        peak_bytes <= MEMORY_MB * 1_000_000,
+        "{prefix}: {peak_bytes}"
+    );
+    let answered = counts.accepted + counts.rejected;
+    assert_eq!(answered, counts.requests(), "{prefix}: {counts:?}");
 }
 
 fn endpoints() -> (FakeEndpoint, FakeEndpoint) {
--- a/tests/flooding_client.rs
+++ b/tests/flooding_client.rs
@@ -19,10 +19,14 @@
 const UNREAD_TIME: Duration = Duration::from_secs(25);
 /// Memory for the pages of the program, which a test build has more of than a release build.
 const PROGRAM_BYTES: u64 = 8_000_000;
+/// Large messages that fill at least an eighth of the memory.
+const MIN_UNFINISHED: usize = 60;
 /// Destination of the flooding client's messages.
 const FLOODED: u64 = 7;
 /// Destination of the other client's messages.
 const OTHER: u64 = 8;
+/// Destination whose endpoint never answers.
+const SILENT: u64 = 9;
 
 /// A kind of request, by its number.
 type RequestKind = (&'static str, fn(u64, &str) -> Vec<u8>);
@@ -114,14 +118,24 @@
     }
 }
 
+/// Does the same beside as many unfinished messages as the sender accepts.
+fn check_floods_when_full(address: SocketAddr, process_id: u32, class: &'static str) {
+    let accepted = submit_until_full(address, class, SILENT);
+    println!("{accepted} unfinished messages");
+    assert!(accepted >= MIN_UNFINISHED, "{accepted}");
+    check_floods(address, process_id, class);
+}
+
 /// A sidecar with two destinations and these limits, beside its memory and descriptors.
 fn start_sidecar(limits: &str) -> Sidecar {
     let (flooded, other) = (FakeEndpoint::new(|_, _| OK), FakeEndpoint::new(|_, _| OK));
+    let silent = FakeEndpoint::new(|_, _| Reply::NoResponse);
     Sidecar::new(&format!(
         "[limits]\nmemory = '{MEMORY_MB}MB'\nsockets = {DESCRIPTORS}\n{limits}\
          [destination.flooded]\nid = {FLOODED}\nendpoints = ['{}']\n\
-         [destination.other]\nid = {OTHER}\nendpoints = ['{}']\n",
-        flooded.address, other.address
+         [destination.other]\nid = {OTHER}\nendpoints = ['{}']\n\
+         [destination.silent]\nid = {SILENT}\nendpoints = ['{}']\n",
+        flooded.address, other.address, silent.address
     ))
 }
 
@@ -129,15 +143,20 @@
 #[test]
 fn a_flooding_client_delays_no_other_client_of_the_platform_sender() {
     let endpoint = FakeEndpoint::new(|_, _| OK);
+    let silent = FakeEndpoint::new(|_, _| Reply::NoResponse);
     let discovery = FakeDiscovery::new(vec![list_json(&[
         ("s-1", endpoint.address, "one", FLOODED, "up"),
         ("s-2", endpoint.address, "one", OTHER, "up"),
+        ("s-3", silent.address, "one", SILENT, "up"),
     ])]);
     let node = Node::with_config(&discovery, DESCRIPTORS, |text| {
         text.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"))
+            .replace("\"disk_mb\":3", "\"disk_mb\":30")
+            .replace("\"maxOpen\":50", "\"maxOpen\":400")
     })
     .ready();
     check_floods(node.address, node.process.id(), "posting");
+    check_floods_when_full(node.address, node.process.id(), "posting");
 }
 
 /// Guards against a client whose requests delay those of others, or make the memory grow.
@@ -149,6 +168,7 @@
     });
     check_other_client("lookups", sidecar.http, "notice", lookups, FLOOD_TIME);
     check_floods(sidecar.http, sidecar.process.id(), "notice");
+    check_floods_when_full(sidecar.http, sidecar.process.id(), "notice");
 }
 
 /// Guards against outcomes without a reader that take several times the memory that the limits assume.
